--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+VENV ?= .venv
+PY = $(VENV)/bin/python
+
+.PHONY: run test lint format bench capacity binary proofs clean
+
+$(VENV)/.ready: requirements.txt requirements-dev.txt pyproject.toml
+	python3 -m venv $(VENV)
+	$(VENV)/bin/pip install -q -r requirements-dev.txt
+	$(VENV)/bin/pip install -q --no-deps --no-build-isolation -e .
+	touch $@
+
+run: $(VENV)/.ready
+	$(PY) -m chervilshift dev
+
+test: $(VENV)/.ready
+	$(PY) -m pytest tests
+
+proofs: $(VENV)/.ready
+	$(PY) -m pytest tests/proofs tests/core
+
+lint: $(VENV)/.ready
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/ruff check .
+
+format: $(VENV)/.ready
+	$(VENV)/bin/ruff format .
+	$(VENV)/bin/ruff check --fix .
+
+bench: $(VENV)/.ready
+	$(PY) -m bench.table
+
+capacity: $(VENV)/.ready
+	$(PY) -m bench.slopes
+
+binary: $(VENV)/.ready
+	mkdir -p dist
+	$(VENV)/bin/shiv -q -c chervilshift -o dist/chervilshift -r requirements.txt .
+
+clean:
+	rm -rf $(VENV) dist build *.egg-info
--- /dev/null
+++ b/chervilshift/__main__.py
@@ -0,0 +1,6 @@
+"""Start the command line."""
+
+from chervilshift.cmdline import main
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/chervilshift/config.py
@@ -0,0 +1,261 @@
+"""What is served, for whom and at which latency: base file and overlays.
+
+The base file holds everything; an overlay names its site and changes values
+of what the base defines. `docs/CONFIG.md` lists every key.
+"""
+
+import hashlib
+from typing import Annotated
+
+from pydantic import BaseModel, ConfigDict, Field
+from returns.result import Failure as Bad
+from returns.result import Result, Success
+
+from chervilshift.core.commands import ConfigDocument
+from chervilshift.errors import ConfigFault, ConfigRefused
+from chervilshift.yamldoc import Document, check, locate, read
+
+__all__ = [
+    "Config",
+    "Customer",
+    "Fleet",
+    "Limits",
+    "Model",
+    "Routing",
+    "Service",
+    "compile_site",
+    "hash_key",
+    "validate",
+]
+
+Positive = Annotated[float, Field(gt=0)]
+Amount = Annotated[float, Field(ge=0)]
+Count = Annotated[int, Field(ge=1)]
+KeyHash = Annotated[str, Field(pattern="^[0-9a-f]{64}$")]
+
+SITE_KEY = "site"
+
+
+class _Section(BaseModel):
+    model_config = ConfigDict(extra="forbid", frozen=True, strict=True)
+
+
+class Model(_Section):
+    """A language model and the latency promised for it."""
+
+    first_token_ms: Positive = Field(
+        620.0, description="Target for the first token, in milliseconds."
+    )
+    token_gap_ms: Positive = Field(
+        37.0, description="Target between tokens, in milliseconds."
+    )
+    max_output_tokens: Count = Field(
+        2048, description="Most tokens one answer may have."
+    )
+    long_output_tokens: Count = Field(
+        256,
+        description="Predicted answer size from which a request is long.",
+    )
+    long_prompt_tokens: Count = Field(
+        2000, description="Prompt size from which a request is long."
+    )
+    deadline_s: Positive = Field(
+        600.0, description="Longest time for a whole answer, in seconds."
+    )
+    adapters: list[str] = Field([], description="Adapters that may be asked.")
+    versions: list[str] = Field([], description="Versions that may be asked.")
+
+
+class Service(_Section):
+    """A plain service."""
+
+    repeatable_methods: list[str] = Field(
+        ["GET", "HEAD", "OPTIONS"],
+        description="Methods whose calls may be sent more than once.",
+    )
+    timeout_s: Positive = Field(
+        30.0, description="Longest time for one call, in seconds."
+    )
+
+
+class Customer(_Section):
+    """Who may call, what, and how much at once."""
+
+    keys: list[KeyHash] = Field(
+        [], description="SHA-256 of each key, in lower-case hexadecimal."
+    )
+    models: list[str] = Field([], description="Models the customer may use.")
+    services: list[str] = Field(
+        [], description="Services the customer may use."
+    )
+    share: Positive = Field(
+        1.0, description="Weight in the fair sharing of capacity."
+    )
+    max_queued: Count = Field(
+        200, description="Most requests waiting at one entry."
+    )
+    max_running: Count = Field(
+        400, description="Most requests running at one entry."
+    )
+
+
+class Limits(_Section):
+    """Bounds on what callers may send."""
+
+    body_bytes: Count = Field(
+        1_048_576, description="Largest request body, in bytes."
+    )
+    body_timeout_s: Positive = Field(
+        10.0, description="Longest time to send a body, in seconds."
+    )
+    reconnect_s: Positive = Field(
+        30.0,
+        description="Time an answer goes on without its caller, in seconds.",
+    )
+
+
+class Routing(_Section):
+    """How requests are spread over endpoints."""
+
+    candidates: Count = Field(
+        6, description="Endpoints compared for one request."
+    )
+    long_share: Annotated[float, Field(gt=0, le=1)] = Field(
+        0.5, description="Share of an endpoint's capacity for long requests."
+    )
+    retry_share: Amount = Field(
+        0.1, description="Retries allowed, as a share of requests."
+    )
+    hedge_share: Amount = Field(
+        0.05, description="Hedged requests allowed, as a share of requests."
+    )
+
+
+class Fleet(_Section):
+    """Prices the choice of host classes goes by."""
+
+    reclaimable_price: Amount = Field(
+        1.0, description="Price of a reclaimable host, per hour."
+    )
+    on_demand_price: Amount = Field(
+        3.0, description="Price of an on-demand host, per hour."
+    )
+    link_price: Amount = Field(
+        0.02, description="Price of a gigabyte between regions."
+    )
+
+
+class Config(_Section):
+    """The configuration in force at one site."""
+
+    models: dict[str, Model] = Field({}, description="Models by name.")
+    services: dict[str, Service] = Field({}, description="Services by name.")
+    customers: dict[str, Customer] = Field(
+        {}, description="Customers by name."
+    )
+    limits: Limits = Field(Limits(), description="Bounds on requests.")
+    routing: Routing = Field(Routing(), description="Routing.")
+    fleet: Fleet = Field(Fleet(), description="Prices of hosts.")
+
+
+def hash_key(key: str) -> str:
+    """Return the hash under which a key stands in files."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def validate(document: ConfigDocument) -> Result[None, ConfigRefused]:
+    """Check the base and every overlay; all faults are reported together."""
+    faults: list[ConfigFault] = []
+    sites = ("", *document.overlays)
+    for site in sites:
+        checked = _compile(document, site)
+        if isinstance(checked, Bad):
+            faults.extend(checked.failure())
+    if faults:
+        texts = dict.fromkeys(str(fault) for fault in faults)
+        return Bad(ConfigRefused(faults="\n".join(texts)))
+    return Success(None)
+
+
+def compile_site(
+    document: ConfigDocument, site: str
+) -> Result[Config, ConfigRefused]:
+    """Return the configuration at `site`: the base under its overlay."""
+    compiled = _compile(document, site)
+    if isinstance(compiled, Bad):
+        faults = "\n".join(str(fault) for fault in compiled.failure())
+        return Bad(ConfigRefused(faults=faults))
+    return compiled
+
+
+def _compile(
+    document: ConfigDocument, site: str
+) -> Result[Config, list[ConfigFault]]:
+    base = read(document.base_name, document.base)
+    if isinstance(base, Bad):
+        return base
+    documents = (base.unwrap(),)
+    merged = documents[0].data
+    if site in document.overlays:
+        overlay = read(f"overlay {site}", document.overlays[site])
+        if isinstance(overlay, Bad):
+            return overlay
+        documents = (*documents, overlay.unwrap())
+        changes = {
+            key: value
+            for key, value in overlay.unwrap().data.items()
+            if key != SITE_KEY
+        }
+        unknown = _unknown(changes, merged, documents, ())
+        if unknown:
+            return Bad(unknown)
+        merged = _merge(merged, changes)
+    checked = check(Config, merged, documents)
+    if isinstance(checked, Bad):
+        return checked
+    dangling = _dangling(checked.unwrap(), documents)
+    return Bad(dangling) if dangling else checked
+
+
+def _merge(base: dict, changes: dict) -> dict:
+    return {
+        **base,
+        **{
+            key: _merge(base[key], value)
+            if isinstance(value, dict) and isinstance(base.get(key), dict)
+            else value
+            for key, value in changes.items()
+        },
+    }
+
+
+NAMED_SECTIONS = ("models", "services", "customers")
+
+
+def _unknown(
+    changes: dict, base: dict, documents: tuple[Document, ...], path: tuple
+) -> list[ConfigFault]:
+    """Return a fault for each name in an overlay that the base lacks."""
+    return [
+        locate(documents, (section, name), "the base has no such name")
+        for section in NAMED_SECTIONS
+        for name in changes.get(section) or ()
+        if name not in (base.get(section) or {})
+    ]
+
+
+def _dangling(
+    cfg: Config, documents: tuple[Document, ...]
+) -> list[ConfigFault]:
+    """Return a fault for each name that a customer refers to in vain."""
+    return [
+        locate(
+            documents,
+            ("customers", name, kind, index),
+            f"no such name in {kind}: {wanted!r}",
+        )
+        for name, customer in cfg.customers.items()
+        for kind in ("models", "services")
+        for index, wanted in enumerate(getattr(customer, kind))
+        if wanted not in getattr(cfg, kind)
+    ]
--- /dev/null
+++ b/chervilshift/control/__init__.py
@@ -0,0 +1,1 @@
+"""The processes that hold the replicated log."""
--- /dev/null
+++ b/chervilshift/control/node.py
@@ -0,0 +1,418 @@
+"""The task that owns one replica: consensus, storage and state machine."""
+
+import math
+from random import Random
+
+import anyio
+import msgspec
+from absl import logging
+from anyio.abc import TaskGroup
+from anyio.streams.memory import MemoryObjectReceiveStream
+from returns.result import Failure as Bad
+from returns.result import Result, Success
+
+from chervilshift.clock import Clock
+from chervilshift.control.storage import Storage
+from chervilshift.core.commands import AdvanceTime, Command, CommandReply
+from chervilshift.core.machine import Machine, MachineState
+from chervilshift.core.raft.log import RaftLog
+from chervilshift.core.raft.messages import (
+    COMMAND,
+    VOTERS,
+    LogEntry,
+    RaftMessage,
+    Snapshot,
+    Voter,
+)
+from chervilshift.core.raft.node import LEADER, HardState, Raft, Ready
+from chervilshift.errors import (
+    AtCapacity,
+    Failure,
+    NotLeader,
+    OutcomeUnknown,
+)
+from chervilshift.events import EventLog
+from chervilshift.wire.messages import ControlStatus, RaftBatch
+from chervilshift.wire.rpc import Clients
+
+__all__ = ["Node"]
+
+TICK_S = 0.05
+INBOX_MESSAGES = 4096
+OUTBOX_MESSAGES = 256
+SEND_TIMEOUT_S = 1.0
+SNAPSHOT_TIMEOUT_S = 30.0
+COMPACT_ENTRIES = 1000
+KEEP_ENTRIES = 200
+TIME_STEP_S = 5.0
+MAX_PENDING = 2000
+
+COMMANDS = msgspec.msgpack.Decoder(Command)
+STATES = msgspec.msgpack.Decoder(MachineState)
+
+
+class Proposal:
+    """A command waiting to be applied, and its outcome."""
+
+    __slots__ = ("_done", "command", "outcome", "term")
+
+    def __init__(self, *, command: Command):
+        self.command = command
+        self.term = 0
+        self.outcome: Result[CommandReply, Failure] | None = None
+        self._done = anyio.Event()
+
+    def finish(self, outcome: Result[CommandReply, Failure]) -> None:
+        """Give the waiting caller its outcome."""
+        self.outcome = outcome
+        self._done.set()
+
+    async def wait(self) -> Result[CommandReply, Failure]:
+        """Wait for the outcome."""
+        await self._done.wait()
+        return self.outcome
+
+
+class Node:
+    """Drives one replica; other tasks talk to it by messages.
+
+    `run` ends with StorageFailed when the disk fails: a replica that can't
+    keep its promises must not make any.
+    """
+
+    def __init__(
+        self,
+        *,
+        me: Voter,
+        storage: Storage,
+        clients: Clients,
+        clock: Clock,
+        events: EventLog,
+        rng: Random,
+    ):
+        self.me = me
+        self._storage = storage
+        self._clients = clients
+        self._clock = clock
+        self._events = events
+        self._rng = rng
+        self.raft: Raft | None = None
+        self.machine = Machine()
+        self._applied = 0
+        self._inbox, self._received = anyio.create_memory_object_stream[
+            RaftMessage | Proposal
+        ](INBOX_MESSAGES)
+        self._outboxes: dict[str, anyio.abc.ObjectSendStream] = {}
+        self._pending: dict[int, Proposal] = {}
+        self._config_changed = anyio.Event()
+        self._time_at = clock.monotonic()
+        self._shown = ("", 0)
+
+    # For other tasks
+
+    def deliver(self, message: RaftMessage) -> None:
+        """Take a consensus message in; dropped when the inbox is full."""
+        try:
+            self._inbox.send_nowait(message)
+        except anyio.WouldBlock:
+            logging.warning("inbox full, message dropped")
+
+    async def submit(self, command: Command) -> Result[CommandReply, Failure]:
+        """Commit a command; only the leader does.
+
+        Fails with OutcomeUnknown when leadership was lost meanwhile.
+        """
+        if not self.raft.is_leader:
+            return Bad(NotLeader(leader=self.leader_address()))
+        proposal = Proposal(command=command)
+        await self._inbox.send(proposal)
+        return await proposal.wait()
+
+    def leader_address(self) -> str:
+        """Return where the known leader listens, or an empty text."""
+        leader = self.raft.leader_voter()
+        return leader.address if leader else ""
+
+    def join(self, voter: Voter) -> Result[None, Failure]:
+        """Start to replicate to a new incarnation of a voter."""
+        if not self.raft.is_leader:
+            return Bad(NotLeader(leader=self.leader_address()))
+        if self.raft.add_learner(voter, self._clock.monotonic()):
+            self._events.emit("learner", voter=voter.id)
+        return Success(None)
+
+    async def wait_config(self, version: int, wait_s: float) -> None:
+        """Return when a newer version is applied, or after `wait_s`."""
+        if self.machine.version > version:
+            return
+        with anyio.move_on_after(wait_s):
+            await self._config_changed.wait()
+
+    def has_lease(self) -> bool:
+        """Whether this replica may answer reads on its own."""
+        return self.raft.has_lease(self._clock.monotonic()) and (
+            self._applied >= self.raft.commit
+        )
+
+    def stale_s(self) -> float:
+        """Return an upper bound on how old this replica's state is."""
+        stale = self.raft.staleness_s(self._clock.monotonic())
+        return stale if math.isfinite(stale) else 1e9
+
+    def status(self) -> ControlStatus:
+        """Return this replica's state."""
+        return ControlStatus(
+            name=self.me.name,
+            role=self.raft.role,
+            term=self.raft.term,
+            commit=self.raft.commit,
+            leader=self.raft.leader or "",
+            version=self.machine.version,
+            stale_s=self.stale_s(),
+            voters=self.raft.log.voters,
+            fence=self.machine.fence,
+            ledger_records=len(self.machine.ledger),
+        )
+
+    async def hand_over(self, timeout_s: float) -> bool:
+        """Pass leadership on before a planned stop; True when it went."""
+        if not self.raft.is_leader or len(self.raft.log.voters) == 1:
+            return True
+        if not self.raft.transfer(self._clock.monotonic()):
+            return False
+        with anyio.move_on_after(timeout_s):
+            while self.raft.is_leader:
+                await anyio.sleep(TICK_S)
+        return not self.raft.is_leader
+
+    # The task
+
+    async def run(self, *, task_status=anyio.TASK_STATUS_IGNORED) -> None:
+        """Recover from disk, then serve until cancelled."""
+        recovered = self._storage.load()
+        if isinstance(recovered, Bad):
+            raise recovered.failure()
+        self._start(recovered.unwrap())
+        async with anyio.create_task_group() as tg:
+            task_status.started()
+            while True:
+                await self._turn(tg)
+
+    def _start(self, recovered) -> None:
+        now = self._clock.monotonic()
+        snapshot = recovered.snapshot
+        self.raft = Raft(
+            me=self.me,
+            log=RaftLog(snapshot=snapshot, entries=recovered.entries),
+            hard_state=recovered.hard_state,
+            rng=self._rng,
+            now=now,
+        )
+        self._restore(snapshot)
+        self._events.emit(
+            "recovered",
+            replica=self.me.id,
+            last_index=self.raft.log.last_index,
+            cut_bytes=recovered.cut_bytes,
+        )
+
+    async def _turn(self, tg: TaskGroup) -> None:
+        for message in await self._gather():
+            self._take(message)
+        now = self._clock.monotonic()
+        self.raft.tick(now)
+        self._advance_time(now)
+        ready = self.raft.take_ready()
+        if ready.must_save:
+            await self._save(ready)
+        self.raft.saved(self.raft.log.last_index, self._clock.monotonic())
+        for message in ready.messages:
+            self._send(tg, message)
+        self._apply_committed()
+        self._fail_lost()
+        if self._applied - self.raft.log.full_snapshot.index > COMPACT_ENTRIES:
+            await self._compact()
+        self._show_role()
+
+    async def _gather(self) -> list[RaftMessage | Proposal]:
+        """Wait for input or the next tick, then take all there is."""
+        batch = []
+        with anyio.move_on_after(TICK_S):
+            batch.append(await self._received.receive())
+        batch.extend(_waiting(self._received))
+        return batch
+
+    def _take(self, message: RaftMessage | Proposal) -> None:
+        now = self._clock.monotonic()
+        if not isinstance(message, Proposal):
+            self.raft.step(message, now)
+            return
+        if len(self._pending) >= MAX_PENDING:
+            message.finish(Bad(AtCapacity(customer="all", reason="log busy")))
+            return
+        data = msgspec.msgpack.encode(message.command)
+        index = self.raft.propose(data, now)
+        if index is None:
+            message.finish(Bad(NotLeader(leader=self.leader_address())))
+            return
+        message.term = self.raft.term
+        self._pending[index] = message
+
+    def _advance_time(self, now: float) -> None:
+        if not self.raft.has_lease(now):
+            self._time_at = now
+        elif now - self._time_at >= TIME_STEP_S:
+            step = AdvanceTime(elapsed_s=now - self._time_at)
+            self._time_at = now
+            self.raft.propose(msgspec.msgpack.encode(step), now)
+
+    async def _save(self, ready: Ready) -> None:
+        hard_state = HardState(term=self.raft.term, vote=self.raft.vote)
+        if ready.snapshot is not None:
+            saved = await anyio.to_thread.run_sync(
+                self._storage.save_snapshot,
+                ready.snapshot,
+                hard_state,
+                ready.entries,
+            )
+            self._restore(ready.snapshot)
+            self._events.emit("snapshot_installed", index=ready.snapshot.index)
+        else:
+            saved = await anyio.to_thread.run_sync(
+                self._storage.save, hard_state, ready.entries
+            )
+        self._check(saved)
+
+    def _check(self, saved: Result[None, Failure]) -> None:
+        if isinstance(saved, Bad):
+            self._events.emit("storage_failed", reason=str(saved.failure()))
+            for proposal in self._pending.values():
+                proposal.finish(Bad(saved.failure()))
+            raise saved.failure()
+
+    def _restore(self, snapshot: Snapshot) -> None:
+        state = STATES.decode(snapshot.data) if snapshot.data else None
+        self.machine = Machine(state=state)
+        self._applied = snapshot.index
+        self._announce_config()
+
+    def _apply_committed(self) -> None:
+        entries = self.raft.log.between(self._applied + 1, self.raft.commit)
+        version = self.machine.version
+        for entry in entries:
+            self._apply(entry)
+        if self.machine.version != version:
+            self._announce_config()
+            self._events.emit("config", version=self.machine.version)
+
+    def _apply(self, entry: LogEntry) -> None:
+        self._applied = entry.index
+        if entry.kind == VOTERS:
+            voters = self.raft.log.voters_at(entry.index)
+            self._events.emit("voters", voters=[v.id for v in voters])
+        if entry.kind != COMMAND:
+            return
+        command = COMMANDS.decode(entry.data)
+        reply = self.machine.apply(entry.index, command)
+        proposal = self._pending.pop(entry.index, None)
+        if proposal is None:
+            return
+        if proposal.term == entry.term:
+            proposal.finish(Success(reply))
+        else:
+            proposal.finish(Bad(_lost()))
+
+    def _fail_lost(self) -> None:
+        """Answer proposals that another leader's log has replaced."""
+        if self.raft.is_leader or not self._pending:
+            return
+        for proposal in self._pending.values():
+            proposal.finish(Bad(_lost()))
+        self._pending = {}
+
+    async def _compact(self) -> None:
+        index = self._applied
+        snapshot = Snapshot(
+            index=index,
+            term=self.raft.log.term_at(index),
+            voters=self.raft.log.voters_at(index),
+            data=msgspec.msgpack.encode(self.machine.state()),
+        )
+        self.raft.log.compact(snapshot, KEEP_ENTRIES)
+        hard_state = HardState(term=self.raft.term, vote=self.raft.vote)
+        entries = self.raft.log.between(index + 1, self.raft.log.last_index)
+        saved = await anyio.to_thread.run_sync(
+            self._storage.save_snapshot, snapshot, hard_state, entries
+        )
+        self._check(saved)
+        self._events.emit("compacted", index=index)
+
+    def _announce_config(self) -> None:
+        self._config_changed.set()
+        self._config_changed = anyio.Event()
+
+    def _show_role(self) -> None:
+        shown = (self.raft.role, self.raft.term)
+        if shown != self._shown:
+            self._shown = shown
+            self._events.emit("role", role=shown[0], term=shown[1])
+            if shown[0] == LEADER:
+                logging.info("%s leads term %d", self.me.id, shown[1])
+
+    # Sending
+
+    def _send(self, tg: TaskGroup, message: RaftMessage) -> None:
+        address = self._address(message.dst)
+        if address is None:
+            return
+        if address not in self._outboxes:
+            send, receive = anyio.create_memory_object_stream(OUTBOX_MESSAGES)
+            self._outboxes[address] = send
+            tg.start_soon(self._deliver_to, address, receive)
+        try:
+            self._outboxes[address].send_nowait(message)
+        except anyio.WouldBlock:
+            # The protocol repeats what is lost.
+            return
+
+    def _address(self, voter_id: str) -> str | None:
+        progress = self.raft.progress.get(voter_id)
+        if progress is not None:
+            return progress.voter.address
+        return next(
+            (v.address for v in self.raft.log.voters if v.id == voter_id),
+            None,
+        )
+
+    async def _deliver_to(
+        self, address: str, outbox: MemoryObjectReceiveStream
+    ) -> None:
+        """Own the sending to one peer: a batch at a time, in order."""
+        client = self._clients.at(address)
+        async for message in outbox:
+            batch = [message, *_waiting(outbox)]
+            big = any(hasattr(item, "snapshot") for item in batch)
+            timeout_s = SNAPSHOT_TIMEOUT_S if big else SEND_TIMEOUT_S
+            sent = await client.call(
+                RaftBatch(messages=tuple(batch)), timeout_s=timeout_s
+            )
+            if isinstance(sent, Bad):
+                _drop_waiting(outbox)
+                await anyio.sleep(TICK_S)
+
+
+def _lost() -> Failure:
+    return OutcomeUnknown(key="command", reason="leadership was lost")
+
+
+def _waiting(stream: MemoryObjectReceiveStream) -> list:
+    """Take everything a stream holds without waiting."""
+    batch = []
+    while stream.statistics().current_buffer_used:
+        batch.append(stream.receive_nowait())
+    return batch
+
+
+def _drop_waiting(stream: MemoryObjectReceiveStream) -> None:
+    """Drop old messages to a silent peer: newer ones replace them."""
+    _waiting(stream)
--- /dev/null
+++ b/chervilshift/core/beliefs.py
@@ -0,0 +1,170 @@
+"""What an entry believes of one endpoint: load, cache and slowness."""
+
+from collections import OrderedDict
+
+from chervilshift.core.jobs import Job
+from chervilshift.core.registry import EndpointInfo, LoadReport
+
+__all__ = ["EndpointBelief", "Flight"]
+
+REPORT_FADE_S = 5.0
+CACHE_BLOCKS = 4096
+CACHE_TTL_S = 300.0
+SMOOTHING = 0.25
+SLOWNESS_HALF_LIFE_S = 4.0
+
+
+class Flight:
+    """One of this entry's jobs at the endpoint."""
+
+    __slots__ = ("expected_s", "first_at", "job", "started_at", "uncached")
+
+    def __init__(
+        self, *, job: Job, started_at: float, uncached: int, expected_s: float
+    ):
+        self.job = job
+        self.started_at = started_at
+        self.uncached = uncached
+        self.expected_s = expected_s
+        self.first_at: float | None = None
+
+
+class _Smoothed:
+    """A moving average that fades back to nothing known."""
+
+    __slots__ = ("_at", "_value")
+
+    def __init__(self):
+        self._value = 0.0
+        self._at = 0.0
+
+    def add(self, sample: float, now: float) -> None:
+        known = self._value or sample
+        self._value = known + SMOOTHING * (sample - known)
+        self._at = now
+
+    def value(self, now: float) -> float:
+        """Return the average, or zero once it is too old."""
+        if now - self._at > 4 * SLOWNESS_HALF_LIFE_S:
+            return 0.0
+        return self._value
+
+
+class EndpointBelief:
+    """Own work counts at once; reports and observations fade."""
+
+    __slots__ = (
+        "_blocks",
+        "_gap",
+        "_lag",
+        "_others_long",
+        "_others_running",
+        "_reported_at",
+        "flights",
+        "info",
+        "long_flights",
+        "unstarted_tokens",
+    )
+
+    def __init__(self, *, info: EndpointInfo):
+        self.info = info
+        self.flights: dict[str, Flight] = {}
+        self.long_flights = 0
+        self.unstarted_tokens = 0
+        self._others_running = 0
+        self._others_long = 0
+        self._reported_at = float("-inf")
+        self._blocks: OrderedDict[int, float] = OrderedDict()
+        self._gap = _Smoothed()
+        self._lag = _Smoothed()
+
+    # Load
+
+    def report(self, load: LoadReport, now: float) -> None:
+        """Take in the endpoint's own report."""
+        total = load.running + load.waiting
+        self._others_running = max(0, total - len(self.flights))
+        self._others_long = max(0, load.running_long - self.long_flights)
+        self._reported_at = now
+
+    def running(self, now: float) -> float:
+        """Return the estimated number of requests at the endpoint."""
+        return len(self.flights) + self._others_running * self._trust(now)
+
+    def running_long(self, now: float) -> float:
+        """Return the estimated number of long requests at the endpoint."""
+        return self.long_flights + self._others_long * self._trust(now)
+
+    def _trust(self, now: float) -> float:
+        age = now - self._reported_at
+        return max(0.0, min(1.0, 2.0 - age / REPORT_FADE_S))
+
+    def start(self, flight: Flight) -> None:
+        """Count a job that was sent."""
+        self.flights[flight.job.id] = flight
+        self.long_flights += flight.job.long
+        self.unstarted_tokens += flight.uncached
+
+    def first_token(self, job_id: str, now: float) -> Flight | None:
+        """Note a job's first token; its prefill is over."""
+        flight = self.flights.get(job_id)
+        if flight is None or flight.first_at is not None:
+            return None
+        flight.first_at = now
+        self.unstarted_tokens -= flight.uncached
+        return flight
+
+    def end(self, job_id: str) -> Flight | None:
+        """Uncount a job that ended."""
+        flight = self.flights.pop(job_id, None)
+        if flight is None:
+            return None
+        self.long_flights -= flight.job.long
+        if flight.first_at is None:
+            self.unstarted_tokens -= flight.uncached
+        return flight
+
+    # Cache
+
+    def cached_blocks(self, job: Job, now: float) -> int:
+        """Return how many of the job's blocks are believed cached."""
+        count = 0
+        for block in job.blocks:
+            at = self._blocks.get(block)
+            if at is None or now - at > CACHE_TTL_S:
+                break
+            count += 1
+        return count
+
+    def stored(self, blocks: tuple[int, ...], now: float) -> tuple[int, ...]:
+        """Believe blocks cached; return those no longer believed so."""
+        for block in blocks:
+            self._blocks.pop(block, None)
+            self._blocks[block] = now
+        dropped = []
+        while len(self._blocks) > CACHE_BLOCKS:
+            dropped.append(self._blocks.popitem(last=False)[0])
+        return tuple(dropped)
+
+    def removed(self, blocks: tuple[int, ...]) -> None:
+        """Stop believing blocks cached."""
+        for block in blocks:
+            self._blocks.pop(block, None)
+
+    # Slowness
+
+    def observe_gap(self, seconds: float, now: float) -> None:
+        """Note a time between two tokens."""
+        self._gap.add(seconds, now)
+
+    def observe_first(self, ratio: float, now: float) -> None:
+        """Note how the first token's time compared with the expected."""
+        self._lag.add(ratio, now)
+
+    def gap_s(self, now: float) -> float:
+        """Return the usual time between tokens, zero if not known."""
+        return self._gap.value(now)
+
+    def lag(self, now: float) -> float:
+        """Return the usual ratio of first-token times, zero if unknown."""
+        return self._lag.value(now)
--- /dev/null
+++ b/chervilshift/core/budgets.py
@@ -0,0 +1,27 @@
+"""Budgets that keep retries and hedges a small share of the requests."""
+
+__all__ = ["RatioBudget"]
+
+BURST = 10.0
+
+
+class RatioBudget:
+    """Earns `share` of a permit per request and holds at most `burst`."""
+
+    __slots__ = ("_burst", "_permits", "share")
+
+    def __init__(self, *, share: float, burst: float = BURST):
+        self.share = share
+        self._burst = burst
+        self._permits = burst
+
+    def earn(self) -> None:
+        """Note one request."""
+        self._permits = min(self._burst, self._permits + self.share)
+
+    def spend(self) -> bool:
+        """Take one permit if there is one."""
+        if self._permits < 1.0:
+            return False
+        self._permits -= 1.0
+        return True
--- /dev/null
+++ b/chervilshift/core/dispatcher.py
@@ -0,0 +1,314 @@
+"""Decides which waiting request goes to which endpoint, and when.
+
+The dispatcher holds one entry's view. It is told of requests, endpoints,
+reports and progress, and answers with assignments; it does no I/O.
+"""
+
+from collections.abc import Iterable, Iterator
+from random import Random
+from statistics import median
+
+from chervilshift.core.beliefs import EndpointBelief, Flight
+from chervilshift.core.jobs import BLOCK_CHARS, CHARS_PER_TOKEN, Job
+from chervilshift.core.queues import FairQueue
+from chervilshift.core.registry import EndpointInfo, LoadReport
+from chervilshift.core.sizes import SizePredictor
+
+__all__ = ["Assignment", "Dispatcher", "Policy"]
+
+BLOCK_TOKENS = BLOCK_CHARS // CHARS_PER_TOKEN
+PREFILL_S_PER_TOKEN = 0.00008
+BASE_FIRST_TOKEN_S = 0.03
+QUEUE_S_PER_REQUEST = 0.002
+LINK_S = 0.03
+OVERFULL_S = 0.5
+PEERS_SAMPLED = 15
+SLOW_RATIO = 1.5
+MAX_SLOWNESS = 20.0
+HOLDERS_PER_BLOCK = 8
+
+
+class Policy:
+    """The settings the decisions go by."""
+
+    __slots__ = ("candidates", "long_share")
+
+    def __init__(self, *, candidates: int = 6, long_share: float = 0.5):
+        self.candidates = candidates
+        self.long_share = long_share
+
+
+class Assignment:
+    """A job that is to be sent to an endpoint now."""
+
+    __slots__ = ("endpoint", "expected_s", "job", "reason")
+
+    def __init__(
+        self, *, job: Job, endpoint: str, expected_s: float, reason: str
+    ):
+        self.job = job
+        self.endpoint = endpoint
+        self.expected_s = expected_s
+        self.reason = reason
+
+
+class Dispatcher:
+    """Queues, scores and assigns; the caller reports what came of it."""
+
+    def __init__(self, *, policy: Policy, region: str, rng: Random):
+        self.policy = policy
+        self.queue = FairQueue()
+        self.sizes = SizePredictor()
+        self._region = region
+        self._rng = rng
+        self._beliefs: dict[str, EndpointBelief] = {}
+        self._serving: dict[str, list[str]] = {}
+        self._holders: dict[int, dict[str, None]] = {}
+        self._placed: dict[str, str] = {}
+
+    # Endpoints
+
+    def set_endpoints(self, infos: Iterable[EndpointInfo]) -> None:
+        """Say which endpoints may get new work, all of them."""
+        current = {info.id: info for info in infos}
+        for endpoint in tuple(self._beliefs):
+            if endpoint not in current:
+                self._forget_if_idle(endpoint)
+        for endpoint, info in current.items():
+            belief = self._beliefs.get(endpoint)
+            if belief is None:
+                self._beliefs[endpoint] = EndpointBelief(info=info)
+            else:
+                belief.info = info
+        serving: dict[str, list[str]] = {}
+        for endpoint, info in current.items():
+            for target in info.serves:
+                serving.setdefault(target, []).append(endpoint)
+        self._serving = serving
+
+    def report(self, endpoint: str, load: LoadReport, now: float) -> None:
+        """Take in an endpoint's load report."""
+        belief = self._beliefs.get(endpoint)
+        if belief is not None:
+            belief.report(load, now)
+
+    def cache_event(
+        self,
+        endpoint: str,
+        *,
+        stored: tuple[int, ...] = (),
+        removed: tuple[int, ...] = (),
+        now: float,
+    ) -> None:
+        """Take in what an endpoint says of its prefix cache."""
+        belief = self._beliefs.get(endpoint)
+        if belief is None:
+            return
+        belief.removed(removed)
+        for block in removed:
+            self._holders.get(block, {}).pop(endpoint, None)
+        self._believe_cached(belief, stored, now)
+
+    def serves(self, target: str) -> bool:
+        """Tell whether any endpoint serves `target`."""
+        return bool(self._serving.get(target))
+
+    # Jobs
+
+    def submit(self, job: Job, *, front: bool = False) -> None:
+        """Queue a job; `front` for one that is being moved."""
+        self.queue.push(job, front=front)
+
+    def forgive(self, job: Job) -> None:
+        """Allow every endpoint again once all of them failed the job."""
+        if job.excluded.issuperset(self._serving.get(job.target, ())):
+            job.excluded.clear()
+
+    def cancel(self, job: Job) -> None:
+        """Forget a job that is queued or placed."""
+        if not self.queue.remove(job):
+            self.ended(job.id)
+
+    def assign(self, now: float) -> Iterator[Assignment]:
+        """Yield assignments until no waiting job can be placed."""
+        placed = True
+        while placed:
+            placed = False
+            for job in tuple(self.queue.heads(now)):
+                chosen = self._choose(job, now)
+                if chosen is None:
+                    continue
+                self.queue.take(job)
+                yield self._place(job, chosen, now)
+                placed = True
+                break
+
+    def expired(self, now: float) -> tuple[Job, ...]:
+        """Remove and return the queued jobs whose deadline has passed."""
+        late = tuple(job for job in self.queue if now > job.deadline_at)
+        for job in late:
+            self.queue.remove(job)
+        return late
+
+    def first_token(self, job_id: str, now: float) -> None:
+        """Note that a placed job produced its first token."""
+        belief = self._belief_of(job_id)
+        flight = belief.first_token(job_id, now) if belief else None
+        if flight is not None:
+            taken_s = now - flight.started_at
+            belief.observe_first(taken_s / flight.expected_s, now)
+
+    def token_gap(self, job_id: str, seconds: float, now: float) -> None:
+        """Note the time between two tokens of a placed job."""
+        belief = self._belief_of(job_id)
+        if belief is not None:
+            belief.observe_gap(seconds, now)
+
+    def ended(self, job_id: str, produced_tokens: int | None = None) -> None:
+        """Note that a placed job ended; with its size if it completed."""
+        belief = self._belief_of(job_id)
+        endpoint = self._placed.pop(job_id, None)
+        flight = belief.end(job_id) if belief else None
+        if flight is not None and produced_tokens is not None:
+            self.sizes.learn(flight.job, produced_tokens)
+        if endpoint is not None:
+            self._forget_if_gone(endpoint)
+
+    def slowness(self, endpoint: str, now: float) -> float:
+        """Return how many times slower than its peers an endpoint is."""
+        belief = self._beliefs.get(endpoint)
+        return self._slowness(belief, now) if belief else 1.0
+
+    # Choosing
+
+    def _choose(
+        self, job: Job, now: float
+    ) -> tuple[EndpointBelief, float, int] | None:
+        """Return the best endpoint with its score and cached blocks."""
+        scored = (
+            (self._score(job, belief, now), belief)
+            for belief in self._candidates(job)
+            if self._has_room(job, belief, now)
+        )
+        best = min(scored, key=lambda item: item[0], default=None)
+        if best is None:
+            return None
+        score, belief = best
+        return belief, score, belief.cached_blocks(job, now)
+
+    def _candidates(self, job: Job) -> Iterator[EndpointBelief]:
+        """Yield a few endpoints: holders of the prefix and a sample."""
+        serving = self._serving.get(job.target, ())
+        wanted = min(self.policy.candidates, len(serving))
+        sample = self._rng.sample(serving, wanted)
+        holders = self._prefix_holders(job)
+        for endpoint in dict.fromkeys((*holders, *sample)):
+            belief = self._beliefs.get(endpoint)
+            if (
+                belief is not None
+                and endpoint not in job.excluded
+                and job.target in belief.info.serves
+            ):
+                yield belief
+
+    def _prefix_holders(self, job: Job) -> tuple[str, ...]:
+        for block in reversed(job.blocks):
+            holders = self._holders.get(block)
+            if holders:
+                return tuple(holders)
+        return ()
+
+    def _has_room(self, job: Job, belief: EndpointBelief, now: float) -> bool:
+        capacity = belief.info.capacity
+        slowness = self._slowness(belief, now)
+        if slowness > SLOW_RATIO:
+            capacity = max(1.0, capacity / slowness)
+        if belief.running(now) >= capacity:
+            return False
+        if not job.long:
+            return True
+        bound = max(1.0, capacity * self.policy.long_share)
+        return belief.running_long(now) < bound
+
+    def _score(self, job: Job, belief: EndpointBelief, now: float) -> float:
+        """Return the predicted time to the first token, in seconds."""
+        cached = belief.cached_blocks(job, now) * BLOCK_TOKENS
+        uncached = max(0, job.prompt_tokens - cached)
+        prefill_s = (uncached + belief.unstarted_tokens) * PREFILL_S_PER_TOKEN
+        queue_s = belief.running(now) * QUEUE_S_PER_REQUEST
+        link_s = 0.0 if belief.info.region == self._region else LINK_S
+        busy_s = BASE_FIRST_TOKEN_S + prefill_s + queue_s
+        return link_s + busy_s * self._slowness(belief, now)
+
+    def _slowness(self, belief: EndpointBelief, now: float) -> float:
+        ratios = (
+            self._against_peers(belief, belief.gap_s(now), "gap_s", now),
+            self._against_peers(belief, belief.lag(now), "lag", now),
+        )
+        return min(MAX_SLOWNESS, max(1.0, *ratios))
+
+    def _against_peers(
+        self, belief: EndpointBelief, own: float, measure: str, now: float
+    ) -> float:
+        """Return `own` over the median of a sample of peers."""
+        if not own:
+            return 1.0
+        target = belief.info.serves[0] if belief.info.serves else ""
+        serving = self._serving.get(target, ())
+        sample = self._rng.sample(serving, min(PEERS_SAMPLED, len(serving)))
+        peers = [
+            value
+            for endpoint in sample
+            if (value := getattr(self._beliefs[endpoint], measure)(now))
+        ]
+        return own / median(peers) if peers else 1.0
+
+    # Bookkeeping
+
+    def _place(
+        self, job: Job, chosen: tuple[EndpointBelief, float, int], now: float
+    ) -> Assignment:
+        belief, score, cached = chosen
+        uncached = max(0, job.prompt_tokens - cached * BLOCK_TOKENS)
+        flight = Flight(
+            job=job, started_at=now, uncached=uncached, expected_s=score
+        )
+        belief.start(flight)
+        self._placed[job.id] = belief.info.id
+        self._believe_cached(belief, job.blocks, now)
+        return Assignment(
+            job=job,
+            endpoint=belief.info.id,
+            expected_s=score,
+            reason=(
+                f"score {score:.3f} s, {cached} blocks cached, "
+                f"{belief.running(now):.0f} running"
+            ),
+        )
+
+    def _believe_cached(
+        self, belief: EndpointBelief, blocks: tuple[int, ...], now: float
+    ) -> None:
+        endpoint = belief.info.id
+        for block in belief.stored(blocks, now):
+            self._holders.get(block, {}).pop(endpoint, None)
+        for block in blocks:
+            holders = self._holders.setdefault(block, {})
+            holders[endpoint] = None
+            if len(holders) > HOLDERS_PER_BLOCK:
+                del holders[next(iter(holders))]
+
+    def _belief_of(self, job_id: str) -> EndpointBelief | None:
+        return self._beliefs.get(self._placed.get(job_id, ""))
+
+    def _forget_if_idle(self, endpoint: str) -> None:
+        if not self._beliefs[endpoint].flights:
+            del self._beliefs[endpoint]
+
+    def _forget_if_gone(self, endpoint: str) -> None:
+        """Drop an endpoint that left while it still had work."""
+        belief = self._beliefs.get(endpoint)
+        if belief is None or belief.flights:
+            return
+        if not any(endpoint in names for names in self._serving.values()):
+            del self._beliefs[endpoint]
--- /dev/null
+++ b/chervilshift/core/machine.py
@@ -0,0 +1,159 @@
+"""The replicated state machine: configuration, ledger, fencing, log time."""
+
+import hashlib
+from functools import singledispatchmethod
+
+import msgspec
+
+from chervilshift.core.commands import (
+    AdvanceTime,
+    Applied,
+    ApplyConfig,
+    Claim,
+    ClaimReply,
+    Command,
+    CommandReply,
+    ConfigDocument,
+    Conflict,
+    Fenced,
+    IssueFence,
+    Ok,
+    Reused,
+    Settle,
+)
+from chervilshift.core.ledger import Ledger, LedgerState
+from chervilshift.core.message import Message
+
+__all__ = ["Change", "Machine", "MachineState"]
+
+HISTORY_CHANGES = 20_000
+
+
+class Change(Message):
+    """One accepted configuration change."""
+
+    change_id: str
+    version: int
+    base_version: int
+    digest: str
+    operator: str = ""
+
+
+class MachineState(Message):
+    """Everything the machine holds, for a snapshot."""
+
+    version: int
+    document: ConfigDocument | None
+    changes: tuple[Change, ...]
+    ledger: LedgerState
+    fence: int
+    time_s: float
+
+
+class Machine:
+    """Applies committed commands in log order, the same on every replica."""
+
+    __slots__ = (
+        "_changes",
+        "document",
+        "fence",
+        "ledger",
+        "time_s",
+        "version",
+    )
+
+    def __init__(self, *, state: MachineState | None = None):
+        self.version = state.version if state else 0
+        self.document = state.document if state else None
+        self.fence = state.fence if state else 0
+        self.time_s = state.time_s if state else 0.0
+        self.ledger = Ledger(state=state.ledger if state else None)
+        self._changes = {
+            change.change_id: change
+            for change in (state.changes if state else ())
+        }
+
+    def apply(self, index: int, command: Command) -> CommandReply:
+        """Apply the command at log position `index`."""
+        return self._apply(command, index)
+
+    def state(self) -> MachineState:
+        """Return all state, for a snapshot."""
+        return MachineState(
+            version=self.version,
+            document=self.document,
+            changes=tuple(self._changes.values()),
+            ledger=self.ledger.state(),
+            fence=self.fence,
+            time_s=self.time_s,
+        )
+
+    def history(self, last: int) -> tuple[Change, ...]:
+        """Return the `last` accepted changes, oldest first."""
+        return tuple(self._changes.values())[-last:]
+
+    @singledispatchmethod
+    def _apply(self, command: Command, index: int) -> CommandReply:
+        raise TypeError(type(command))
+
+    @_apply.register
+    def _(self, command: ApplyConfig, index: int) -> CommandReply:
+        digest = document_digest(command.document)
+        earlier = self._changes.get(command.change_id)
+        if earlier is not None:
+            if earlier.digest != digest:
+                return Reused(name=command.change_id)
+            return Applied(version=earlier.version)
+        if command.base_version != self.version:
+            return Conflict(
+                base_version=command.base_version,
+                version=self.version,
+                winner=self._winner(command.base_version),
+            )
+        self._changes[command.change_id] = Change(
+            change_id=command.change_id,
+            version=index,
+            base_version=self.version,
+            digest=digest,
+            operator=command.operator,
+        )
+        self.version = index
+        self.document = command.document
+        while len(self._changes) > HISTORY_CHANGES:
+            del self._changes[next(iter(self._changes))]
+        return Applied(version=index)
+
+    @_apply.register
+    def _(self, command: Claim, index: int) -> ClaimReply | Reused:
+        return self.ledger.claim(command, self.time_s)
+
+    @_apply.register
+    def _(self, command: Settle, index: int) -> Ok:
+        return self.ledger.settle(command, self.time_s)
+
+    @_apply.register
+    def _(self, command: IssueFence, index: int) -> Fenced:
+        self.fence = index
+        return Fenced(token=index)
+
+    @_apply.register
+    def _(self, command: AdvanceTime, index: int) -> Ok:
+        self.time_s += command.elapsed_s
+        self.ledger.expire(self.time_s)
+        return Ok()
+
+    def _winner(self, base_version: int) -> str:
+        """Name the change that was accepted from `base_version`."""
+        return next(
+            (
+                change.change_id
+                for change in self._changes.values()
+                if change.base_version == base_version
+            ),
+            "",
+        )
+
+
+def document_digest(document: ConfigDocument) -> str:
+    """Return a digest of the document's content."""
+    return hashlib.sha256(msgspec.msgpack.encode(document)).hexdigest()
--- /dev/null
+++ b/chervilshift/core/raft/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated log's consensus, as a pure state machine."""
--- /dev/null
+++ b/chervilshift/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The processes that face callers and endpoints."""
--- /dev/null
+++ b/chervilshift/entry/calls.py
@@ -0,0 +1,255 @@
+"""Calls to plain services, repeatable or at most once."""
+
+import hashlib
+import uuid
+
+from returns.result import Failure as Bad
+from starlette.requests import Request
+from starlette.responses import Response
+
+from chervilshift.config import Config, Service
+from chervilshift.core.commands import Reused
+from chervilshift.core.dispatcher import Assignment
+from chervilshift.core.jobs import Job
+from chervilshift.entry.claims import Claims
+from chervilshift.entry.directory import Directory
+from chervilshift.entry.http import read_body
+from chervilshift.entry.scheduler import Scheduler
+from chervilshift.errors import (
+    AlreadyDone,
+    Draining,
+    EndpointFailed,
+    Failure,
+    InProgress,
+    KeyReused,
+    LedgerUnavailable,
+    NoEndpoint,
+    NotFound,
+    OutcomeUnknown,
+)
+from chervilshift.events import EventLog
+from chervilshift.metrics import Metrics
+from chervilshift.platform.service import (
+    ServiceCall,
+    ServiceClient,
+    ServiceReply,
+)
+
+__all__ = ["CallHandler"]
+
+MAX_TRIES = 4
+KEY_HEADER = "idempotency-key"
+REPLAYED_HEADER = "idempotency-replayed"
+DONE = "done"
+CLAIMED = "claimed"
+
+
+class CallHandler:
+    """Routes calls under /svc/ and keeps their promises."""
+
+    def __init__(
+        self,
+        *,
+        scheduler: Scheduler,
+        directory: Directory,
+        claims: Claims,
+        services: ServiceClient,
+        events: EventLog,
+        metrics: Metrics,
+    ):
+        self.draining = False
+        self.active = 0
+        self._scheduler = scheduler
+        self._directory = directory
+        self._claims = claims
+        self._services = services
+        self._events = events
+        self._metrics = metrics
+
+    async def call(
+        self, request: Request, name: str, customer: str, cfg: Config
+    ) -> Response:
+        """Make a call for a customer; raises a Failure."""
+        if self.draining:
+            raise Draining()
+        service = cfg.services.get(name)
+        if service is None or name not in cfg.customers[customer].services:
+            raise NotFound(kind="service", name=name)
+        call = await _service_call(request, name, cfg)
+        job = self._job(name, customer, service, cfg)
+        admitted = self._scheduler.admit(job, cfg)
+        if isinstance(admitted, Bad):
+            self._metrics.count("refused")
+            raise admitted.failure()
+        self._events.emit(
+            "admitted", request=job.id, customer=customer, service=name
+        )
+        self.active += 1
+        try:
+            if call.method in service.repeatable_methods:
+                return await self._repeatable(call, job, service)
+            key = request.headers.get(KEY_HEADER) or uuid.uuid4().hex
+            return await self._at_most_once(call, job, service, key)
+        finally:
+            self.active -= 1
+
+    async def _repeatable(
+        self, call: ServiceCall, job: Job, service: Service
+    ) -> Response:
+        """Try endpoints in turn, within the retry budget."""
+        last: Failure | None = None
+        for tries in range(MAX_TRIES):
+            if tries and not self._scheduler.retries.spend():
+                break
+            got = await self._scheduler.acquire(job, front=tries > 0)
+            if isinstance(got, Bad):
+                raise last or got.failure()
+            try:
+                reply = await self._send(call, job, got.unwrap(), service)
+            except EndpointFailed as exc:
+                last = exc
+                job.excluded.add(got.unwrap().endpoint)
+                continue
+            return _response(reply)
+        raise last
+
+    async def _at_most_once(
+        self, call: ServiceCall, job: Job, service: Service, key: str
+    ) -> Response:
+        """Claim the key, send once, settle."""
+        claim = self._claims.prepare(job.customer, key, _digest(call))
+        answer = await self._claims.commit(claim)
+        if isinstance(answer, Bad):
+            # Nothing was sent and, after this, nothing will be.
+            self._claims.settle_later(claim, "not_run")
+            raise LedgerUnavailable(reason=str(answer.failure()))
+        reply = answer.unwrap()
+        if isinstance(reply, Reused):
+            raise KeyReused(key=key)
+        if not reply.granted:
+            return _known(reply, key)
+        self._events.emit("claimed", request=job.id, key=key)
+        try:
+            sent = await self._send_once(call, job, service)
+        except Failure as exc:
+            not_run = exc.not_run
+            outcome = "not_run" if not_run else "unknown"
+            await self._claims.settle(claim, outcome)
+            if not_run:
+                raise
+            raise OutcomeUnknown(key=key, reason=str(exc)) from exc
+        except BaseException:
+            self._claims.settle_later(claim, "unknown")
+            raise
+        await self._claims.settle(claim, DONE, sent)
+        return _response(sent)
+
+    async def _send_once(
+        self, call: ServiceCall, job: Job, service: Service
+    ) -> ServiceReply:
+        """Send to one endpoint; go on only where nothing was sent."""
+        for _ in range(MAX_TRIES):
+            got = await self._scheduler.acquire(job)
+            if isinstance(got, Bad):
+                raise got.failure()
+            try:
+                return await self._send(call, job, got.unwrap(), service)
+            except EndpointFailed as exc:
+                if exc.fields.get("sent"):
+                    raise
+                job.excluded.add(got.unwrap().endpoint)
+        raise NoEndpoint(target=job.target)
+
+    async def _send(
+        self,
+        call: ServiceCall,
+        job: Job,
+        assignment: Assignment,
+        service: Service,
+    ) -> ServiceReply:
+        endpoint = assignment.endpoint
+        info = self._directory.endpoint(endpoint)
+        self._events.emit(
+            "attempt", request=job.id, endpoint=endpoint, why=assignment.reason
+        )
+        try:
+            if info is None:
+                raise EndpointFailed(
+                    endpoint=endpoint, reason="gone", sent=False
+                )
+            reply = await self._services.call(
+                info.address, call, service.timeout_s
+            )
+        except EndpointFailed as exc:
+            self._metrics.count("attempts_failed")
+            self._events.emit("attempt_ended", request=job.id, reason=str(exc))
+            raise
+        finally:
+            now = self._directory.now()
+            self._scheduler.dispatcher.first_token(job.id, now)
+            self._scheduler.release(job)
+        self._events.emit("finished", request=job.id, status=reply.status)
+        return reply
+
+    def _job(
+        self, name: str, customer: str, service: Service, cfg: Config
+    ) -> Job:
+        now = self._directory.now()
+        return Job(
+            id=uuid.uuid4().hex,
+            customer=customer,
+            target=name,
+            arrived_at=now,
+            deadline_at=now + service.timeout_s,
+            share=cfg.customers[customer].share,
+        )
+
+
+async def _service_call(
+    request: Request, name: str, cfg: Config
+) -> ServiceCall:
+    path = "/" + request.path_params["path"]
+    if request.url.query:
+        path = f"{path}?{request.url.query}"
+    return ServiceCall(
+        method=request.method,
+        path=path,
+        headers=tuple(request.headers.raw),
+        body=await read_body(request, cfg.limits),
+    )
+
+
+def _digest(call: ServiceCall) -> str:
+    head = f"{call.method}\n{call.path}\n".encode()
+    return hashlib.sha256(head + call.body).hexdigest()
+
+
+def _known(reply, key: str) -> Response:
+    """Answer from what the ledger knows; raises where that is no answer."""
+    if reply.state == DONE and not reply.truncated:
+        response = Response(
+            reply.body, status_code=reply.status, media_type=None
+        )
+        if reply.content_type:
+            response.headers["content-type"] = reply.content_type
+        response.headers[REPLAYED_HEADER] = "true"
+        return response
+    if reply.state == DONE:
+        raise AlreadyDone(key=key, status=reply.status)
+    if reply.state == CLAIMED:
+        raise InProgress(key=key)
+    if reply.state == "refused":
+        raise LedgerUnavailable(reason="the ledger is full")
+    raise OutcomeUnknown(key=key, reason="an earlier attempt was lost")
+
+
+def _response(reply: ServiceReply) -> Response:
+    response = Response(reply.body, status_code=reply.status)
+    response.raw_headers = [
+        (name.lower(), value)
+        for name, value in reply.headers
+        if name.lower() != b"content-length"
+    ]
+    size = str(len(reply.body)).encode()
+    response.raw_headers.append((b"content-length", size))
+    return response
--- /dev/null
+++ b/chervilshift/entry/chat.py
@@ -0,0 +1,272 @@
+"""Chat completions: from a caller's request to a stream of events."""
+
+import hashlib
+import json
+import uuid
+from collections.abc import AsyncIterator
+
+import msgspec
+from starlette.requests import Request
+from starlette.responses import Response, StreamingResponse
+
+from chervilshift.config import Config, Model
+from chervilshift.entry.http import failure_body, json_response, read_json
+from chervilshift.entry.session import Session, StreamRequest
+from chervilshift.entry.sessions import Sessions
+from chervilshift.errors import (
+    BadRequest,
+    Failure,
+    KeyReused,
+    NotFound,
+    StreamLost,
+    Superseded,
+)
+
+__all__ = ["ChatHandler"]
+
+SEED_BITS = 31
+REQUEST_ID_CHARS = 24
+RECONNECT_MS = 200
+EVENT_STREAM = "text/event-stream"
+
+
+class ChatMessage(msgspec.Struct):
+    """One message of a conversation."""
+
+    role: str
+    content: str
+
+
+class ChatRequest(msgspec.Struct):
+    """The body of a chat completion request."""
+
+    model: str
+    messages: list[ChatMessage]
+    max_tokens: int | None = None
+    seed: int | None = None
+    stream: bool = False
+    temperature: float | None = None
+    adapter: str = ""
+
+
+class ChatHandler:
+    """Serves chat completions and resumed streams."""
+
+    __slots__ = ("_sessions",)
+
+    def __init__(self, *, sessions: Sessions):
+        self._sessions = sessions
+
+    async def complete(
+        self, request: Request, customer: str, cfg: Config
+    ) -> Response:
+        """Start or join a completion; raises a Failure."""
+        body = await read_json(request, cfg.limits, ChatRequest)
+        asked = _stream_request(request, body, customer, cfg)
+        session = self._sessions.running(asked.request_id)
+        if session is None and request.headers.get("idempotency-key"):
+            session = await self._sessions.take_over(
+                asked.request_id, customer, cfg
+            )
+        if session is None:
+            session = await self._sessions.start(asked, cfg)
+        elif session.request.digest != asked.digest:
+            raise KeyReused(key=request.headers.get("idempotency-key"))
+        offset = _offset(request, asked.request_id)
+        return await self._respond(session, offset, stream=body.stream)
+
+    async def resume(
+        self, request: Request, request_id: str, customer: str, cfg: Config
+    ) -> Response:
+        """Continue a stream behind Last-Event-ID; raises a Failure."""
+        session = self._sessions.running(request_id)
+        if session is None:
+            session = await self._sessions.take_over(request_id, customer, cfg)
+        if session is None or session.request.customer != customer:
+            raise NotFound(kind="stream", name=request_id)
+        offset = _offset(request, request_id)
+        if offset > len(session.buffer.tokens):
+            raise BadRequest(reason="Last-Event-ID is past the stream's end")
+        return await self._respond(session, offset, stream=True)
+
+    async def _respond(
+        self, session: Session, offset: int, *, stream: bool
+    ) -> Response:
+        if not stream:
+            return await self._whole(session)
+        session.join()
+        events = _events(session, offset)
+        try:
+            first = await anext(events)
+        except BaseException:
+            session.leave()
+            raise
+        return StreamingResponse(
+            _prepend(first, events, session),
+            media_type=EVENT_STREAM,
+            headers={
+                "cache-control": "no-store",
+                "x-request-id": session.request.request_id,
+            },
+        )
+
+    async def _whole(self, session: Session) -> Response:
+        session.join()
+        try:
+            while not session.complete and not session.over:
+                await session.changed.wait()
+        finally:
+            session.leave()
+        if not session.complete:
+            raise _failure(session)
+        text = "".join(session.buffer.tokens)
+        message = {"role": "assistant", "content": text}
+        choice = {
+            "index": 0,
+            "message": message,
+            "finish_reason": session.buffer.finish_reason,
+        }
+        return json_response(
+            {
+                "id": session.request.request_id,
+                "object": "chat.completion",
+                "model": session.request.model,
+                "choices": [choice],
+                "usage": {"completion_tokens": len(session.buffer.tokens)},
+            }
+        )
+
+
+def _stream_request(
+    request: Request, body: ChatRequest, customer: str, cfg: Config
+) -> StreamRequest:
+    """Check the request against the configuration."""
+    allowed = cfg.customers[customer].models
+    model = cfg.models.get(body.model)
+    if model is None or body.model not in allowed:
+        raise NotFound(kind="model", name=body.model)
+    if body.adapter and body.adapter not in model.adapters:
+        raise NotFound(kind="adapter", name=body.adapter)
+    if not body.messages:
+        raise BadRequest(reason="messages must not be empty")
+    max_tokens = _max_tokens(body, model)
+    prompt = "\n".join(f"{m.role}: {m.content}" for m in body.messages)
+    request_id = _request_id(request, customer)
+    digest = hashlib.sha256(msgspec.json.encode(body)).hexdigest()
+    seed = body.seed
+    if seed is None:
+        seed = int(digest[:8], 16) % (1 << SEED_BITS)
+    return StreamRequest(
+        request_id=request_id,
+        customer=customer,
+        model=body.model,
+        prompt=prompt,
+        max_tokens=max_tokens,
+        seed=seed,
+        stream=body.stream,
+        temperature=body.temperature,
+        adapter=body.adapter,
+        digest=digest,
+    )
+
+
+def _max_tokens(body: ChatRequest, model: Model) -> int:
+    asked = body.max_tokens or model.max_output_tokens
+    if not 1 <= asked <= model.max_output_tokens:
+        raise BadRequest(
+            reason=f"max_tokens must be 1 to {model.max_output_tokens}"
+        )
+    return asked
+
+
+def _request_id(request: Request, customer: str) -> str:
+    """Derive the id from the caller's key, so that a resend finds it."""
+    key = request.headers.get("idempotency-key")
+    if not key:
+        return uuid.uuid4().hex[:REQUEST_ID_CHARS]
+    named = f"{customer}\n{key}".encode()
+    return hashlib.sha256(named).hexdigest()[:REQUEST_ID_CHARS]
+
+
+def _offset(request: Request, request_id: str) -> int:
+    """Return the offset that Last-Event-ID names, zero without one."""
+    value = request.headers.get("last-event-id", "")
+    if not value:
+        return 0
+    name, _, offset = value.rpartition(":")
+    if name != request_id or not offset.isdecimal():
+        raise BadRequest(reason="Last-Event-ID is of another stream")
+    return int(offset)
+
+
+def _failure(session: Session) -> Failure:
+    return session.failure or StreamLost(
+        request_id=session.request.request_id, reason="it ended early"
+    )
+
+
+async def _events(session: Session, offset: int) -> AsyncIterator[bytes]:
+    """Yield the stream's events from `offset` on.
+
+    A failure before the first event is raised; behind it, it is sent as an
+    error event, and the final marker is left out.
+    """
+    request_id = session.request.request_id
+    head = json.dumps(
+        {
+            "id": request_id,
+            "object": "chat.completion.chunk",
+            "model": session.request.model,
+        }
+    )[:-1]
+    sent = False
+    while True:
+        ready = session.deliverable
+        if ready > offset:
+            text = "".join(session.buffer.tokens[offset:ready])
+            offset = ready
+            yield _event(request_id, offset, head, text, None)
+            sent = True
+        elif session.complete:
+            reason = session.buffer.finish_reason or "stop"
+            yield _event(request_id, offset, head, "", reason)
+            yield b"data: [DONE]\n\n"
+            return
+        elif session.over or session.failure is not None:
+            failure = _failure(session)
+            if not sent and not offset:
+                raise failure
+            yield _failure_event(failure)
+            return
+        else:
+            await session.changed.wait()
+
+
+def _event(
+    request_id: str, offset: int, head: str, text: str, finish: str | None
+) -> bytes:
+    delta = {"content": text} if text else {}
+    choices = [{"index": 0, "delta": delta, "finish_reason": finish}]
+    tail = msgspec.json.encode(choices).decode()
+    return (
+        f'id: {request_id}:{offset}\ndata: {head}, "choices": {tail}}}\n\n'
+    ).encode()
+
+
+def _failure_event(failure: Failure) -> bytes:
+    """Ask the caller to reconnect where another entry has the stream."""
+    if isinstance(failure, Superseded):
+        return f"retry: {RECONNECT_MS}\n: moved\n\n".encode()
+    body = msgspec.json.encode(failure_body(failure)).decode()
+    return f"event: error\ndata: {body}\n\n".encode()
+
+
+async def _prepend(
+    first: bytes, rest: AsyncIterator[bytes], session: Session
+) -> AsyncIterator[bytes]:
+    try:
+        yield first
+        async for event in rest:
+            yield event
+    finally:
+        session.leave()
--- /dev/null
+++ b/chervilshift/entry/http.py
@@ -0,0 +1,77 @@
+"""Helpers for the HTTP handlers: bodies, failures, typed JSON."""
+
+from typing import TypeVar
+
+import anyio
+import msgspec
+from starlette.requests import ClientDisconnect, Request
+from starlette.responses import Response
+
+from chervilshift.config import Limits
+from chervilshift.errors import BadRequest, BodyTooLarge, Failure
+
+__all__ = ["failure_response", "json_response", "read_body", "read_json"]
+
+RETRY_AFTER_S = 1
+RETRYABLE_STATUSES = (429, 503)
+NOT_RUN_HEADER = "x-not-run"
+
+T = TypeVar("T")
+
+
+async def read_body(request: Request, limits: Limits) -> bytes:
+    """Return the body; raises BodyTooLarge or BadRequest."""
+    chunks = []
+    size_bytes = 0
+    try:
+        with anyio.fail_after(limits.body_timeout_s):
+            async for chunk in request.stream():
+                size_bytes += len(chunk)
+                if size_bytes > limits.body_bytes:
+                    raise BodyTooLarge(limit_bytes=limits.body_bytes)
+                chunks.append(chunk)
+    except TimeoutError as exc:
+        raise BadRequest(reason="body came too slowly") from exc
+    except ClientDisconnect as exc:
+        raise BadRequest(reason="body ended early") from exc
+    return b"".join(chunks)
+
+
+async def read_json(request: Request, limits: Limits, schema: type[T]) -> T:
+    """Return the body as a value of `schema`; raises BadRequest."""
+    body = await read_body(request, limits)
+    try:
+        return msgspec.json.decode(body, type=schema)
+    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        raise BadRequest(reason=str(exc)) from exc
+
+
+def json_response(value: object, status: int = 200) -> Response:
+    """Return a value as JSON."""
+    return Response(
+        msgspec.json.encode(value),
+        status_code=status,
+        media_type="application/json",
+    )
+
+
+def failure_body(failure: Failure) -> dict:
+    """Return a failure as callers see it."""
+    return {
+        "error": {
+            "type": failure.name,
+            "message": str(failure),
+            "not_run": failure.not_run,
+            "remedy": failure.remedy,
+        }
+    }
+
+
+def failure_response(failure: Failure) -> Response:
+    """Return a failure as a response with its status."""
+    response = json_response(failure_body(failure), failure.status)
+    if failure.not_run:
+        response.headers[NOT_RUN_HEADER] = "true"
+    if failure.status in RETRYABLE_STATUSES:
+        response.headers["retry-after"] = str(RETRY_AFTER_S)
+    return response
--- /dev/null
+++ b/chervilshift/entry/process.py
@@ -0,0 +1,269 @@
+"""One entry process: wiring, readiness and draining."""
+
+from random import SystemRandom
+
+import anyio
+import httpcore
+import uvicorn
+from absl import logging
+
+from chervilshift.clock import Clock
+from chervilshift.control.process import split_address
+from chervilshift.core.registry import LEASE_S, EntryInfo
+from chervilshift.entry.announcements import AnnouncementHandler
+from chervilshift.entry.app import EntryApp
+from chervilshift.entry.auth import Authenticator
+from chervilshift.entry.calls import CallHandler
+from chervilshift.entry.chat import ChatHandler
+from chervilshift.entry.claims import Claims
+from chervilshift.entry.directory import Directory
+from chervilshift.entry.operators import OperatorHandler
+from chervilshift.entry.recorder import Recorder
+from chervilshift.entry.scheduler import Scheduler
+from chervilshift.entry.server import EntryServer
+from chervilshift.entry.sessions import Sessions
+from chervilshift.entry.watch import ConfigWatch
+from chervilshift.events import EventLog
+from chervilshift.metrics import Metrics
+from chervilshift.platform.engine import EngineClient
+from chervilshift.platform.service import ServiceClient
+from chervilshift.settings import EntrySettings
+from chervilshift.wire.leader import LeaderClient
+from chervilshift.wire.rpc import Clients, RpcServer
+
+__all__ = ["EntryProcess"]
+
+REFRESH_S = 0.25
+POLL_S = 0.1
+# Time left for callers to reconnect before the host goes.
+GIVE_UP_MARGIN_S = 3.0
+CLOSE_TIMEOUT_S = 5
+ENGINE_CONNECTIONS = 4000
+ENGINE_KEEPALIVE_S = 10.0
+
+
+class HttpServer(uvicorn.Server):
+    """A uvicorn server that leaves signals to the process."""
+
+    def capture_signals(self):
+        """Capture nothing."""
+        return _Nothing()
+
+
+class _Nothing:
+    def __enter__(self) -> None:
+        return None
+
+    def __exit__(self, *exc_info: object) -> None:
+        return None
+
+
+class EntryProcess:
+    """Runs an entry until told to stop, then drains it."""
+
+    def __init__(
+        self,
+        *,
+        settings: EntrySettings,
+        clock: Clock,
+        events: EventLog,
+        metrics: Metrics,
+    ):
+        self._settings = settings
+        self._clock = clock
+        self._events = events
+        self._metrics = metrics
+        credentials = settings.credentials()
+        self._clients = Clients(hlc=events.hlc, credentials=credentials)
+        self._leader = LeaderClient(
+            addresses=tuple(settings.control),
+            clients=self._clients,
+            clock=clock,
+        )
+        self.directory = Directory(
+            info=_info(settings),
+            seeds=tuple(settings.peers),
+            clients=self._clients,
+            clock=clock,
+            events=events,
+        )
+        self.watch = ConfigWatch(
+            site=settings.site,
+            leader=self._leader,
+            clients=self._clients,
+            clock=clock,
+            events=events,
+        )
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=ENGINE_CONNECTIONS,
+            keepalive_expiry=ENGINE_KEEPALIVE_S,
+        )
+        self._build()
+
+    def _build(self) -> None:
+        self.scheduler = Scheduler(
+            directory=self.directory,
+            region=self._settings.region,
+            rng=SystemRandom(),
+            events=self._events,
+        )
+        self._recorder = Recorder(
+            directory=self.directory,
+            clients=self._clients,
+            events=self._events,
+        )
+        self.sessions = Sessions(
+            scheduler=self.scheduler,
+            directory=self.directory,
+            recorder=self._recorder,
+            engines=EngineClient(pool=self._pool),
+            clients=self._clients,
+            events=self._events,
+            metrics=self._metrics,
+        )
+        self._claims = Claims(leader=self._leader)
+        self._calls = CallHandler(
+            scheduler=self.scheduler,
+            directory=self.directory,
+            claims=self._claims,
+            services=ServiceClient(),
+            events=self._events,
+            metrics=self._metrics,
+        )
+        self._auth = Authenticator(
+            operator_keys=self._settings.operator_keys,
+            endpoint_keys=self._settings.endpoint_keys,
+        )
+
+    async def run(
+        self, stop: anyio.Event, *, task_status=anyio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Serve until `stop` is set, then drain and return."""
+        app = self._app(stop)
+        rpc = RpcServer(
+            serve=EntryServer(
+                directory=self.directory,
+                store=self._recorder.store,
+                sessions=self.sessions,
+            ).serve,
+            hlc=self._events.hlc,
+            credentials=self._settings.credentials(),
+        )
+        http = HttpServer(self._uvicorn_config(app))
+        async with anyio.create_task_group() as tg:
+            self.sessions.attach(tg)
+            self._claims.attach(tg)
+            await rpc.start(*split_address(self._settings.rpc_listen))
+            await tg.start(self.directory.run)
+            await tg.start(self._recorder.run)
+            tg.start_soon(self.watch.run)
+            tg.start_soon(self.scheduler.run)
+            tg.start_soon(self._refresh, stop)
+            tg.start_soon(http.serve)
+            self._events.emit("started", role="entry")
+            while not http.started:
+                await anyio.sleep(POLL_S)
+            task_status.started()
+            await stop.wait()
+            await self._drain(app)
+            http.should_exit = True
+            while http.servers and any(s.is_serving() for s in http.servers):
+                await anyio.sleep(POLL_S)
+            tg.cancel_scope.cancel()
+        await rpc.close()
+        self._clients.close()
+        self._events.emit("stopped", role="entry")
+
+    def _app(self, stop: anyio.Event) -> EntryApp:
+        operators = OperatorHandler(
+            watch=self.watch,
+            directory=self.directory,
+            leader=self._leader,
+            clients=self._clients,
+        )
+        return EntryApp(
+            auth=self._auth,
+            chat=ChatHandler(sessions=self.sessions),
+            calls=self._calls,
+            operators=operators,
+            announcements=AnnouncementHandler(directory=self.directory),
+            directory=self.directory,
+            watch=self.watch,
+            metrics=self._metrics,
+            stop=stop,
+            lookup_ttl_s=self._settings.lookup_ttl_s,
+        )
+
+    def _uvicorn_config(self, app: EntryApp) -> uvicorn.Config:
+        host, port = split_address(self._settings.listen)
+        return uvicorn.Config(
+            app.build(),
+            host=host,
+            port=port,
+            log_config=None,
+            access_log=False,
+            lifespan="off",
+            http="httptools",
+            timeout_graceful_shutdown=CLOSE_TIMEOUT_S,
+        )
+
+    async def _refresh(self, stop: anyio.Event) -> None:
+        """Keep what depends on configuration and notices up to date."""
+        version = -1
+        while True:
+            if self.watch.version != version:
+                version = self.watch.version
+                self.scheduler.configure(self.watch.config)
+                self._auth.configure(self.watch.config)
+            self.directory.update(
+                ready=self.watch.confirmed,
+                streams=self.sessions.active,
+                config_version=self.watch.version,
+            )
+            if self.directory.own_notice() is not None:
+                stop.set()
+            with anyio.move_on_after(REFRESH_S):
+                await self.watch.changed.wait()
+
+    # Draining
+
+    async def _drain(self, app: EntryApp) -> None:
+        """Leave the lookup, serve late callers, finish what runs."""
+        left_s = self.directory.own_notice()
+        until = self._clock.monotonic() + self._settings.drain_timeout_s
+        if left_s is not None:
+            until = self._clock.monotonic() + left_s - GIVE_UP_MARGIN_S
+        self._events.emit("draining", notice_s=left_s)
+        self.directory.leave(left_s or self._settings.drain_timeout_s)
+        late_s = self._settings.lookup_ttl_s + LEASE_S
+        await self._wait_until(min(until, self._clock.monotonic() + late_s))
+        app.closing = True
+        self.sessions.draining = True
+        self._calls.draining = True
+        while self._busy() and self._clock.monotonic() < until:
+            await anyio.sleep(POLL_S)
+        if self._busy():
+            logging.info("%d streams given up", self.sessions.active)
+            self.sessions.give_up_all()
+            with anyio.move_on_after(CLOSE_TIMEOUT_S):
+                while self._busy():
+                    await anyio.sleep(POLL_S)
+        self._events.emit("drained", active=self.sessions.active)
+
+    def _busy(self) -> bool:
+        return bool(self.sessions.active or self._calls.active)
+
+    async def _wait_until(self, at: float) -> None:
+        while (left_s := at - self._clock.monotonic()) > 0:
+            await anyio.sleep(min(left_s, POLL_S))
+
+
+def _info(settings: EntrySettings) -> EntryInfo:
+    return EntryInfo(
+        id=settings.process,
+        address=settings.address or settings.listen,
+        rpc_address=settings.rpc_address or settings.rpc_listen,
+        host=settings.host,
+        failure_domain=settings.failure_domain,
+        region=settings.region,
+    )
--- /dev/null
+++ b/chervilshift/entry/scheduler.py
@@ -0,0 +1,156 @@
+"""The task that owns the dispatcher and hands out endpoints."""
+
+from random import Random
+
+import anyio
+from returns.result import Failure as Bad
+from returns.result import Result, Success
+
+from chervilshift.config import Config
+from chervilshift.core.budgets import RatioBudget
+from chervilshift.core.dispatcher import Assignment, Dispatcher, Policy
+from chervilshift.core.jobs import Job
+from chervilshift.entry.directory import Directory
+from chervilshift.errors import (
+    AtCapacity,
+    DeadlineExceeded,
+    Failure,
+    NoEndpoint,
+)
+from chervilshift.events import EventLog
+
+__all__ = ["Scheduler"]
+
+PUMP_INTERVAL_S = 0.05
+REFRESH_INTERVAL_S = 0.25
+RETRY_AFTER_S = 1
+
+
+class _Waiter:
+    """A job waiting for its endpoint."""
+
+    __slots__ = ("_done", "outcome")
+
+    def __init__(self):
+        self.outcome: Result[Assignment, Failure] | None = None
+        self._done = anyio.Event()
+
+    def finish(self, outcome: Result[Assignment, Failure]) -> None:
+        self.outcome = outcome
+        self._done.set()
+
+    async def wait(self) -> Result[Assignment, Failure]:
+        await self._done.wait()
+        return self.outcome
+
+
+class Scheduler:
+    """Admits, queues and assigns requests with the core's decisions."""
+
+    def __init__(
+        self,
+        *,
+        directory: Directory,
+        region: str,
+        rng: Random,
+        events: EventLog,
+    ):
+        self.dispatcher = Dispatcher(policy=Policy(), region=region, rng=rng)
+        self.retries = RatioBudget(share=0.1)
+        self.hedges = RatioBudget(share=0.05)
+        self.running: dict[str, int] = {}
+        self._directory = directory
+        self._events = events
+        self._waiters: dict[str, _Waiter] = {}
+        self._wake = anyio.Event()
+        self._reported: dict[str, float] = {}
+
+    def configure(self, cfg: Config) -> None:
+        """Put a configuration in force."""
+        self.dispatcher.policy.candidates = cfg.routing.candidates
+        self.dispatcher.policy.long_share = cfg.routing.long_share
+        self.retries.share = cfg.routing.retry_share
+        self.hedges.share = cfg.routing.hedge_share
+
+    def admit(self, job: Job, cfg: Config) -> Result[None, Failure]:
+        """Refuse early what can't be served; nothing was sent then."""
+        customer = cfg.customers[job.customer]
+        if not self.dispatcher.serves(job.target):
+            return Bad(NoEndpoint(target=job.target))
+        if self.dispatcher.queue.waiting(job.customer) >= customer.max_queued:
+            return Bad(AtCapacity(customer=job.customer, reason="queue full"))
+        if self.running.get(job.customer, 0) >= customer.max_running:
+            return Bad(
+                AtCapacity(customer=job.customer, reason="too many running")
+            )
+        self.retries.earn()
+        self.hedges.earn()
+        return Success(None)
+
+    async def acquire(
+        self, job: Job, *, front: bool = False
+    ) -> Result[Assignment, Failure]:
+        """Wait for an endpoint; `release` must follow a success.
+
+        Fails with DeadlineExceeded when the job's deadline passes first.
+        """
+        waiter = _Waiter()
+        self._waiters[job.id] = waiter
+        self.dispatcher.forgive(job)
+        self.dispatcher.submit(job, front=front)
+        self._pump()
+        try:
+            return await waiter.wait()
+        except anyio.get_cancelled_exc_class():
+            self.dispatcher.cancel(job)
+            raise
+        finally:
+            self._waiters.pop(job.id, None)
+
+    def release(self, job: Job, produced_tokens: int | None = None) -> None:
+        """Give an endpoint back; with the answer's size if it completed."""
+        self.dispatcher.ended(job.id, produced_tokens)
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Refresh endpoints and place jobs until cancelled."""
+        refresh_at = 0.0
+        while True:
+            now = self._directory.now()
+            if now >= refresh_at:
+                self._refresh()
+                refresh_at = now + REFRESH_INTERVAL_S
+            self._pump()
+            self._wake = anyio.Event()
+            with anyio.move_on_after(PUMP_INTERVAL_S):
+                await self._wake.wait()
+
+    def _refresh(self) -> None:
+        self.dispatcher.set_endpoints(self._directory.endpoints())
+        for endpoint, load, seen_at in self._directory.loads():
+            if self._reported.get(endpoint) != seen_at:
+                self._reported[endpoint] = seen_at
+                self.dispatcher.report(endpoint, load, seen_at)
+
+    def _pump(self) -> None:
+        now = self._directory.now()
+        for job in self.dispatcher.expired(now):
+            self._finish(job, Bad(DeadlineExceeded()))
+        for assignment in self.dispatcher.assign(now):
+            # The lease is tested here, at dispatch, not when queued.
+            if self._directory.endpoint(assignment.endpoint) is None:
+                self._requeue(assignment)
+                continue
+            self._finish(assignment.job, Success(assignment))
+
+    def _requeue(self, assignment: Assignment) -> None:
+        self.dispatcher.ended(assignment.job.id)
+        self._refresh()
+        self.dispatcher.submit(assignment.job, front=True)
+
+    def _finish(self, job: Job, outcome: Result[Assignment, Failure]) -> None:
+        waiter = self._waiters.get(job.id)
+        if waiter is not None:
+            waiter.finish(outcome)
+        elif not isinstance(outcome, Bad):
+            self.dispatcher.ended(job.id)
--- /dev/null
+++ b/chervilshift/entry/server.py
@@ -0,0 +1,61 @@
+"""Answers the messages that other processes send to an entry."""
+
+from functools import singledispatchmethod
+
+from chervilshift.core.message import Message
+from chervilshift.core.records import (
+    AppendRecord,
+    FetchRecord,
+    RecordReply,
+    RecordStore,
+    Takeover,
+)
+from chervilshift.core.registry import Delta, Pull
+from chervilshift.entry.directory import Directory
+from chervilshift.entry.sessions import Sessions
+from chervilshift.errors import BadRequest
+
+__all__ = ["EntryServer"]
+
+
+class EntryServer:
+    """Maps messages to the directory, the records and the streams."""
+
+    __slots__ = ("_directory", "_sessions", "_store")
+
+    def __init__(
+        self, *, directory: Directory, store: RecordStore, sessions: Sessions
+    ):
+        self._directory = directory
+        self._store = store
+        self._sessions = sessions
+
+    async def serve(self, message: Message) -> Message:
+        """Answer one message."""
+        return self._serve(message)
+
+    @singledispatchmethod
+    def _serve(self, message: Message) -> Message:
+        raise BadRequest(reason=f"not for entry: {type(message).__name__}")
+
+    @_serve.register
+    def _(self, message: Pull) -> Delta:
+        return self._directory.answer(message)
+
+    @_serve.register
+    def _(self, message: AppendRecord) -> RecordReply:
+        return self._store.append(message.parts, self._directory.now())
+
+    @_serve.register
+    def _(self, message: FetchRecord) -> RecordReply:
+        name = message.request_id
+        record = self._sessions.record(name) or self._store.fetch(name)
+        return RecordReply(record=record)
+
+    @_serve.register
+    def _(self, message: Takeover) -> RecordReply:
+        name = message.request_id
+        record = self._sessions.give_up(name) or self._store.take_over(
+            name, message.owner, self._directory.now()
+        )
+        return RecordReply(record=record)
--- /dev/null
+++ b/chervilshift/entry/session.py
@@ -0,0 +1,425 @@
+"""One accepted stream: its attempts, its record and its readers."""
+
+from contextlib import aclosing
+
+import anyio
+import msgspec
+from anyio.abc import TaskGroup
+from returns.result import Failure as Bad
+
+from chervilshift.core.dispatcher import Assignment
+from chervilshift.core.jobs import Job
+from chervilshift.core.records import RecordPart
+from chervilshift.core.stream import StreamBuffer
+from chervilshift.entry.directory import Directory
+from chervilshift.entry.recorder import Recorder, Recording
+from chervilshift.entry.scheduler import Scheduler
+from chervilshift.errors import (
+    EndpointFailed,
+    Failure,
+    StreamLost,
+    Superseded,
+)
+from chervilshift.events import EventLog
+from chervilshift.metrics import Metrics
+from chervilshift.platform.engine import (
+    Chunk,
+    EngineClient,
+    Generate,
+    Resume,
+)
+
+__all__ = ["Session", "StreamRequest"]
+
+MAX_ATTEMPTS = 8
+FIRST_TOKEN_SILENCE_S = 20.0
+TOKEN_SILENCE_S = 1.0
+RESUME_TIMEOUT_S = 1.0
+WATCH_INTERVAL_S = 0.1
+# Left for moving a stream away before its endpoint goes.
+MOVE_MARGIN_S = 2.0
+RECORD_RETRY_S = 1.0
+USUAL_GAP_S = 0.03
+
+
+class StreamRequest(msgspec.Struct, kw_only=True, frozen=True):
+    """What a caller asked for, in the form that a record keeps."""
+
+    request_id: str
+    customer: str
+    model: str
+    prompt: str
+    max_tokens: int
+    seed: int
+    stream: bool = True
+    temperature: float | None = None
+    adapter: str = ""
+    digest: str = ""
+
+
+class Attempt:
+    """One try at one endpoint."""
+
+    __slots__ = (
+        "assignment",
+        "endpoint",
+        "last_at",
+        "moved",
+        "number",
+        "scope",
+        "started",
+    )
+
+    def __init__(self, *, number: int, assignment: Assignment, now: float):
+        self.number = number
+        self.assignment = assignment
+        self.endpoint = assignment.endpoint
+        self.last_at = now
+        self.started = False
+        self.moved = ""
+        self.scope = anyio.CancelScope()
+
+
+class Session:
+    """Runs a stream to its end, whatever endpoints come and go.
+
+    Readers follow `buffer` up to `deliverable`, waking on `changed`.
+    """
+
+    def __init__(
+        self,
+        *,
+        request: StreamRequest,
+        job: Job,
+        epoch: int,
+        tokens: tuple[str, ...],
+        scheduler: Scheduler,
+        directory: Directory,
+        recorder: Recorder,
+        engines: EngineClient,
+        events: EventLog,
+        metrics: Metrics,
+        reconnect_s: float,
+    ):
+        self.request = request
+        self.job = job
+        self.epoch = epoch
+        self.buffer = StreamBuffer(
+            request_id=request.request_id, tokens=tokens
+        )
+        self.recording = Recording(request_id=request.request_id)
+        self.failure: Failure | None = None
+        self.changed = anyio.Event()
+        self.readers = 0
+        self.readers_left_at: float | None = None
+        self._scheduler = scheduler
+        self._directory = directory
+        self._recorder = recorder
+        self._engines = engines
+        self._events = events
+        self._metrics = metrics
+        self._reconnect_s = reconnect_s
+        self._prompt_tokens = job.prompt_tokens
+        self._attempt: Attempt | None = None
+        self._stopped = False
+        self._record_again_at = 0.0
+
+    # For readers
+
+    @property
+    def deliverable(self) -> int:
+        """How many tokens readers may have: those that are recorded."""
+        if not self.recording.holder:
+            return len(self.buffer.tokens)
+        return self.recording.acked
+
+    @property
+    def complete(self) -> bool:
+        """Whether the whole answer may be delivered, end included."""
+        return self.buffer.done and self.deliverable == len(self.buffer.tokens)
+
+    @property
+    def over(self) -> bool:
+        """Whether nothing more will come."""
+        return self._stopped
+
+    def join(self) -> None:
+        """Count a reader."""
+        self.readers += 1
+        self.readers_left_at = None
+
+    def leave(self) -> None:
+        """Uncount a reader."""
+        self.readers -= 1
+        if not self.readers:
+            self.readers_left_at = self._directory.now()
+
+    def stop(self, failure: Failure) -> None:
+        """End the session; readers see the failure."""
+        if self.failure is None and not self.buffer.done:
+            self.failure = failure
+        if self._attempt is not None:
+            self._attempt.scope.cancel()
+        self._signal()
+
+    # The task
+
+    async def run(self) -> None:
+        """Make attempts until the answer is whole or can't be had."""
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(self._keep_recorded)
+            tg.start_soon(self._watch)
+            try:
+                await self._run_attempts(tg)
+            except Failure as exc:
+                self.stop(exc)
+            await self._flush_record()
+            tg.cancel_scope.cancel()
+        self._stopped = True
+        self._emit(
+            "finished" if self.buffer.done else "failed",
+            tokens=len(self.buffer.tokens),
+            reason=self.failure.name if self.failure else "",
+        )
+        self._signal()
+
+    async def _run_attempts(self, tg: TaskGroup) -> None:
+        last: Failure | None = None
+        tries = 0
+        while not self.buffer.done and self.failure is None:
+            if tries >= MAX_ATTEMPTS:
+                raise StreamLost(
+                    request_id=self.request.request_id, reason=str(last)
+                )
+            got = await self._scheduler.acquire(self.job, front=tries > 0)
+            if isinstance(got, Bad):
+                raise self._no_endpoint(got.failure(), last)
+            last = await self._attempt_at(got.unwrap())
+            if last is not None:
+                tries += 1
+
+    def _no_endpoint(self, failure: Failure, last: Failure | None) -> Failure:
+        """Say `not run` only when no attempt reached an endpoint."""
+        if self.buffer.attempt == 0 and not self.buffer.tokens:
+            return failure
+        return StreamLost(
+            request_id=self.request.request_id, reason=str(last or failure)
+        )
+
+    async def _attempt_at(self, assignment: Assignment) -> Failure | None:
+        """Stream from one endpoint; return why it failed, if it did."""
+        number, offset = self.buffer.begin_attempt()
+        attempt = Attempt(
+            number=number, assignment=assignment, now=self._directory.now()
+        )
+        self._attempt = attempt
+        self._emit(
+            "attempt",
+            attempt=number,
+            endpoint=attempt.endpoint,
+            offset=offset,
+            why=assignment.reason,
+        )
+        failure = None
+        try:
+            with attempt.scope:
+                await self._read(attempt, offset)
+        except Failure as exc:
+            failure = exc
+        finally:
+            self._attempt = None
+            produced = len(self.buffer.tokens) if self.buffer.done else None
+            self._scheduler.release(self.job, produced)
+        if self.buffer.done or self.failure is not None:
+            return None
+        return await self._after(attempt, failure)
+
+    async def _read(self, attempt: Attempt, offset: int) -> None:
+        info = self._directory.endpoint(attempt.endpoint)
+        if info is None:
+            raise EndpointFailed(
+                endpoint=attempt.endpoint, reason="gone", sent=False
+            )
+        request = self._generate(attempt.number, offset)
+        stream = self._engines.generate(
+            info.address, request, FIRST_TOKEN_SILENCE_S
+        )
+        await self._consume(attempt, stream)
+        if self.buffer.done:
+            return
+        # The connection ended without the final marker: the engine may
+        # still be at work, so ask it for the rest on a new connection.
+        await self._resume(attempt, info.address)
+
+    async def _resume(self, attempt: Attempt, address: str) -> None:
+        again = Resume(
+            request_id=self.request.request_id,
+            attempt=attempt.number,
+            offset=len(self.buffer.tokens),
+        )
+        self._emit("resume", attempt=attempt.number, offset=again.offset)
+        await self._consume(
+            attempt, self._engines.resume(address, again, RESUME_TIMEOUT_S)
+        )
+        if not self.buffer.done:
+            raise EndpointFailed(
+                endpoint=attempt.endpoint, reason="ended early", sent=True
+            )
+
+    async def _consume(self, attempt: Attempt, stream) -> None:
+        async with aclosing(stream) as chunks:
+            async for chunk in chunks:
+                self._take(attempt, chunk)
+                if self.buffer.done:
+                    return
+
+    def _take(self, attempt: Attempt, chunk: Chunk) -> None:
+        now = self._directory.now()
+        new = self.buffer.add(attempt.number, chunk.offset, chunk.tokens)
+        if not attempt.started:
+            attempt.started = True
+            self._scheduler.dispatcher.first_token(self.job.id, now)
+        elif new:
+            gap_s = (now - attempt.last_at) / len(new)
+            self._scheduler.dispatcher.token_gap(self.job.id, gap_s, now)
+        attempt.last_at = now
+        if chunk.finish_reason:
+            total = chunk.offset + len(chunk.tokens)
+            self.buffer.finish(attempt.number, total, chunk.finish_reason)
+        self._metrics.count("tokens_relayed", len(new))
+        self._record(new, len(self.buffer.tokens) - len(new))
+        self._signal()
+
+    async def _after(
+        self, attempt: Attempt, failure: Failure | None
+    ) -> Failure | None:
+        """Decide what a broken attempt means for the next one."""
+        reason = attempt.moved or str(failure)
+        self._emit("attempt_ended", attempt=attempt.number, reason=reason)
+        info = self._directory.registry.get(f"endpoint/{attempt.endpoint}")
+        if info is not None:
+            with anyio.move_on_after(RESUME_TIMEOUT_S):
+                await self._engines.cancel(
+                    info.item.body.address, self.request.request_id
+                )
+        self.job.excluded.add(attempt.endpoint)
+        produced = len(self.buffer.tokens)
+        self.job.prompt_tokens = self._prompt_tokens + produced
+        if attempt.moved:
+            self._metrics.count("streams_moved")
+            return None
+        self._metrics.count("attempts_failed")
+        retried = self._scheduler.retries.spend()
+        if not retried and not produced:
+            raise failure or StreamLost(
+                request_id=self.request.request_id, reason="no retry left"
+            )
+        return failure or EndpointFailed(
+            endpoint=attempt.endpoint, reason="silent", sent=True
+        )
+
+    def _generate(self, attempt: int, offset: int) -> Generate:
+        request = self.request
+        return Generate(
+            request_id=request.request_id,
+            attempt=attempt,
+            model=request.model,
+            prompt=request.prompt,
+            max_tokens=request.max_tokens,
+            seed=request.seed,
+            priority=int(self.job.long),
+            temperature=request.temperature,
+            adapter=request.adapter,
+            resume_tokens=tuple(self.buffer.tokens[:offset]),
+        )
+
+    # Watching
+
+    async def _watch(self) -> None:
+        """Break attempts that are silent or whose endpoint leaves."""
+        while True:
+            await anyio.sleep(WATCH_INTERVAL_S)
+            now = self._directory.now()
+            if self._abandoned(now):
+                self.stop(Superseded(what="stream without a reader"))
+                return
+            attempt = self._attempt
+            if attempt is None:
+                continue
+            bound_s = (
+                TOKEN_SILENCE_S if attempt.started else FIRST_TOKEN_SILENCE_S
+            )
+            if now - attempt.last_at > bound_s:
+                attempt.scope.cancel()
+            elif self._must_move(attempt):
+                attempt.moved = "endpoint leaves"
+                self.job.excluded.add(attempt.endpoint)
+                attempt.scope.cancel()
+
+    def _must_move(self, attempt: Attempt) -> bool:
+        """Move in time, unless the stream will finish before the end."""
+        left_s = self._directory.leaving_in(attempt.endpoint)
+        if left_s is None:
+            return False
+        produced = len(self.buffer.tokens)
+        expected = max(1, self.job.predicted_tokens - produced)
+        needed_s = expected * USUAL_GAP_S
+        return left_s < needed_s + MOVE_MARGIN_S
+
+    def _abandoned(self, now: float) -> bool:
+        left_at = self.readers_left_at
+        return left_at is not None and now - left_at > self._reconnect_s
+
+    # Recording
+
+    def _record(self, new: tuple[str, ...], offset: int) -> None:
+        if self.recording.holder:
+            self._append(new, offset)
+        elif self._directory.now() >= self._record_again_at:
+            self._record_all()
+
+    def _record_all(self) -> None:
+        """Leave the whole stream so far with a new holder, if any."""
+        self._record_again_at = self._directory.now() + RECORD_RETRY_S
+        holder = self._recorder.choose(self.request.request_id)
+        if not holder:
+            return
+        self.recording.holder = holder
+        self.recording.acked = 0
+        self._append(tuple(self.buffer.tokens), 0, first=True)
+
+    def _append(
+        self, tokens: tuple[str, ...], offset: int, *, first: bool = False
+    ) -> None:
+        part = RecordPart(
+            request_id=self.request.request_id,
+            epoch=self.epoch,
+            owner=self._directory.info.rpc_address,
+            offset=offset,
+            tokens=tokens,
+            done=self.buffer.done,
+            customer=self.request.customer if first else "",
+            request=msgspec.json.encode(self.request) if first else b"",
+        )
+        self._recorder.append(self.recording, part)
+
+    async def _keep_recorded(self) -> None:
+        """Pass on acknowledgements; stop when the stream was taken over."""
+        self._record_all()
+        while True:
+            await self.recording.changed.wait()
+            if self.recording.refused:
+                self.stop(Superseded(what="stream"))
+            self._signal()
+
+    async def _flush_record(self) -> None:
+        """Wait until the end is recorded, or the holder is lost."""
+        while self.buffer.done and not self.complete:
+            await self.recording.changed.wait()
+
+    def _signal(self) -> None:
+        self.changed.set()
+        self.changed = anyio.Event()
+
+    def _emit(self, event: str, **fields: object) -> None:
+        self._events.emit(event, request=self.request.request_id, **fields)
--- /dev/null
+++ b/chervilshift/entry/sessions.py
@@ -0,0 +1,266 @@
+"""All streams that this entry runs, and how it takes others over."""
+
+import hashlib
+from collections.abc import Iterator
+from itertools import islice
+
+import msgspec
+from anyio.abc import TaskGroup
+from returns.result import Failure as Bad
+
+from chervilshift.config import Config
+from chervilshift.core.jobs import CHARS_PER_TOKEN, Job, prefix_blocks
+from chervilshift.core.records import (
+    FetchRecord,
+    StreamRecord,
+    Takeover,
+)
+from chervilshift.core.registry import EntryInfo
+from chervilshift.entry.directory import Directory
+from chervilshift.entry.recorder import Recorder
+from chervilshift.entry.scheduler import Scheduler
+from chervilshift.entry.session import Session, StreamRequest
+from chervilshift.errors import Draining, Superseded
+from chervilshift.events import EventLog
+from chervilshift.metrics import Metrics
+from chervilshift.platform.engine import EngineClient
+from chervilshift.wire.rpc import Clients
+
+__all__ = ["Sessions"]
+
+FETCH_TIMEOUT_S = 1.0
+HOLDERS_ASKED = 8
+KIND_CHARS = 512
+# Finished streams stay for callers that reconnect at the very end.
+KEEP_FINISHED = 1000
+
+
+class Sessions:
+    """Starts, finds, takes over and gives up streams."""
+
+    def __init__(
+        self,
+        *,
+        scheduler: Scheduler,
+        directory: Directory,
+        recorder: Recorder,
+        engines: EngineClient,
+        clients: Clients,
+        events: EventLog,
+        metrics: Metrics,
+    ):
+        self.draining = False
+        self._scheduler = scheduler
+        self._directory = directory
+        self._recorder = recorder
+        self._engines = engines
+        self._clients = clients
+        self._events = events
+        self._metrics = metrics
+        self._sessions: dict[str, Session] = {}
+        self._finished: dict[str, None] = {}
+        self._tasks: TaskGroup | None = None
+
+    def attach(self, tasks: TaskGroup) -> None:
+        """Set the task group that sessions run in."""
+        self._tasks = tasks
+
+    @property
+    def active(self) -> int:
+        """How many streams are running or still being read."""
+        return sum(
+            not session.over or session.readers > 0
+            for session in self._sessions.values()
+        )
+
+    def running(self, request_id: str) -> Session | None:
+        """Return a stream of this entry, running or just finished."""
+        session = self._sessions.get(request_id)
+        if session is None or session.failure is not None:
+            return None
+        return session
+
+    async def start(self, asked: StreamRequest, cfg: Config) -> Session:
+        """Admit a new stream; raises a Failure that says `not run`."""
+        if self.draining:
+            raise Draining()
+        job = self._job(asked, cfg)
+        admitted = self._scheduler.admit(job, cfg)
+        if isinstance(admitted, Bad):
+            self._metrics.count("refused")
+            self._events.emit(
+                "refused",
+                request=asked.request_id,
+                reason=admitted.failure().name,
+            )
+            raise admitted.failure()
+        self._events.emit(
+            "admitted",
+            request=asked.request_id,
+            customer=asked.customer,
+            long=job.long,
+            predicted_tokens=job.predicted_tokens,
+        )
+        return self._launch(asked, job, cfg, epoch=1, tokens=())
+
+    async def take_over(
+        self, request_id: str, customer: str, cfg: Config
+    ) -> Session | None:
+        """Continue a stream that another entry ran, if it has a record."""
+        for info in islice(self._holders(request_id), HOLDERS_ASKED):
+            record = await self._fetch(info, request_id)
+            if record is None or record.customer != customer:
+                continue
+            record = await self._take(info, request_id)
+            if record is None:
+                continue
+            asked = msgspec.json.decode(record.request, type=StreamRequest)
+            self._events.emit(
+                "taken_over",
+                request=request_id,
+                epoch=record.epoch,
+                offset=len(record.tokens),
+                done=record.done,
+            )
+            return self._launch(
+                asked,
+                self._job(asked, cfg),
+                cfg,
+                epoch=record.epoch,
+                tokens=record.tokens,
+                done=record.done,
+            )
+        return None
+
+    def record(self, request_id: str) -> StreamRecord | None:
+        """Return the record of a stream that runs here."""
+        session = self.running(request_id)
+        if session is None:
+            return None
+        return StreamRecord(
+            request_id=request_id,
+            epoch=session.epoch + 1,
+            customer=session.request.customer,
+            owner="",
+            request=msgspec.json.encode(session.request),
+            tokens=tuple(session.buffer.tokens),
+            done=session.buffer.done,
+        )
+
+    def give_up(self, request_id: str) -> StreamRecord | None:
+        """Stop a stream that another entry wants, and return its record."""
+        record = self.record(request_id)
+        if record is not None:
+            self._sessions[request_id].stop(Superseded(what="stream"))
+        return record
+
+    def give_up_all(self) -> None:
+        """End all streams here so that their callers reconnect elsewhere."""
+        for session in tuple(self._sessions.values()):
+            session.stop(Superseded(what="entry"))
+
+    def _holders(self, request_id: str) -> Iterator[EntryInfo | None]:
+        """Yield the local store, as None, then peers by rank."""
+        yield None
+        yield from self._recorder.ranked(request_id)
+
+    async def _fetch(
+        self, info: EntryInfo | None, request_id: str
+    ) -> StreamRecord | None:
+        if info is None:
+            return self._recorder.store.fetch(request_id)
+        return await self._ask(info, FetchRecord(request_id=request_id))
+
+    async def _take(
+        self, info: EntryInfo | None, request_id: str
+    ) -> StreamRecord | None:
+        own = self._directory.info.rpc_address
+        if info is None:
+            now = self._directory.now()
+            return self._recorder.store.take_over(request_id, own, now)
+        return await self._ask(
+            info, Takeover(request_id=request_id, owner=own)
+        )
+
+    async def _ask(
+        self, info: EntryInfo, message: FetchRecord | Takeover
+    ) -> StreamRecord | None:
+        client = self._clients.at(info.rpc_address)
+        reply = await client.call(message, FETCH_TIMEOUT_S)
+        return None if isinstance(reply, Bad) else reply.unwrap().record
+
+    def _launch(
+        self,
+        asked: StreamRequest,
+        job: Job,
+        cfg: Config,
+        *,
+        epoch: int,
+        tokens: tuple[str, ...],
+        done: bool = False,
+    ) -> Session:
+        session = Session(
+            request=asked,
+            job=job,
+            epoch=epoch,
+            tokens=tokens,
+            scheduler=self._scheduler,
+            directory=self._directory,
+            recorder=self._recorder,
+            engines=self._engines,
+            events=self._events,
+            metrics=self._metrics,
+            reconnect_s=cfg.limits.reconnect_s,
+        )
+        session.buffer.done = done
+        self._sessions[asked.request_id] = session
+        self._tasks.start_soon(self._run, session)
+        return session
+
+    async def _run(self, session: Session) -> None:
+        running = self._scheduler.running
+        customer = session.request.customer
+        running[customer] = running.get(customer, 0) + 1
+        try:
+            await session.run()
+        finally:
+            running[customer] -= 1
+            self._keep_finished(session)
+
+    def _keep_finished(self, session: Session) -> None:
+        request_id = session.request.request_id
+        self._finished.pop(request_id, None)
+        self._finished[request_id] = None
+        if len(self._finished) > KEEP_FINISHED:
+            oldest = next(iter(self._finished))
+            del self._finished[oldest]
+            self._sessions.pop(oldest, None)
+
+    def _job(self, asked: StreamRequest, cfg: Config) -> Job:
+        model = cfg.models[asked.model]
+        prompt_tokens = max(1, len(asked.prompt) // CHARS_PER_TOKEN)
+        kind = _kind(asked)
+        predicted = self._scheduler.dispatcher.sizes.predict(
+            kind, asked.max_tokens
+        )
+        now = self._directory.now()
+        return Job(
+            id=asked.request_id,
+            customer=asked.customer,
+            target=asked.model,
+            arrived_at=now,
+            deadline_at=now + model.deadline_s,
+            prompt_tokens=prompt_tokens,
+            predicted_tokens=predicted,
+            blocks=prefix_blocks(asked.prompt),
+            long=predicted >= model.long_output_tokens
+            or prompt_tokens >= model.long_prompt_tokens,
+            share=cfg.customers[asked.customer].share,
+            kind=kind,
+        )
+
+
+def _kind(asked: StreamRequest) -> str:
+    """Name the kind of a request for the size predictor."""
+    head = hashlib.sha256(asked.prompt[:KIND_CHARS].encode()).hexdigest()
+    return f"{asked.customer}/{head[:12]}"
--- /dev/null
+++ b/chervilshift/errors.py
@@ -0,0 +1,298 @@
+"""Every failure the system reports, as a type of its own.
+
+A failure carries its fields; its text is made from them in one place. The
+class name is the name that callers, operators and logs see.
+"""
+
+__all__ = [
+    "AlreadyDone",
+    "AtCapacity",
+    "BadRequest",
+    "BodyTooLarge",
+    "ChangeIdReused",
+    "ConfigConflict",
+    "ConfigFault",
+    "ConfigRefused",
+    "CorruptLog",
+    "DeadlineExceeded",
+    "Draining",
+    "EndpointFailed",
+    "Failure",
+    "InProgress",
+    "KeyReused",
+    "LedgerUnavailable",
+    "NoEndpoint",
+    "NotFound",
+    "NotInTime",
+    "NotLeader",
+    "NotReady",
+    "OutcomeDiffers",
+    "OutcomeUnknown",
+    "PeerUnreachable",
+    "SettingsRefused",
+    "StorageFailed",
+    "StreamLost",
+    "Superseded",
+    "Unauthorized",
+]
+
+
+class Failure(Exception):
+    """Base of all failures.
+
+    `not_run` is true only for failures after which the request is known
+    never to have reached an endpoint. `status` is the HTTP status.
+    """
+
+    status = 500
+    not_run = False
+    template = "internal failure"
+    remedy = "look at the process's log"
+
+    def __init__(self, **fields: object):
+        super().__init__()
+        self.fields = fields
+
+    def __str__(self) -> str:
+        return self.template.format_map(_Fields(self.fields))
+
+    @property
+    def name(self) -> str:
+        """The failure's public name."""
+        return type(self).__name__
+
+
+class _Fields(dict):
+    """Shows a question mark for a field that was not given."""
+
+    def __missing__(self, key: str) -> str:
+        return "?"
+
+
+class BadRequest(Failure):
+    """The request can't be understood."""
+
+    status, not_run = 400, True
+    template = "bad request: {reason}"
+    remedy = "mend the request"
+
+
+class BodyTooLarge(Failure):
+    """The request's body is over the limit."""
+
+    status, not_run = 413, True
+    template = "body is over {limit_bytes} bytes"
+    remedy = "send a smaller body"
+
+
+class Unauthorized(Failure):
+    """No key, or one that is not known for this use."""
+
+    status, not_run = 401, True
+    template = "key missing or not known"
+    remedy = "send 'Authorization: Bearer KEY'"
+
+
+class NotFound(Failure):
+    """What was named does not exist for this caller."""
+
+    status, not_run = 404, True
+    template = "no {kind} {name!r}"
+    remedy = "check the name"
+
+
+class AtCapacity(Failure):
+    """The request was refused early so that accepted ones stay on time."""
+
+    status, not_run = 429, True
+    template = "at capacity for customer {customer}: {reason}"
+    remedy = "retry after the time in Retry-After"
+
+
+class Draining(Failure):
+    """This entry is about to stop and takes nothing new."""
+
+    status, not_run = 503, True
+    template = "this entry is draining"
+    remedy = "ask GET /v1/entries for another entry"
+
+
+class NotReady(Failure):
+    """This entry has no confirmed configuration yet."""
+
+    status, not_run = 503, True
+    template = "not ready: {reason}"
+    remedy = "retry at another entry"
+
+
+class NoEndpoint(Failure):
+    """No live endpoint serves what was asked."""
+
+    status, not_run = 503, True
+    template = "no endpoint serves {target!r}"
+    remedy = "retry later or look at 'chervilshift status'"
+
+
+class DeadlineExceeded(Failure):
+    """The request's deadline passed before it reached an endpoint."""
+
+    status, not_run = 504, True
+    template = "deadline passed while queued"
+    remedy = "retry with a longer deadline"
+
+
+class EndpointFailed(Failure):
+    """An endpoint failed after the request reached it."""
+
+    status = 502
+    template = "endpoint {endpoint} failed: {reason}"
+    remedy = "retry if the work is idempotent"
+
+
+class StreamLost(Failure):
+    """A stream could not be completed at any endpoint."""
+
+    status = 502
+    template = "stream {request_id} could not be completed: {reason}"
+    remedy = "reconnect with Last-Event-ID"
+
+
+class OutcomeUnknown(Failure):
+    """The request may have run; it will not be sent again."""
+
+    status = 502
+    template = "outcome of {key!r} unknown: {reason}"
+    remedy = "check at the service before using a new key"
+
+
+class InProgress(Failure):
+    """A request with this key is running."""
+
+    status = 409
+    template = "a request with key {key!r} is in progress"
+    remedy = "resend with the same key later"
+
+
+class AlreadyDone(Failure):
+    """The request ran; its answer was too large to be kept."""
+
+    status = 409
+    template = "the request with key {key!r} ran with status {status}"
+    remedy = "read the result from the service"
+
+
+class LedgerUnavailable(Failure):
+    """The call could not be claimed, so it was not sent."""
+
+    status, not_run = 503, True
+    template = "the at-most-once ledger can't be reached: {reason}"
+    remedy = "resend with the same key"
+
+
+class KeyReused(Failure):
+    """The key was used before with another request."""
+
+    status, not_run = 422, True
+    template = "key {key!r} belongs to a different request"
+    remedy = "use a new Idempotency-Key"
+
+
+class Superseded(Failure):
+    """Another owner took the work over."""
+
+    status = 409
+    template = "{what} was taken over"
+    remedy = "reconnect at another entry"
+
+
+class NotLeader(Failure):
+    """The replica is not the leader."""
+
+    status, not_run = 503, True
+    template = "not the leader; try {leader}"
+    remedy = "ask the leader"
+
+
+class PeerUnreachable(Failure):
+    """A process of the system did not answer."""
+
+    status = 503
+    template = "no answer from {address}: {reason}"
+    remedy = "check that the process is up and reachable"
+
+
+class ConfigFault:
+    """One fault in a configuration file."""
+
+    __slots__ = ("file", "line", "path", "reason")
+
+    def __init__(self, *, file: str, line: int, path: str, reason: str):
+        self.file = file
+        self.line = line
+        self.path = path
+        self.reason = reason
+
+    def __str__(self) -> str:
+        return f"{self.file}:{self.line}: {self.path}: {self.reason}"
+
+
+class ConfigRefused(Failure):
+    """A configuration has faults and was refused whole."""
+
+    status, not_run = 422, True
+    template = "configuration refused:\n{faults}"
+    remedy = "mend each fault and apply again"
+
+
+class ConfigConflict(Failure):
+    """Another change won the race from the same base version."""
+
+    status, not_run = 409, True
+    template = (
+        "version {base_version} is no longer current: version {version} by "
+        "change {winner} is in force"
+    )
+    remedy = "look at 'config show', then apply from that version"
+
+
+class ChangeIdReused(Failure):
+    """The change id was used before with other content."""
+
+    status, not_run = 422, True
+    template = "change id {change_id!r} was used with other content"
+    remedy = "use a new change id"
+
+
+class SettingsRefused(Failure):
+    """A process's settings file has faults."""
+
+    template = "settings refused:\n{faults}"
+    remedy = "mend the settings file"
+
+
+class NotInTime(Failure):
+    """A version was not in force everywhere in time."""
+
+    template = "version {version} is not in force yet at: {behind}"
+    remedy = "wait for longer, or look at 'chervilshift status'"
+
+
+class OutcomeDiffers(Failure):
+    """A replayed trace had another outcome than stated."""
+
+    template = "{file}:{line}: stated {stated!r}, was {outcome!r}"
+    remedy = "compare the trace with the change that caused it"
+
+
+class StorageFailed(Failure):
+    """A durable write failed; nothing after it is acknowledged."""
+
+    template = "storage failed: {reason}"
+    remedy = "mend the disk, then restart the process"
+
+
+class CorruptLog(Failure):
+    """The log is damaged before its end."""
+
+    template = "log {path} is corrupt at byte {offset}"
+    remedy = "remove the data folder; the replica rejoins with a new identity"
--- /dev/null
+++ b/chervilshift/metrics.py
@@ -0,0 +1,53 @@
+"""Counters and latency histograms of one process."""
+
+from collections import Counter
+
+from hdrh.histogram import HdrHistogram
+
+__all__ = ["Metrics"]
+
+HIGHEST_US = 3_600_000_000
+DIGITS = 3
+PERCENTILES = (50.0, 95.0, 99.0)
+
+
+class Metrics:
+    """Holds counters and histograms by name; `render` shows them as text."""
+
+    __slots__ = ("_counters", "_histograms")
+
+    def __init__(self):
+        self._counters: Counter[str] = Counter()
+        self._histograms: dict[str, HdrHistogram] = {}
+
+    def count(self, name: str, amount: int = 1) -> None:
+        """Add `amount` to the counter `name`."""
+        self._counters[name] += amount
+
+    def value(self, name: str) -> int:
+        """Return the counter `name`."""
+        return self._counters[name]
+
+    def observe(self, name: str, seconds: float) -> None:
+        """Record a duration in the histogram `name`."""
+        histogram = self._histograms.get(name)
+        if histogram is None:
+            histogram = HdrHistogram(1, HIGHEST_US, DIGITS)
+            self._histograms[name] = histogram
+        histogram.record_value(max(1, min(HIGHEST_US, int(seconds * 1e6))))
+
+    def render(self) -> str:
+        """Return all metrics in the text exposition format."""
+        lines = [
+            f"chervilshift_{name}_total {value}"
+            for name, value in sorted(self._counters.items())
+        ]
+        for name, histogram in sorted(self._histograms.items()):
+            lines += [
+                f'chervilshift_{name}_seconds{{quantile="{pct / 100:g}"}} '
+                f"{histogram.get_value_at_percentile(pct) / 1e6:.6f}"
+                for pct in PERCENTILES
+            ]
+            total = histogram.get_total_count()
+            lines.append(f"chervilshift_{name}_seconds_count {total}")
+        return "\n".join(lines) + "\n"
--- /dev/null
+++ b/chervilshift/operator.py
@@ -0,0 +1,69 @@
+"""An operator's client of the HTTP interface, for the command line."""
+
+import os
+
+import httpcore
+import msgspec
+
+from chervilshift import errors
+from chervilshift.errors import Failure, PeerUnreachable
+
+__all__ = ["OperatorClient"]
+
+KEY_VARIABLE = "CHERVILSHIFT_KEY"
+ENTRY_VARIABLE = "CHERVILSHIFT_ENTRY"
+DEFAULT_ENTRY = "127.0.0.1:8080"
+TIMEOUT_S = 10.0
+
+
+class OperatorClient:
+    """Calls one entry; raises the Failure that the entry names."""
+
+    __slots__ = ("_entry", "_key")
+
+    def __init__(self, *, entry: str = "", key: str = ""):
+        given = entry or os.environ.get(ENTRY_VARIABLE, DEFAULT_ENTRY)
+        self._entry = given.removeprefix("http://").rstrip("/")
+        self._key = key or os.environ.get(KEY_VARIABLE, "")
+
+    def get(self, path: str) -> object:
+        """Return the JSON value at a path."""
+        return self._request("GET", path, b"")
+
+    def post(self, path: str, value: object) -> object:
+        """Send a JSON value and return the reply's."""
+        return self._request("POST", path, msgspec.json.encode(value))
+
+    def _request(self, method: str, path: str, content: bytes) -> object:
+        timeouts = dict.fromkeys(("connect", "read", "write"), TIMEOUT_S)
+        try:
+            response = httpcore.request(
+                method,
+                f"http://{self._entry}{path}",
+                headers={"authorization": f"Bearer {self._key}"},
+                content=content,
+                extensions={"timeout": timeouts},
+            )
+        except (
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+            httpcore.TimeoutException,
+            OSError,
+        ) as exc:
+            raise PeerUnreachable(
+                address=self._entry, reason=type(exc).__name__
+            ) from exc
+        value = msgspec.json.decode(response.content or b"null")
+        if response.status >= 400:
+            raise _failure(value)
+        return value
+
+
+def _failure(value: object) -> Failure:
+    """Make the failure that a reply names, with the text it gave."""
+    error = value.get("error", {}) if isinstance(value, dict) else {}
+    kind = getattr(errors, str(error.get("type")), Failure)
+    failure = kind()
+    message = str(error.get("message", value))
+    failure.template = message.replace("{", "{{").replace("}", "}}")
+    return failure
--- /dev/null
+++ b/chervilshift/runner.py
@@ -0,0 +1,82 @@
+"""Runs one process until a signal stops it in good order."""
+
+import signal
+import sys
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import anyio
+from absl import logging
+
+from chervilshift.clock import Clock, SystemClock
+from chervilshift.errors import Failure
+from chervilshift.events import EventLog, HybridClock
+from chervilshift.metrics import Metrics
+
+__all__ = ["open_events", "run_until_signal"]
+
+EXIT_FAILURE = 1
+
+Run = Callable[..., Awaitable[None]]
+
+
+def open_events(
+    process: str, folder: Path | None, metrics: Metrics | None = None
+) -> tuple[Clock, EventLog]:
+    """Return the process's clock and its event log under `folder`."""
+    clock = SystemClock()
+    stream = None
+    if folder is not None:
+        folder.mkdir(parents=True, exist_ok=True)
+        path = folder / f"events-{process}.jsonl"
+        stream = path.open("a", encoding="utf-8")
+    on_event = None
+    if metrics is not None:
+
+        def on_event(event: str) -> None:
+            metrics.count(f"events_{event}")
+
+    hlc = HybridClock(clock=clock)
+    log = EventLog(process=process, hlc=hlc, stream=stream, on_event=on_event)
+    return clock, log
+
+
+def run_until_signal(run: Run) -> int:
+    """Run `run(stop)`; the first signal sets `stop`, later ones do nothing.
+
+    Returns the exit code.
+    """
+    return anyio.run(_run, run, backend_options={"use_uvloop": True})
+
+
+async def _run(run: Run) -> int:
+    stop = anyio.Event()
+    code = 0
+    try:
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(_watch_signals, stop)
+            await run(stop)
+            tg.cancel_scope.cancel()
+    except* Failure as group:
+        for exc in _leaves(group):
+            logging.error("%s: %s", exc.name, exc)
+            print(f"{exc.name}: {exc}\n{exc.remedy}", file=sys.stderr)
+        code = EXIT_FAILURE
+    return code
+
+
+async def _watch_signals(stop: anyio.Event) -> None:
+    wanted = (signal.SIGTERM, signal.SIGINT)
+    with anyio.open_signal_receiver(*wanted) as signals:
+        async for _ in signals:
+            stop.set()
+
+
+def _leaves(group: BaseExceptionGroup) -> list[Failure]:
+    return [
+        leaf
+        for exc in group.exceptions
+        for leaf in (
+            _leaves(exc) if isinstance(exc, BaseExceptionGroup) else [exc]
+        )
+    ]
--- /dev/null
+++ b/chervilshift/settings.py
@@ -0,0 +1,119 @@
+"""Settings of one process: addresses, failure domain, folders, keys."""
+
+import ssl
+from pathlib import Path
+from typing import Annotated
+
+from pydantic import BaseModel, ConfigDict, Field
+from returns.result import Failure as Bad
+from returns.result import Result, Success
+
+from chervilshift.config import KeyHash
+from chervilshift.errors import SettingsRefused
+from chervilshift.wire.rpc import Credentials
+from chervilshift.yamldoc import check, read
+
+__all__ = ["ControlSettings", "EntrySettings", "Tls", "load"]
+
+Address = Annotated[str, Field(pattern=r"^[0-9.]+:[0-9]+$|^\[.*\]:[0-9]+$")]
+
+
+class _Section(BaseModel):
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class Tls(_Section):
+    """Files for mutual TLS between the system's processes."""
+
+    certificate: Path
+    key: Path
+    ca: Path
+
+
+class ProcessSettings(_Section):
+    """What every process needs to know about itself."""
+
+    process: str
+    host: str
+    failure_domain: str
+    region: str
+    rpc_listen: Address
+    cluster_key: Annotated[str, Field(min_length=16)]
+    events_folder: Path | None = None
+    tls: Tls | None = None
+    log_level: str = "info"
+
+    def credentials(self) -> Credentials:
+        """Return the key and TLS contexts for calls between processes."""
+        if self.tls is None:
+            return Credentials(key=self.cluster_key)
+        return Credentials(
+            key=self.cluster_key,
+            server_tls=_context(self.tls, ssl.Purpose.CLIENT_AUTH),
+            client_tls=_context(self.tls, ssl.Purpose.SERVER_AUTH),
+        )
+
+
+class VoterSettings(_Section):
+    """One voter of a new cluster."""
+
+    name: str
+    address: Address
+    failure_domain: str
+
+
+class ControlSettings(ProcessSettings):
+    """Settings of a `control` process."""
+
+    data_folder: Path
+    control: list[Address]
+    voters: list[VoterSettings] = []
+    rpc_address: Address | None = None
+
+
+class EntrySettings(ProcessSettings):
+    """Settings of an `entry` process."""
+
+    listen: Address
+    address: Address | None = None
+    rpc_address: Address | None = None
+    control: list[Address]
+    peers: list[Address] = []
+    site: str = ""
+    operator_keys: list[KeyHash] = []
+    endpoint_keys: list[KeyHash] = []
+    drain_timeout_s: Annotated[float, Field(gt=0)] = 900.0
+    lookup_ttl_s: Annotated[float, Field(gt=0)] = 10.0
+
+
+def load(
+    schema: type[ProcessSettings], path: Path
+) -> Result[ProcessSettings, SettingsRefused]:
+    """Read and check a settings file."""
+    try:
+        text = path.read_text(encoding="utf-8")
+    except OSError as exc:
+        return Bad(SettingsRefused(faults=f"{path}: {exc.strerror}"))
+    parsed = read(str(path), text)
+    if isinstance(parsed, Bad):
+        return _refused(parsed.failure())
+    document = parsed.unwrap()
+    checked = check(schema, document.data, (document,))
+    if isinstance(checked, Bad):
+        return _refused(checked.failure())
+    return Success(checked.unwrap())
+
+
+def _refused(faults: list) -> Result[ProcessSettings, SettingsRefused]:
+    text = "\n".join(str(fault) for fault in faults)
+    return Bad(SettingsRefused(faults=text))
+
+
+def _context(tls: Tls, purpose: ssl.Purpose) -> ssl.SSLContext:
+    context = ssl.create_default_context(purpose, cafile=tls.ca)
+    context.load_cert_chain(tls.certificate, tls.key)
+    context.verify_mode = ssl.CERT_REQUIRED
+    # Processes are known by IP number; the cluster's own CA vouches.
+    context.check_hostname = False
+    context.set_alpn_protocols(["h2"])
+    return context
--- /dev/null
+++ b/chervilshift/standins/service.py
@@ -0,0 +1,84 @@
+"""A stand-in plain service that counts what it runs."""
+
+from collections import Counter
+
+import anyio
+import msgspec
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+__all__ = ["ServiceBehaviour", "ServiceStandin"]
+
+METHODS = ["GET", "POST", "PUT", "PATCH", "DELETE"]
+
+
+class ServiceBehaviour(msgspec.Struct, kw_only=True):
+    """How the stand-in behaves; tests change it while it runs.
+
+    `hang_up` runs the call but closes the connection without an answer;
+    `refuse` answers 503 with the mark that nothing ran.
+    """
+
+    delay_ms: float = 1.0
+    hang_up: bool = False
+    refuse: bool = False
+
+
+class HungUp(Exception):
+    """Ends a connection under a call."""
+
+
+class ServiceStandin:
+    """Echoes calls; counts executions by the call's `x-mark` header."""
+
+    def __init__(self, *, name: str, behaviour: ServiceBehaviour):
+        self.behaviour = behaviour
+        self.executions: Counter[str] = Counter()
+        self.running = 0
+        self.leaving = False
+        self._name = name
+
+    def app(self) -> Starlette:
+        """Return the ASGI application."""
+        return Starlette(
+            routes=[
+                Route("/standin", self._control, methods=["GET", "POST"]),
+                Route("/{path:path}", self._call, methods=METHODS),
+            ]
+        )
+
+    def load(self) -> dict:
+        """Return the load as announced."""
+        return {"running": self.running}
+
+    async def _call(self, request: Request) -> Response:
+        if self.behaviour.refuse or self.leaving:
+            return Response(status_code=503, headers={"x-not-run": "true"})
+        body = await request.body()
+        self.running += 1
+        try:
+            await anyio.sleep(self.behaviour.delay_ms / 1e3)
+            self.executions[request.headers.get("x-mark", "")] += 1
+        finally:
+            self.running -= 1
+        if self.behaviour.hang_up:
+            raise HungUp
+        return JSONResponse(
+            {
+                "endpoint": self._name,
+                "method": request.method,
+                "path": request.url.path,
+                "body": body.decode("utf-8", "replace"),
+            }
+        )
+
+    async def _control(self, request: Request) -> Response:
+        if request.method == "POST":
+            known = msgspec.to_builtins(self.behaviour)
+            known.update(await request.json())
+            self.behaviour = msgspec.convert(known, type=ServiceBehaviour)
+        return JSONResponse(
+            {"executions": self.executions, "running": self.running}
+        )
--- /dev/null
+++ b/chervilshift/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages and transport between the system's own processes."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of chervilshift."""
--- /dev/null
+++ b/tests/links.py
@@ -0,0 +1,129 @@
+"""A TCP forwarder whose links can be cut, black-holed or delayed."""
+
+import asyncio
+import threading
+
+__all__ = ["Link", "Links"]
+
+CHUNK_BYTES = 65536
+
+
+class _Pipe:
+    """One direction of one forwarded connection."""
+
+    def __init__(self, link, reader, writer, *, forward: bool):
+        self.link = link
+        self.reader = reader
+        self.writer = writer
+        self.forward = forward
+        self.silent = False
+
+    def swallows(self) -> bool:
+        if self.silent:
+            return True
+        link = self.link
+        return link.hole_to if self.forward else link.hole_from
+
+    async def run(self) -> None:
+        try:
+            while data := await self.reader.read(CHUNK_BYTES):
+                if self.link.delay_s:
+                    await asyncio.sleep(self.link.delay_s)
+                if not self.swallows():
+                    self.writer.write(data)
+                    await self.writer.drain()
+        except OSError:
+            pass
+        finally:
+            if not self.swallows():
+                self.writer.close()
+
+
+class Link:
+    """Forwards one port to one target; flags may change at any time.
+
+    `hole_to` swallows what goes to the target, `hole_from` what comes from
+    it, `cut` refuses connections.
+    """
+
+    def __init__(self, links: "Links", target: str):
+        self.target = target
+        self.address = ""
+        self.hole_to = False
+        self.hole_from = False
+        self.cut = False
+        self.delay_s = 0.0
+        self._links = links
+        self._pipes: list[_Pipe] = []
+
+    def black_hole(self) -> None:
+        self.hole_to = self.hole_from = True
+
+    def heal(self) -> None:
+        self.hole_to = self.hole_from = self.cut = False
+        self.delay_s = 0.0
+
+    def silence_open(self) -> None:
+        """Make open connections silent for good; new ones work."""
+        for pipe in self._pipes:
+            pipe.silent = True
+
+    def break_open(self) -> None:
+        """Close all open connections."""
+        self._links.call(self._close_all)
+
+    def _close_all(self) -> None:
+        for pipe in self._pipes:
+            pipe.writer.close()
+        self._pipes = []
+
+    async def serve(self, reader, writer) -> None:
+        if self.cut:
+            writer.close()
+            return
+        host, _, port = self.target.rpartition(":")
+        try:
+            far_reader, far_writer = await asyncio.open_connection(
+                host, int(port)
+            )
+        except OSError:
+            writer.close()
+            return
+        pipes = [
+            _Pipe(self, reader, far_writer, forward=True),
+            _Pipe(self, far_reader, writer, forward=False),
+        ]
+        self._pipes += pipes
+        await asyncio.gather(*(pipe.run() for pipe in pipes))
+        self._pipes = [p for p in self._pipes if p not in pipes]
+
+
+class Links:
+    """All links of a test, served by one thread."""
+
+    def __init__(self):
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._thread.start()
+
+    def _run(self) -> None:
+        asyncio.set_event_loop(self._loop)
+        self._loop.run_forever()
+
+    def add(self, target: str) -> Link:
+        link = Link(self, target)
+
+        async def start() -> None:
+            server = await asyncio.start_server(link.serve, "127.0.0.1", 0)
+            port = server.sockets[0].getsockname()[1]
+            link.address = f"127.0.0.1:{port}"
+
+        asyncio.run_coroutine_threadsafe(start(), self._loop).result(10)
+        return link
+
+    def call(self, function) -> None:
+        self._loop.call_soon_threadsafe(function)
+
+    def close(self) -> None:
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join(10)
