--- /dev/null
+++ b/tests/control/test_storage.py
@@ -0,0 +1,178 @@
+"""Durable state under crashes at any byte, failing disks and damage."""
+
+import errno
+import itertools
+
+import pytest
+from returns.result import Failure as Bad
+
+from chervilshift.control.storage import Disk, Storage
+from chervilshift.core.raft.messages import LogEntry, Snapshot
+from chervilshift.core.raft.node import HardState
+from chervilshift.errors import CorruptLog, StorageFailed
+
+
+def entry(index: int, term: int = 1) -> LogEntry:
+    return LogEntry(index=index, term=term, data=b"data %d" % index)
+
+
+def fresh(folder, disk=None) -> Storage:
+    storage = Storage(folder=folder, disk=disk)
+    storage.format(name="c1", voters=())
+    storage.load().unwrap()
+    return storage
+
+
+def reload(folder):
+    return Storage(folder=folder).load()
+
+
+def test_every_acknowledged_record_survives_a_cut_at_any_byte(tmp_path):
+    storage = fresh(tmp_path)
+    sizes = []
+    path = tmp_path / "log"
+    for index in range(1, 6):
+        saved = storage.save(HardState(term=index), (entry(index),))
+        assert not isinstance(saved, Bad)
+        sizes.append(path.stat().st_size)
+    data = path.read_bytes()
+    for length in range(len(data) + 1):
+        path.write_bytes(data[:length])
+        acknowledged = sum(size <= length for size in sizes)
+        recovered = reload(tmp_path).unwrap()
+        assert len(recovered.entries) == acknowledged
+        assert recovered.hard_state.term == acknowledged
+        # The torn tail is gone, so that writing goes on behind good data.
+        kept = sizes[acknowledged - 1] if acknowledged else 0
+        assert path.stat().st_size == kept
+        path.write_bytes(data)
+
+
+def test_writing_goes_on_behind_a_cut_tail(tmp_path):
+    storage = fresh(tmp_path)
+    storage.save(HardState(term=1), (entry(1),))
+    storage.save(HardState(term=1), (entry(2),))
+    path = tmp_path / "log"
+    path.write_bytes(path.read_bytes()[:-3])
+    again = Storage(folder=tmp_path)
+    assert [e.index for e in again.load().unwrap().entries] == [1]
+    again.save(HardState(term=2), (entry(2, 2), entry(3, 2)))
+    recovered = reload(tmp_path).unwrap()
+    assert [(e.index, e.term) for e in recovered.entries] == [
+        (1, 1),
+        (2, 2),
+        (3, 2),
+    ]
+
+
+def test_damage_in_the_middle_is_refused_at_every_byte(tmp_path):
+    storage = fresh(tmp_path)
+    path = tmp_path / "log"
+    storage.save(HardState(term=1), (entry(1),))
+    first_size = path.stat().st_size
+    storage.save(HardState(term=1), (entry(2),))
+    data = path.read_bytes()
+    for at in range(first_size):
+        damaged = bytearray(data)
+        damaged[at] ^= 0x5A
+        path.write_bytes(bytes(damaged))
+        loaded = reload(tmp_path)
+        assert isinstance(loaded, Bad)
+        assert isinstance(loaded.failure(), CorruptLog)
+
+
+def test_damaged_snapshot_is_refused(tmp_path):
+    storage = fresh(tmp_path)
+    storage.save(HardState(term=1), (entry(1),))
+    storage.save_snapshot(
+        Snapshot(index=1, term=1, data=b"state"), HardState(term=1), ()
+    )
+    path = tmp_path / "snapshot"
+    damaged = bytearray(path.read_bytes())
+    damaged[-1] ^= 1
+    path.write_bytes(bytes(damaged))
+    assert isinstance(reload(tmp_path).failure(), CorruptLog)
+
+
+class FailingDisk(Disk):
+    """Fails from a given operation on, and counts what came after."""
+
+    def __init__(self, *, fail_at: int, error: int):
+        self.operations = itertools.count(1)
+        self.fail_at = fail_at
+        self.error = error
+
+    def _maybe_fail(self) -> None:
+        if next(self.operations) >= self.fail_at:
+            raise OSError(self.error, "injected")
+
+    def write(self, fd, data):
+        if next(self.operations) >= self.fail_at:
+            super().write(fd, data[: len(data) // 2])
+            raise OSError(self.error, "injected")
+        super().write(fd, data)
+
+    def sync(self, fd):
+        self._maybe_fail()
+        super().sync(fd)
+
+    def replace(self, source, target):
+        self._maybe_fail()
+        super().replace(source, target)
+
+
+@pytest.mark.parametrize("error", [errno.ENOSPC, errno.EIO])
+@pytest.mark.parametrize("fail_at", range(5, 20))
+def test_failing_disk_stops_acknowledgements_and_keeps_what_was_acked(
+    tmp_path, fail_at, error
+):
+    disk = FailingDisk(fail_at=fail_at, error=error)
+    storage = fresh(tmp_path, disk)
+    acked = 0
+    failed = False
+    for index in range(1, 9):
+        saved = storage.save(HardState(term=1), (entry(index),))
+        if isinstance(saved, Bad):
+            assert isinstance(saved.failure(), StorageFailed)
+            failed = True
+        else:
+            assert not failed, "acknowledged after a failed write"
+            acked = index
+        if index == 4 and not failed:
+            snapshot = Snapshot(index=3, term=1, data=b"state")
+            kept = (entry(4),)
+            saved = storage.save_snapshot(snapshot, HardState(term=1), kept)
+            failed = isinstance(saved, Bad)
+    assert failed
+    recovered = reload(tmp_path).unwrap()
+    last = max(
+        [recovered.snapshot.index, *(e.index for e in recovered.entries)]
+    )
+    assert last >= acked
+
+
+def test_crash_between_snapshot_and_log_loses_nothing(tmp_path):
+    storage = fresh(tmp_path)
+    for index in range(1, 6):
+        storage.save(HardState(term=2), (entry(index),))
+    log = (tmp_path / "log").read_bytes()
+    snapshot = Snapshot(index=3, term=1, data=b"state")
+    storage.save_snapshot(snapshot, HardState(term=2), (entry(4), entry(5)))
+    (tmp_path / "log").write_bytes(log)
+    recovered = reload(tmp_path).unwrap()
+    assert recovered.snapshot.index == 3
+    assert [e.index for e in recovered.entries] == [4, 5]
+
+
+def test_rewritten_entries_replace_the_old_ones(tmp_path):
+    storage = fresh(tmp_path)
+    storage.save(HardState(term=1), (entry(1), entry(2), entry(3)))
+    storage.save(HardState(term=2), (entry(2, 2),))
+    recovered = reload(tmp_path).unwrap()
+    assert [(e.index, e.term) for e in recovered.entries] == [(1, 1), (2, 2)]
+
+
+def test_formatting_draws_a_new_incarnation(tmp_path):
+    first = Storage(folder=tmp_path / "a").format(name="c1", voters=())
+    second = Storage(folder=tmp_path / "b").format(name="c1", voters=())
+    assert first.incarnation != second.incarnation
--- /dev/null
+++ b/tests/core/raft_world.py
@@ -0,0 +1,215 @@
+"""A world of replicas under one virtual clock, for interleavings."""
+
+from random import Random
+
+import msgspec
+
+from chervilshift.core.raft.log import RaftLog
+from chervilshift.core.raft.messages import COMMAND, Snapshot, Voter
+from chervilshift.core.raft.node import HardState, Raft
+
+__all__ = ["World"]
+
+
+def voter(name: str, incarnation: str = "initial") -> Voter:
+    return Voter(
+        name=name,
+        incarnation=incarnation,
+        address=name,
+        failure_domain=name,
+    )
+
+
+class Replica:
+    """A replica and what its disk holds."""
+
+    def __init__(self, world, me: Voter, voters: tuple[Voter, ...]):
+        self.world = world
+        self.me = me
+        self.hard_state = HardState()
+        self.snapshot = Snapshot(voters=voters)
+        self.entries = ()
+        self.applied: list[tuple[int, bytes]] = []
+        self.up = False
+        self.paused = False
+        self.raft: Raft | None = None
+        self.start()
+
+    def start(self) -> None:
+        self.raft = self.world.raft_type(
+            me=self.me,
+            log=RaftLog(snapshot=self.snapshot, entries=self.entries),
+            hard_state=self.hard_state,
+            rng=Random(hash_of(self.me.id)),
+            now=self.world.now,
+        )
+        self.applied = list(
+            msgspec.msgpack.decode(self.snapshot.data or b"\x90")
+        )
+        self.applied_to = self.snapshot.index
+        self.up = True
+
+    def turn(self) -> None:
+        """Save, send and apply, as the driver does."""
+        ready = self.raft.take_ready()
+        if ready.hard_state:
+            self.hard_state = ready.hard_state
+        if ready.snapshot:
+            self.snapshot = ready.snapshot
+            self.entries = ()
+            self.applied = list(msgspec.msgpack.decode(ready.snapshot.data))
+            self.applied_to = ready.snapshot.index
+        if ready.entries:
+            first = ready.entries[0].index
+            kept = tuple(e for e in self.entries if e.index < first)
+            self.entries = kept + ready.entries
+        self.raft.saved(self.raft.log.last_index, self.world.now)
+        self.world.messages += ready.messages
+        self.apply()
+
+    def apply(self) -> None:
+        raft = self.raft
+        for entry in raft.log.between(self.applied_to + 1, raft.commit):
+            self.applied_to = entry.index
+            self.world.check_applied(entry)
+            if entry.kind == COMMAND:
+                self.applied.append([entry.index, entry.data])
+                self.world.committed[entry.index] = entry.data
+
+    def compact(self, keep: int) -> None:
+        raft = self.raft
+        if self.applied_to <= raft.log.full_snapshot.index:
+            return
+        snapshot = Snapshot(
+            index=self.applied_to,
+            term=raft.log.term_at(self.applied_to),
+            voters=raft.log.voters_at(self.applied_to),
+            data=msgspec.msgpack.encode(self.applied),
+        )
+        raft.log.compact(snapshot, keep)
+        self.snapshot = snapshot
+        self.entries = raft.log.between(
+            snapshot.index + 1, raft.log.last_index
+        )
+
+
+def hash_of(text: str) -> int:
+    return sum(ord(c) * (i + 1) for i, c in enumerate(text))
+
+
+class World:
+    """Replicas, messages under way and one clock; checks as it goes."""
+
+    def __init__(self, names=("a", "b", "c"), raft_type=Raft):
+        self.raft_type = raft_type
+        self.now = 0.0
+        self.messages: list = []
+        self.leaders: dict[int, str] = {}
+        self.committed: dict[int, bytes] = {}
+        self.log: dict[int, object] = {}
+        self.voters = tuple(voter(name) for name in names)
+        self.replicas: dict[str, Replica] = {}
+        for one in self.voters:
+            self.replicas[one.id] = Replica(self, one, self.voters)
+        self.proposed = 0
+        self.cut: set[tuple[str, str]] = set()
+
+    # Checks
+
+    def check_applied(self, entry) -> None:
+        known = self.log.setdefault(entry.index, entry)
+        assert known == entry, f"two values committed at {entry.index}"
+
+    def check(self) -> None:
+        for replica in self.running():
+            raft = replica.raft
+            if raft.is_leader:
+                known = self.leaders.setdefault(raft.term, raft.me.id)
+                assert known == raft.me.id, f"two leaders in {raft.term}"
+        leases = [
+            r
+            for r in self.replicas.values()
+            if r.up and r.raft.has_lease(self.now)
+        ]
+        assert len(leases) <= 1, "two leases at once"
+        for replica in leases:
+            newest = max(self.committed, default=0)
+            assert replica.raft.commit >= newest, "a lease without the log"
+
+    # Steps
+
+    def running(self) -> list[Replica]:
+        return [r for r in self.replicas.values() if r.up and not r.paused]
+
+    def advance(self, seconds: float) -> None:
+        self.now += seconds
+        for replica in self.running():
+            replica.raft.tick(self.now)
+            replica.turn()
+        self.check()
+
+    def deliver(self, position: int, *, again: bool = False) -> None:
+        if not self.messages:
+            return
+        position %= len(self.messages)
+        message = self.messages[position]
+        if not again:
+            del self.messages[position]
+        replica = self.replicas.get(message.dst)
+        if (message.src, message.dst) in self.cut or replica is None:
+            return
+        if replica.up and not replica.paused:
+            replica.raft.step(message, self.now)
+            replica.turn()
+        self.check()
+
+    def deliver_all(self) -> None:
+        for _ in range(len(self.messages)):
+            self.deliver(0)
+
+    def run(self, seconds: float, step: float = 0.1) -> None:
+        until = self.now + seconds
+        while self.now < until:
+            self.advance(step)
+            self.deliver_all()
+
+    def propose(self) -> int | None:
+        leader = self.leader()
+        if leader is None:
+            return None
+        self.proposed += 1
+        index = leader.raft.propose(b"%d" % self.proposed, self.now)
+        leader.turn()
+        return index
+
+    def leader(self) -> Replica | None:
+        leading = [r for r in self.running() if r.raft.is_leader]
+        return max(leading, key=lambda r: r.raft.term, default=None)
+
+    def crash(self, replica_id: str) -> None:
+        self.replicas[replica_id].up = False
+
+    def restart(self, replica_id: str) -> None:
+        replica = self.replicas[replica_id]
+        if not replica.up:
+            replica.start()
+
+    def lose_disk(self, replica_id: str, incarnation: str) -> Replica:
+        """End a replica for good and bring up its successor."""
+        old = self.replicas.pop(replica_id)
+        fresh = voter(old.me.name, incarnation)
+        self.replicas[fresh.id] = Replica(self, fresh, ())
+        return self.replicas[fresh.id]
+
+    def join(self, replica: Replica) -> None:
+        leader = self.leader()
+        if leader is not None:
+            leader.raft.add_learner(replica.me, self.now)
+            leader.turn()
+
+    def partition(self, *groups: tuple[str, ...]) -> None:
+        """Cut every link between replicas of different groups."""
+        of = {name: index for index, g in enumerate(groups) for name in g}
+        self.cut = {
+            (src, dst) for src in of for dst in of if of[src] != of[dst]
+        }
