--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -175,7 +175,6 @@
         for line in event.splitlines():
             if line.startswith("id: "):
                 self.last_id = line[4:]
-                self.ids.append(self.last_id)
             elif line == "data: [DONE]":
                 self.done = True
             elif line.startswith("data: "):
@@ -186,7 +185,9 @@
             self.error = data["error"]
             return
         delta = data["choices"][0]["delta"]
-        self.text += delta.get("content", "")
+        if "content" in delta:
+            self.text += delta["content"]
+            self.ids.append(self.last_id)
 
 
 class Cluster:
