--- a/chervilshift/core/stream.py
+++ b/chervilshift/core/stream.py
@@ -4,20 +4,30 @@
 
 __all__ = ["StreamBuffer"]
 
+ATTEMPTS_PER_EPOCH = 1000
+
 
 class StreamBuffer:
     """Tokens produced so far, addressed by offset.
 
     Only the current attempt may add tokens; doubled ones are dropped, and
     a gap is an error. The stream is whole only after its final marker.
+    Attempts are numbered by the owner's epoch, so that those of an owner
+    that lost the stream are never taken for those of its successor.
     """
 
     __slots__ = ("attempt", "done", "finish_reason", "request_id", "tokens")
 
-    def __init__(self, *, request_id: str, tokens: tuple[str, ...] = ()):
+    def __init__(
+        self,
+        *,
+        request_id: str,
+        epoch: int = 0,
+        tokens: tuple[str, ...] = (),
+    ):
         self.request_id = request_id
         self.tokens = list(tokens)
-        self.attempt = 0
+        self.attempt = epoch * ATTEMPTS_PER_EPOCH
         self.done = False
         self.finish_reason = ""
 
--- a/chervilshift/entry/directory.py
+++ b/chervilshift/entry/directory.py
@@ -63,7 +63,7 @@
         self._seq = 0
         self._seeds = seeds
         self._clients = clients
-        self._clock = clock
+        self.clock = clock
         self._events = events
         self._cursors: dict[str, Delta] = {}
         self._beat_at = clock.monotonic()
@@ -75,7 +75,7 @@
 
     def now(self) -> float:
         """Return the registry's time."""
-        return self._clock.monotonic()
+        return self.clock.monotonic()
 
     def announce_endpoint(
         self,
--- a/chervilshift/entry/process.py
+++ b/chervilshift/entry/process.py
@@ -3,7 +3,6 @@
 from random import SystemRandom
 
 import anyio
-import httpcore
 import uvicorn
 from absl import logging
 
@@ -38,8 +37,6 @@
 # Time left for callers to reconnect before the host goes.
 GIVE_UP_MARGIN_S = 3.0
 CLOSE_TIMEOUT_S = 5
-ENGINE_CONNECTIONS = 4000
-ENGINE_KEEPALIVE_S = 10.0
 
 
 class HttpServer(uvicorn.Server):
@@ -94,10 +91,6 @@
             clock=clock,
             events=events,
         )
-        self._pool = httpcore.AsyncConnectionPool(
-            max_connections=ENGINE_CONNECTIONS,
-            keepalive_expiry=ENGINE_KEEPALIVE_S,
-        )
         self._build()
 
     def _build(self) -> None:
@@ -116,7 +109,7 @@
             scheduler=self.scheduler,
             directory=self.directory,
             recorder=self._recorder,
-            engines=EngineClient(pool=self._pool),
+            engines=EngineClient(),
             clients=self._clients,
             events=self._events,
             metrics=self._metrics,
--- a/chervilshift/entry/session.py
+++ b/chervilshift/entry/session.py
@@ -1,40 +1,27 @@
 """One accepted stream: its attempts, its record and its readers."""
 
-from contextlib import aclosing
-
 import anyio
 import msgspec
-from anyio.abc import TaskGroup
 from returns.result import Failure as Bad
 
 from chervilshift.core.dispatcher import Assignment
 from chervilshift.core.jobs import Job
 from chervilshift.core.records import RecordPart
+from chervilshift.core.registry import endpoint_key
 from chervilshift.core.stream import StreamBuffer
+from chervilshift.entry.attempt import Attempt
 from chervilshift.entry.directory import Directory
 from chervilshift.entry.recorder import Recorder, Recording
 from chervilshift.entry.scheduler import Scheduler
-from chervilshift.errors import (
-    EndpointFailed,
-    Failure,
-    StreamLost,
-    Superseded,
-)
+from chervilshift.errors import Failure, StreamLost, Superseded
 from chervilshift.events import EventLog
 from chervilshift.metrics import Metrics
-from chervilshift.platform.engine import (
-    Chunk,
-    EngineClient,
-    Generate,
-    Resume,
-)
+from chervilshift.platform.engine import Chunk, EngineClient, Generate
 
 __all__ = ["Session", "StreamRequest"]
 
 MAX_ATTEMPTS = 8
-FIRST_TOKEN_SILENCE_S = 20.0
-TOKEN_SILENCE_S = 1.0
-RESUME_TIMEOUT_S = 1.0
+CANCEL_TIMEOUT_S = 1.0
 WATCH_INTERVAL_S = 0.1
 # Left for moving a stream away before its endpoint goes.
 MOVE_MARGIN_S = 2.0
@@ -57,29 +44,6 @@
     digest: str = ""
 
 
-class Attempt:
-    """One try at one endpoint."""
-
-    __slots__ = (
-        "assignment",
-        "endpoint",
-        "last_at",
-        "moved",
-        "number",
-        "scope",
-        "started",
-    )
-
-    def __init__(self, *, number: int, assignment: Assignment, now: float):
-        self.number = number
-        self.assignment = assignment
-        self.endpoint = assignment.endpoint
-        self.last_at = now
-        self.started = False
-        self.moved = ""
-        self.scope = anyio.CancelScope()
-
-
 class Session:
     """Runs a stream to its end, whatever endpoints come and go.
 
@@ -105,7 +69,7 @@
         self.job = job
         self.epoch = epoch
         self.buffer = StreamBuffer(
-            request_id=request.request_id, tokens=tokens
+            request_id=request.request_id, epoch=epoch, tokens=tokens
         )
         self.recording = Recording(request_id=request.request_id)
         self.failure: Failure | None = None
@@ -121,6 +85,7 @@
         self._reconnect_s = reconnect_s
         self._prompt_tokens = job.prompt_tokens
         self._attempt: Attempt | None = None
+        self._scope = anyio.CancelScope()
         self._stopped = False
         self._record_again_at = 0.0
 
@@ -156,10 +121,9 @@
 
     def stop(self, failure: Failure) -> None:
         """End the session; readers see the failure."""
-        if self.failure is None and not self.buffer.done:
+        if self.failure is None and not self.complete:
             self.failure = failure
-        if self._attempt is not None:
-            self._attempt.scope.cancel()
+        self._scope.cancel()
         self._signal()
 
     # The task
@@ -170,10 +134,13 @@
             tg.start_soon(self._keep_recorded)
             tg.start_soon(self._watch)
             try:
-                await self._run_attempts(tg)
+                with self._scope:
+                    await self._run_attempts()
+                    await self._flush_record()
             except Failure as exc:
                 self.stop(exc)
-            await self._flush_record()
+            if self._attempt is not None:
+                await self._cancel_at(self._attempt)
             tg.cancel_scope.cancel()
         self._stopped = True
         self._emit(
@@ -183,7 +150,7 @@
         )
         self._signal()
 
-    async def _run_attempts(self, tg: TaskGroup) -> None:
+    async def _run_attempts(self) -> None:
         last: Failure | None = None
         tries = 0
         while not self.buffer.done and self.failure is None:
@@ -200,7 +167,7 @@
 
     def _no_endpoint(self, failure: Failure, last: Failure | None) -> Failure:
         """Say `not run` only when no attempt reached an endpoint."""
-        if self.buffer.attempt == 0 and not self.buffer.tokens:
+        if last is None and self.epoch == 1 and not self.buffer.tokens:
             return failure
         return StreamLost(
             request_id=self.request.request_id, reason=str(last or failure)
@@ -209,99 +176,66 @@
     async def _attempt_at(self, assignment: Assignment) -> Failure | None:
         """Stream from one endpoint; return why it failed, if it did."""
         number, offset = self.buffer.begin_attempt()
-        attempt = Attempt(
-            number=number, assignment=assignment, now=self._directory.now()
-        )
-        self._attempt = attempt
         self._emit(
             "attempt",
             attempt=number,
-            endpoint=attempt.endpoint,
+            endpoint=assignment.endpoint,
             offset=offset,
             why=assignment.reason,
         )
-        failure = None
+        failure: Failure | None = None
         try:
-            with attempt.scope:
-                await self._read(attempt, offset)
-        except Failure as exc:
-            failure = exc
+            attempt = self._attempt = self._make_attempt(number, assignment)
+            failure = await attempt.run(self._generate(number, offset))
         finally:
-            self._attempt = None
             produced = len(self.buffer.tokens) if self.buffer.done else None
             self._scheduler.release(self.job, produced)
-        if self.buffer.done or self.failure is not None:
+        self._attempt = None
+        if failure is None or self.failure is not None:
             return None
         return await self._after(attempt, failure)
 
-    async def _read(self, attempt: Attempt, offset: int) -> None:
-        info = self._directory.endpoint(attempt.endpoint)
-        if info is None:
-            raise EndpointFailed(
-                endpoint=attempt.endpoint, reason="gone", sent=False
-            )
-        request = self._generate(attempt.number, offset)
-        stream = self._engines.generate(
-            info.address, request, FIRST_TOKEN_SILENCE_S
+    def _make_attempt(self, number: int, assignment: Assignment) -> Attempt:
+        info = self._directory.registry.get(
+            endpoint_key(assignment.endpoint)
+        ).item.body
+        return Attempt(
+            number=number,
+            assignment=assignment,
+            info=info,
+            engines=self._engines,
+            clock=self._directory.clock,
+            events=self._events,
+            take=self._take,
         )
-        await self._consume(attempt, stream)
-        if self.buffer.done:
-            return
-        # The connection ended without the final marker: the engine may
-        # still be at work, so ask it for the rest on a new connection.
-        await self._resume(attempt, info.address)
 
-    async def _resume(self, attempt: Attempt, address: str) -> None:
-        again = Resume(
-            request_id=self.request.request_id,
-            attempt=attempt.number,
-            offset=len(self.buffer.tokens),
-        )
-        self._emit("resume", attempt=attempt.number, offset=again.offset)
-        await self._consume(
-            attempt, self._engines.resume(address, again, RESUME_TIMEOUT_S)
-        )
-        if not self.buffer.done:
-            raise EndpointFailed(
-                endpoint=attempt.endpoint, reason="ended early", sent=True
-            )
-
-    async def _consume(self, attempt: Attempt, stream) -> None:
-        async with aclosing(stream) as chunks:
-            async for chunk in chunks:
-                self._take(attempt, chunk)
-                if self.buffer.done:
-                    return
-
-    def _take(self, attempt: Attempt, chunk: Chunk) -> None:
+    def _take(self, attempt: Attempt, chunk: Chunk) -> bool:
+        """Take a chunk in; tell whether the answer is whole."""
         now = self._directory.now()
         new = self.buffer.add(attempt.number, chunk.offset, chunk.tokens)
-        if not attempt.started:
-            attempt.started = True
+        if not attempt.tokens:
             self._scheduler.dispatcher.first_token(self.job.id, now)
         elif new:
             gap_s = (now - attempt.last_at) / len(new)
             self._scheduler.dispatcher.token_gap(self.job.id, gap_s, now)
-        attempt.last_at = now
         if chunk.finish_reason:
             total = chunk.offset + len(chunk.tokens)
             self.buffer.finish(attempt.number, total, chunk.finish_reason)
         self._metrics.count("tokens_relayed", len(new))
         self._record(new, len(self.buffer.tokens) - len(new))
         self._signal()
+        return self.buffer.done
 
     async def _after(
-        self, attempt: Attempt, failure: Failure | None
+        self, attempt: Attempt, failure: Failure
     ) -> Failure | None:
-        """Decide what a broken attempt means for the next one."""
+        """Decide what a broken attempt means for the next one.
+
+        Returns the failure if it counts as a try.
+        """
         reason = attempt.moved or str(failure)
         self._emit("attempt_ended", attempt=attempt.number, reason=reason)
-        info = self._directory.registry.get(f"endpoint/{attempt.endpoint}")
-        if info is not None:
-            with anyio.move_on_after(RESUME_TIMEOUT_S):
-                await self._engines.cancel(
-                    info.item.body.address, self.request.request_id
-                )
+        await self._cancel_at(attempt)
         self.job.excluded.add(attempt.endpoint)
         produced = len(self.buffer.tokens)
         self.job.prompt_tokens = self._prompt_tokens + produced
@@ -309,14 +243,19 @@
             self._metrics.count("streams_moved")
             return None
         self._metrics.count("attempts_failed")
-        retried = self._scheduler.retries.spend()
-        if not retried and not produced:
-            raise failure or StreamLost(
-                request_id=self.request.request_id, reason="no retry left"
-            )
-        return failure or EndpointFailed(
-            endpoint=attempt.endpoint, reason="silent", sent=True
-        )
+        if not self._scheduler.retries.spend() and not produced:
+            raise failure
+        return failure
+
+    async def _cancel_at(self, attempt: Attempt) -> None:
+        held = self._directory.registry.get(endpoint_key(attempt.endpoint))
+        if held is not None:
+            with anyio.move_on_after(CANCEL_TIMEOUT_S):
+                await self._engines.cancel(
+                    held.item.body.address,
+                    self.request.request_id,
+                    attempt.number,
+                )
 
     def _generate(self, attempt: int, offset: int) -> Generate:
         request = self.request
@@ -346,15 +285,10 @@
             attempt = self._attempt
             if attempt is None:
                 continue
-            bound_s = (
-                TOKEN_SILENCE_S if attempt.started else FIRST_TOKEN_SILENCE_S
-            )
-            if now - attempt.last_at > bound_s:
-                attempt.scope.cancel()
-            elif self._must_move(attempt):
-                attempt.moved = "endpoint leaves"
+            attempt.check_progress()
+            if self._must_move(attempt):
                 self.job.excluded.add(attempt.endpoint)
-                attempt.scope.cancel()
+                attempt.move("endpoint leaves")
 
     def _must_move(self, attempt: Attempt) -> bool:
         """Move in time, unless the stream will finish before the end."""
--- a/chervilshift/platform/engine.py
+++ b/chervilshift/platform/engine.py
@@ -15,6 +15,8 @@
 __all__ = ["Chunk", "EngineClient", "Generate"]
 
 CONNECT_TIMEOUT_S = 1.0
+MAX_CONNECTIONS = 1000
+KEEPALIVE_S = 10.0
 SEPARATOR = b"\n\n"
 DATA = b"data: "
 DONE = b"[DONE]"
@@ -88,18 +90,27 @@
 
 
 class EngineClient:
-    """Talks to engines over pooled connections."""
+    """Talks to engines over pooled connections, a pool per engine."""
 
-    __slots__ = ("_pool",)
+    __slots__ = ("_pools",)
 
-    def __init__(self, *, pool: httpcore.AsyncConnectionPool):
-        self._pool = pool
+    def __init__(self):
+        self._pools: dict[str, httpcore.AsyncConnectionPool] = {}
+
+    def suspect(self, address: str) -> None:
+        """Use no open connection to an engine again.
+
+        One of them went silent, so its siblings may have, too. What runs
+        on them goes on; its own bounds watch over it.
+        """
+        self._pools.pop(address, None)
 
     def generate(
         self, address: str, request: Generate, read_timeout_s: float
     ) -> AsyncIterator[Chunk]:
         """Start a generation and yield its chunks.
 
+        The first chunk is empty and says that the engine has accepted.
         Raises EndpointFailed, with `sent` false where no byte reached the
         engine or the engine itself refused.
         """
@@ -113,11 +124,15 @@
         content = msgspec.json.encode(request)
         return self._stream(address, "/v1/resume", content, read_timeout_s)
 
-    async def cancel(self, address: str, request_id: str) -> None:
-        """Tell an engine to stop a stream; best effort."""
-        content = msgspec.json.encode({"request_id": request_id})
+    async def cancel(
+        self, address: str, request_id: str, attempt: int
+    ) -> None:
+        """Tell an engine to stop an attempt; best effort."""
+        content = msgspec.json.encode(
+            {"request_id": request_id, "attempt": attempt}
+        )
         try:
-            await self._pool.request(
+            await self._pool(address).request(
                 "POST",
                 f"http://{address}/v1/cancel",
                 content=content,
@@ -126,11 +141,20 @@
         except ERRORS:
             return
 
+    def _pool(self, address: str) -> httpcore.AsyncConnectionPool:
+        pool = self._pools.get(address)
+        if pool is None:
+            pool = self._pools[address] = httpcore.AsyncConnectionPool(
+                max_connections=MAX_CONNECTIONS,
+                keepalive_expiry=KEEPALIVE_S,
+            )
+        return pool
+
     async def _stream(
         self, address: str, path: str, content: bytes, read_timeout_s: float
     ) -> AsyncIterator[Chunk]:
         try:
-            async with self._pool.stream(
+            async with self._pool(address).stream(
                 "POST",
                 f"http://{address}{path}",
                 headers={"content-type": "application/json"},
@@ -139,6 +163,7 @@
             ) as response:
                 if response.status != 200:
                     raise _refusal(address, response)
+                yield Chunk(offset=0, tokens=())
                 async with aclosing(_chunks(response)) as chunks:
                     async for chunk in chunks:
                         yield chunk
--- a/chervilshift/standins/engine.py
+++ b/chervilshift/standins/engine.py
@@ -118,11 +118,15 @@
         return self._stream(generation, asked.offset)
 
     async def _cancel(self, request: Request) -> Response:
-        name = (await request.json()).get("request_id")
-        generation = self._generations.pop(name, None)
-        if generation is not None:
+        asked = await request.json()
+        generation = self._generations.get(asked.get("request_id"))
+        known = (
+            generation is not None
+            and generation.request.attempt == asked.get("attempt")
+        )
+        if known:
             generation.scope.cancel()
-        return JSONResponse({"cancelled": generation is not None})
+        return JSONResponse({"cancelled": known})
 
     async def _control(self, request: Request) -> Response:
         if request.method == "POST":
--- a/chervilshift/standins/service.py
+++ b/chervilshift/standins/service.py
@@ -8,6 +8,7 @@
 from starlette.requests import Request
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
+from starlette.types import Receive, Scope, Send
 
 __all__ = ["ServiceBehaviour", "ServiceStandin"]
 
@@ -26,8 +27,19 @@
     refuse: bool = False
 
 
-class HungUp(Exception):
-    """Ends a connection under a call."""
+class _HungUp(Exception):
+    """Makes the server close a connection under an answer."""
+
+
+class _HangUp(Response):
+    """Begins an answer and never ends it."""
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send):
+        size = (b"content-length", b"100")
+        await send(
+            {"type": "http.response.start", "status": 200, "headers": [size]}
+        )
+        raise _HungUp
 
 
 class ServiceStandin:
@@ -64,7 +76,7 @@
         finally:
             self.running -= 1
         if self.behaviour.hang_up:
-            raise HungUp
+            return _HangUp()
         return JSONResponse(
             {
                 "endpoint": self._name,
--- a/tests/callers.py
+++ b/tests/callers.py
@@ -24,6 +24,7 @@
         self.reconnects = 0
         self._cluster = cluster
         self._entry = entry
+        self._headers = fields.pop("headers", None)
         self._fields = fields
         self.gave_up = threading.Event()
 
@@ -37,7 +38,7 @@
 
     def run(self) -> None:
         caller = self._cluster.caller(self._entry)
-        self.stream = caller.chat(self.prompt, **self._fields)
+        self.stream = caller.chat(self.prompt, self._headers, **self._fields)
         self.stream.read()
         until = time.monotonic() + WAIT_S
         while not self.stream.done and time.monotonic() < until:
@@ -59,7 +60,7 @@
     def _next(self, caller: Caller) -> Stream:
         if self.stream.request_id:
             return caller.resume(self.stream)
-        return caller.chat(self.prompt, **self._fields)
+        return caller.chat(self.prompt, self._headers, **self._fields)
 
     def check(self) -> None:
         """Assert that the whole answer came, exactly."""
--- /dev/null
+++ b/tests/proofs/test_at_most_once.py
@@ -0,0 +1,236 @@
+"""A request that may not be repeated runs at most once."""
+
+import threading
+import time
+
+import pytest
+
+from tests.cluster import OTHER, Caller, Cluster, eventually
+
+VISITS = "/svc/booking/visits"
+CLAIM_STATES = {"InProgress", "OutcomeUnknown", "LedgerUnavailable"}
+
+
+@pytest.fixture
+def desk(cluster: Cluster) -> Cluster:
+    """Three controls, two entries and two booking services."""
+    cluster.add_controls()
+    cluster.add_entry("e1", 0)
+    cluster.add_entry("e2", 1)
+    cluster.add_standin("s1", kind="service", number=0)
+    cluster.add_standin("s2", kind="service", number=1)
+    cluster.start()
+    cluster.wait_ready()
+    return cluster
+
+
+def executions(cluster: Cluster, mark: str) -> int:
+    return sum(
+        cluster.standin(name)["executions"].get(mark, 0)
+        for name in ("s1", "s2")
+    )
+
+
+def post(caller: Caller, key: str, value=1, timeout=30.0):
+    """Send a visit under a key; return status and reply."""
+    headers = {"idempotency-key": key, "x-mark": key}
+    try:
+        response = caller.request("POST", VISITS, value, headers, timeout)
+    except Exception as exc:  # noqa: BLE001
+        return 0, exc
+    return response.status, response
+
+
+def error(reply) -> str:
+    import json
+
+    return json.loads(reply.content)["error"]["type"]
+
+
+def test_resends_at_any_entry_get_the_first_answer(desk):
+    first = post(desk.caller("e1"), "k1")
+    assert first[0] == 200
+    for entry in ("e1", "e2", "e1"):
+        status, reply = post(desk.caller(entry), "k1")
+        assert status == 200
+        assert reply.content == first[1].content
+        assert (b"idempotency-replayed", b"true") in reply.headers
+    assert executions(desk, "k1") == 1
+
+
+def test_same_key_with_another_body_is_refused(desk):
+    post(desk.caller("e1"), "k2", 1)
+    status, reply = post(desk.caller("e2"), "k2", 2)
+    assert (status, error(reply)) == (422, "KeyReused")
+    assert executions(desk, "k2") == 1
+
+
+def test_customers_keys_are_apart(desk):
+    post(desk.caller("e1"), "k3")
+    other = Caller(desk.entries["e1"], OTHER)
+    status, reply = post(other, "k3", 2)
+    assert status == 200
+    assert executions(desk, "k3") == 2
+
+
+def test_racing_resends_run_once(desk):
+    for name in ("s1", "s2"):
+        desk.standin(name, delay_ms=300)
+    replies = []
+
+    def send(entry: str) -> None:
+        replies.append(post(desk.caller(entry), "k4"))
+
+    threads = [
+        threading.Thread(target=send, args=(entry,))
+        for entry in ("e1", "e2") * 4
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    assert [status for status, _ in replies].count(200) >= 1
+    refused = {error(r) for status, r in replies if status != 200}
+    assert refused <= {"InProgress"}
+    assert executions(desk, "k4") == 1
+
+
+def test_connection_closed_under_the_call_is_unknown_for_good(desk):
+    for name in ("s1", "s2"):
+        desk.standin(name, hang_up=True)
+    status, reply = post(desk.caller("e1"), "k5")
+    assert (status, error(reply)) == (502, "OutcomeUnknown")
+    for name in ("s1", "s2"):
+        desk.standin(name, hang_up=False)
+    for entry in ("e1", "e2"):
+        status, reply = post(desk.caller(entry), "k5")
+        assert (status, error(reply)) == (502, "OutcomeUnknown")
+    assert executions(desk, "k5") == 1
+
+
+def test_refused_endpoint_is_left_for_another(desk):
+    desk.standin("s1", refuse=True)
+    for number in range(4):
+        assert post(desk.caller("e1"), f"k6-{number}")[0] == 200
+        assert executions(desk, f"k6-{number}") == 1
+
+
+def test_entry_killed_after_its_dispatch(desk):
+    for name in ("s1", "s2"):
+        desk.standin(name, delay_ms=1500)
+    sender = threading.Thread(
+        target=post, args=(desk.caller("e1"), "k7"), daemon=True
+    )
+    sender.start()
+    eventually(
+        lambda: any(desk.standin(name)["running"] for name in ("s1", "s2")),
+        "the call reached a service",
+    )
+    desk.kill("e1")
+    status, reply = post(desk.caller("e2"), "k7")
+    assert (status, error(reply)) == (409, "InProgress")
+    eventually(lambda: executions(desk, "k7") == 1, "it ran")
+    desk.start("e1")
+    status, reply = post(desk.caller("e2"), "k7")
+    assert status == 409
+    assert executions(desk, "k7") == 1
+
+
+def test_leader_killed_between_claims(desk):
+    """Callers resend through leader changes; nothing runs twice."""
+    stop = threading.Event()
+    sent: list[str] = []
+
+    def resend(worker: int) -> None:
+        number = 0
+        while not stop.is_set():
+            key = f"k8-{worker}-{number}"
+            sent.append(key)
+            for entry in ("e1", "e2", "e1"):
+                if post(desk.caller(entry), key)[0] == 200:
+                    break
+            number += 1
+
+    threads = [threading.Thread(target=resend, args=(n,)) for n in range(4)]
+    for thread in threads:
+        thread.start()
+    for _ in range(2):
+        leader = eventually(lambda: desk.leader("e1"), "a leader")
+        desk.kill(leader)
+        eventually(
+            lambda gone=leader: desk.leader("e1") not in ("", gone),
+            "another leader",
+        )
+        time.sleep(1.0)
+        desk.start(leader)
+        eventually(lambda: desk.leader("e1"), "settled")
+    stop.set()
+    for thread in threads:
+        thread.join()
+    counts = [executions(desk, key) for key in sent[-60:]]
+    assert max(counts) == 1
+
+
+def test_without_a_quorum_nothing_runs(desk):
+    desk.kill("c1")
+    desk.kill("c2")
+    status, reply = post(desk.caller("e1"), "k9")
+    assert (status, error(reply)) == (503, "LedgerUnavailable")
+    assert (b"x-not-run", b"true") in reply.headers
+    assert executions(desk, "k9") == 0
+    assert desk.caller("e1").request("GET", VISITS).status == 200
+    desk.start("c1")
+    desk.start("c2")
+    eventually(
+        lambda: post(desk.caller("e1"), "k9")[0] == 200, "it runs again"
+    )
+    assert executions(desk, "k9") == 1
+
+
+def test_ledger_survives_restarts_of_all_replicas(desk):
+    assert post(desk.caller("e1"), "k10")[0] == 200
+    for name in ("c1", "c2", "c3"):
+        desk.kill(name)
+    desk.start("c1", "c2", "c3")
+    again = eventually(
+        lambda: (got := post(desk.caller("e2"), "k10"))[0] == 200 and got,
+        "the ledger is back",
+    )
+    assert (b"idempotency-replayed", b"true") in again[1].headers
+    assert executions(desk, "k10") == 1
+
+
+def test_owner_frozen_for_longer_than_every_lease(desk):
+    """The owner sleeps with its call under way; nobody sends it again."""
+    for name in ("s1", "s2"):
+        desk.standin(name, delay_ms=500)
+    sender = threading.Thread(
+        target=post, args=(desk.caller("e1"), "k11"), daemon=True
+    )
+    sender.start()
+    eventually(
+        lambda: [e for e in desk.events() if e["event"] == "claimed"],
+        "claimed",
+    )
+    desk.freeze("e1")
+    for _ in range(12):
+        status, reply = post(desk.caller("e2"), "k11")
+        assert status == 409, reply
+        time.sleep(0.5)
+    desk.thaw("e1")
+    eventually(lambda: post(desk.caller("e2"), "k11")[0] == 200, "settled")
+    assert executions(desk, "k11") == 1
+
+
+def test_frozen_leader_can_not_grant_when_it_goes_on(desk):
+    leader = eventually(lambda: desk.leader("e1"), "a leader")
+    desk.freeze(leader)
+    eventually(
+        lambda: post(desk.caller("e1"), "k12")[0] == 200, "another leads"
+    )
+    desk.thaw(leader)
+    for entry in ("e1", "e2"):
+        status, reply = post(desk.caller(entry), "k12")
+        assert status == 200
+        assert (b"idempotency-replayed", b"true") in reply.headers
+    assert executions(desk, "k12") == 1
