Prove configuration and refusals; repair of a lost voter mended

Faults found by the proofs: - A voter that lost its disk never came back. Cause: a fresh replica did not know the voters (the first set stood in no log position), so its refusal of the leader's first message had no address to go to. Ruled out: the join (the leader had it as a learner). The pure-core world routed replies without addresses and so missed it; it checks them now. - A request admitted in the 250 ms before the last endpoint's end was seen waited up to 120 s. Queued requests without any endpoint are refused as not run after 2 s; begun ones stay. - A failed connect counted as 'may have run' and extended the wait.

--- a/chervilshift/config.py
+++ b/chervilshift/config.py
@@ -123,6 +123,14 @@
     long_share: Annotated[float, Field(gt=0, le=1)] = Field(
         0.5, description="Share of an endpoint's capacity for long requests."
     )
+    queue_timeout_s: Positive = Field(
+        10.0,
+        description="Longest wait of a short request, in seconds.",
+    )
+    long_queue_timeout_s: Positive = Field(
+        120.0,
+        description="Longest wait of a long request, in seconds.",
+    )
     retry_share: Amount = Field(
         0.1, description="Retries allowed, as a share of requests."
     )
--- a/chervilshift/control/storage.py
+++ b/chervilshift/control/storage.py
@@ -17,7 +17,12 @@
 from returns.result import Result, Success
 
 from chervilshift.core.message import Message
-from chervilshift.core.raft.messages import LogEntry, Snapshot, Voter
+from chervilshift.core.raft.messages import (
+    LogEntry,
+    Snapshot,
+    Voter,
+    first_snapshot,
+)
 from chervilshift.core.raft.node import HardState
 from chervilshift.errors import CorruptLog, Failure, StorageFailed
 
@@ -209,7 +214,7 @@
         path = self._folder / SNAPSHOT_NAME
         if not path.exists():
             identity = self.identity()
-            return Snapshot(voters=identity.voters if identity else ())
+            return first_snapshot(identity.voters if identity else ())
         raw = path.read_bytes()
         body = _body(raw, 0)
         if body is None:
--- a/chervilshift/core/dispatcher.py
+++ b/chervilshift/core/dispatcher.py
@@ -4,7 +4,7 @@
 reports and progress, and answers with assignments; it does no I/O.
 """
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from random import Random
 from statistics import median
 
@@ -26,6 +26,7 @@
 SLOW_RATIO = 1.5
 MAX_SLOWNESS = 20.0
 HOLDERS_PER_BLOCK = 8
+STRANDED_S = 2.0
 
 
 class Policy:
@@ -65,10 +66,11 @@
         self._serving: dict[str, list[str]] = {}
         self._holders: dict[int, dict[str, None]] = {}
         self._placed: dict[str, str] = {}
+        self._served_at: dict[str, float] = {}
 
     # Endpoints
 
-    def set_endpoints(self, infos: Iterable[EndpointInfo]) -> None:
+    def set_endpoints(self, infos: Iterable[EndpointInfo], now: float) -> None:
         """Say which endpoints may get new work, all of them."""
         current = {info.id: info for info in infos}
         for endpoint in tuple(self._beliefs):
@@ -85,6 +87,7 @@
             for target in info.serves:
                 serving.setdefault(target, []).append(endpoint)
         self._serving = serving
+        self._served_at.update(dict.fromkeys(serving, now))
 
     def report(self, endpoint: str, load: LoadReport, now: float) -> None:
         """Take in an endpoint's load report."""
@@ -145,10 +148,25 @@
 
     def expired(self, now: float) -> tuple[Job, ...]:
         """Remove and return the queued jobs whose deadline has passed."""
-        late = tuple(job for job in self.queue if now > job.deadline_at)
-        for job in late:
+        return self._drop_if(lambda job: now > job.deadline_at)
+
+    def stranded(self, now: float) -> tuple[Job, ...]:
+        """Remove and return jobs that no endpoint has served for a while.
+
+        What has begun stays: its endpoints may have gone in a wave.
+        """
+        return self._drop_if(
+            lambda job: (
+                not job.begun
+                and now - self._served_at.get(job.target, 0.0) > STRANDED_S
+            )
+        )
+
+    def _drop_if(self, condition: Callable[[Job], bool]) -> tuple[Job, ...]:
+        dropped = tuple(job for job in self.queue if condition(job))
+        for job in dropped:
             self.queue.remove(job)
-        return late
+        return dropped
 
     def first_token(self, job_id: str, now: float) -> None:
         """Note that a placed job produced its first token."""
--- a/chervilshift/core/jobs.py
+++ b/chervilshift/core/jobs.py
@@ -13,11 +13,13 @@
 
     Sizes are in tokens, times in monotonic seconds. `blocks` identifies the
     prompt's prefixes, shortest first; `excluded` are endpoints that failed
-    it before.
+    it before; behind `deadline_at` the job waits no longer. A job has
+    `begun` once its caller may have seen some of its answer.
     """
 
     __slots__ = (
         "arrived_at",
+        "begun",
         "blocks",
         "customer",
         "deadline_at",
@@ -57,6 +59,7 @@
         self.long = long
         self.share = share
         self.kind = kind
+        self.begun = False
         self.excluded: set[str] = set()
 
     @property
--- a/chervilshift/core/raft/messages.py
+++ b/chervilshift/core/raft/messages.py
@@ -131,6 +131,14 @@
 )
 
 
+def first_snapshot(voters: tuple[Voter, ...]) -> Snapshot:
+    """Return what a replica starts from: position 1 sets the first voters.
+
+    A replica that joins later starts from nothing and is sent a snapshot.
+    """
+    return Snapshot(index=1, voters=voters) if voters else Snapshot()
+
+
 def encode_voters(voters: tuple[Voter, ...]) -> bytes:
     """Return the data of a `VOTERS` entry."""
     return msgspec.msgpack.encode(voters)
--- a/chervilshift/core/raft/node.py
+++ b/chervilshift/core/raft/node.py
@@ -174,15 +174,15 @@
         return self._append_own(COMMAND, data, now)
 
     def add_learner(self, voter: Voter, now: float) -> bool:
-        """Replicate to a replica that has no vote yet.
+        """Replicate to a replica that has no vote yet; True if it is new.
 
         Refused while an older incarnation of the same name still answers.
+        It gets a snapshot first, which tells it the voters.
         """
         if not self.is_leader or voter.id == self.me.id:
             return False
-        known = self.progress.get(voter.id)
-        if known is not None:
-            return True
+        if voter.id in self.progress:
+            return False
         if any(
             voter.name == other.name and self._answers(other.id, now)
             for other in self.log.voters
@@ -190,9 +190,7 @@
             return False
         if voter.name not in {other.name for other in self.log.voters}:
             return False
-        self.progress[voter.id] = Progress(
-            voter=voter, next_index=self.log.last_index + 1, now=now
-        )
+        self.progress[voter.id] = Progress(voter=voter, next_index=1, now=now)
         self._send_append(voter.id, now)
         return True
 
--- a/chervilshift/entry/scheduler.py
+++ b/chervilshift/entry/scheduler.py
@@ -75,6 +75,8 @@
     def admit(self, job: Job, cfg: Config) -> Result[None, Failure]:
         """Refuse early what can't be served; nothing was sent then."""
         customer = cfg.customers[job.customer]
+        if not self.dispatcher.serves(job.target):
+            self._refresh()
         if not self.dispatcher.serves(job.target):
             return Bad(NoEndpoint(target=job.target))
         if self.dispatcher.queue.waiting(job.customer) >= customer.max_queued:
@@ -126,7 +128,8 @@
                 await self._wake.wait()
 
     def _refresh(self) -> None:
-        self.dispatcher.set_endpoints(self._directory.endpoints())
+        now = self._directory.now()
+        self.dispatcher.set_endpoints(self._directory.endpoints(), now)
         for endpoint, load, seen_at in self._directory.loads():
             if self._reported.get(endpoint) != seen_at:
                 self._reported[endpoint] = seen_at
@@ -136,6 +139,8 @@
         now = self._directory.now()
         for job in self.dispatcher.expired(now):
             self._finish(job, Bad(DeadlineExceeded()))
+        for job in self.dispatcher.stranded(now):
+            self._finish(job, Bad(NoEndpoint(target=job.target)))
         for assignment in self.dispatcher.assign(now):
             # The lease is tested here, at dispatch, not when queued.
             if self._directory.endpoint(assignment.endpoint) is None:
--- a/chervilshift/entry/session.py
+++ b/chervilshift/entry/session.py
@@ -13,7 +13,7 @@
 from chervilshift.entry.directory import Directory
 from chervilshift.entry.recorder import Recorder, Recording
 from chervilshift.entry.scheduler import Scheduler
-from chervilshift.errors import Failure, StreamLost, Superseded
+from chervilshift.errors import Failure, NoEndpoint, StreamLost, Superseded
 from chervilshift.events import EventLog
 from chervilshift.metrics import Metrics
 from chervilshift.platform.engine import Chunk, EngineClient, Generate
@@ -64,6 +64,7 @@
         events: EventLog,
         metrics: Metrics,
         reconnect_s: float,
+        deadline_s: float,
     ):
         self.request = request
         self.job = job
@@ -72,6 +73,7 @@
             request_id=request.request_id, epoch=epoch, tokens=tokens
         )
         self.recording = Recording(request_id=request.request_id)
+        job.begun = bool(tokens)
         self.failure: Failure | None = None
         self.changed = anyio.Event()
         self.readers = 0
@@ -83,10 +85,12 @@
         self._events = events
         self._metrics = metrics
         self._reconnect_s = reconnect_s
+        self._deadline_s = deadline_s
         self._prompt_tokens = job.prompt_tokens
         self._attempt: Attempt | None = None
         self._scope = anyio.CancelScope()
         self._stopped = False
+        self._may_have_run = epoch > 1
         self._record_again_at = 0.0
 
     # For readers
@@ -167,7 +171,7 @@
 
     def _no_endpoint(self, failure: Failure, last: Failure | None) -> Failure:
         """Say `not run` only when no attempt reached an endpoint."""
-        if last is None and self.epoch == 1 and not self.buffer.tokens:
+        if not self._may_have_run:
             return failure
         return StreamLost(
             request_id=self.request.request_id, reason=str(last or failure)
@@ -214,6 +218,9 @@
         now = self._directory.now()
         new = self.buffer.add(attempt.number, chunk.offset, chunk.tokens)
         if not attempt.tokens:
+            # What has begun may wait until the answer's own deadline.
+            self.job.deadline_at = self.job.arrived_at + self._deadline_s
+            self.job.begun = True
             self._scheduler.dispatcher.first_token(self.job.id, now)
         elif new:
             gap_s = (now - attempt.last_at) / len(new)
@@ -233,6 +240,8 @@
 
         Returns the failure if it counts as a try.
         """
+        if failure.fields.get("sent", True):
+            self._may_have_run = True
         reason = attempt.moved or str(failure)
         self._emit("attempt_ended", attempt=attempt.number, reason=reason)
         await self._cancel_at(attempt)
@@ -244,7 +253,9 @@
             return None
         self._metrics.count("attempts_failed")
         if not self._scheduler.retries.spend() and not produced:
-            raise failure
+            raise self._no_endpoint(
+                NoEndpoint(target=self.request.model), failure
+            )
         return failure
 
     async def _cancel_at(self, attempt: Attempt) -> None:
--- a/chervilshift/entry/sessions.py
+++ b/chervilshift/entry/sessions.py
@@ -211,6 +211,7 @@
             events=self._events,
             metrics=self._metrics,
             reconnect_s=cfg.limits.reconnect_s,
+            deadline_s=cfg.models[asked.model].deadline_s,
         )
         session.buffer.done = done
         self._sessions[asked.request_id] = session
@@ -243,18 +244,26 @@
         predicted = self._scheduler.dispatcher.sizes.predict(
             kind, asked.max_tokens
         )
+        long = (
+            predicted >= model.long_output_tokens
+            or prompt_tokens >= model.long_prompt_tokens
+        )
+        wait_s = (
+            cfg.routing.long_queue_timeout_s
+            if long
+            else cfg.routing.queue_timeout_s
+        )
         now = self._directory.now()
         return Job(
             id=asked.request_id,
             customer=asked.customer,
             target=asked.model,
             arrived_at=now,
-            deadline_at=now + model.deadline_s,
+            deadline_at=now + min(wait_s, model.deadline_s),
             prompt_tokens=prompt_tokens,
             predicted_tokens=predicted,
             blocks=prefix_blocks(asked.prompt),
-            long=predicted >= model.long_output_tokens
-            or prompt_tokens >= model.long_prompt_tokens,
+            long=long,
             share=cfg.customers[asked.customer].share,
             kind=kind,
         )
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -118,7 +118,8 @@
         return again
 
     def _headers(self, headers) -> dict:
-        return {"authorization": f"Bearer {self.key}", **(headers or {})}
+        own = {"authorization": f"Bearer {self.key}"} if self.key else {}
+        return {**own, **(headers or {})}
 
 
 class Stream:
--- a/tests/core/raft_world.py
+++ b/tests/core/raft_world.py
@@ -5,7 +5,12 @@
 import msgspec
 
 from chervilshift.core.raft.log import RaftLog
-from chervilshift.core.raft.messages import COMMAND, Snapshot, Voter
+from chervilshift.core.raft.messages import (
+    COMMAND,
+    Snapshot,
+    Voter,
+    first_snapshot,
+)
 from chervilshift.core.raft.node import HardState, Raft
 
 __all__ = ["World"]
@@ -27,7 +32,7 @@
         self.world = world
         self.me = me
         self.hard_state = HardState()
-        self.snapshot = Snapshot(voters=voters)
+        self.snapshot = first_snapshot(voters)
         self.entries = ()
         self.applied: list[tuple[int, bytes]] = []
         self.up = False
@@ -43,9 +48,7 @@
             rng=Random(hash_of(self.me.id)),
             now=self.world.now,
         )
-        self.applied = list(
-            msgspec.msgpack.decode(self.snapshot.data or b"\x90")
-        )
+        self.applied = decode_applied(self.snapshot)
         self.applied_to = self.snapshot.index
         self.up = True
 
@@ -57,7 +60,7 @@
         if ready.snapshot:
             self.snapshot = ready.snapshot
             self.entries = ()
-            self.applied = list(msgspec.msgpack.decode(ready.snapshot.data))
+            self.applied = decode_applied(ready.snapshot)
             self.applied_to = ready.snapshot.index
         if ready.entries:
             first = ready.entries[0].index
@@ -93,6 +96,10 @@
         )
 
 
+def decode_applied(snapshot: Snapshot) -> list:
+    return msgspec.msgpack.decode(snapshot.data) if snapshot.data else []
+
+
 def hash_of(text: str) -> int:
     return sum(ord(c) * (i + 1) for i, c in enumerate(text))
 
@@ -156,6 +163,8 @@
         if not again:
             del self.messages[position]
         replica = self.replicas.get(message.dst)
+        if not self.known_address(message):
+            return
         if (message.src, message.dst) in self.cut or replica is None:
             return
         if replica.up and not replica.paused:
@@ -163,6 +172,14 @@
             replica.turn()
         self.check()
 
+    def known_address(self, message) -> bool:
+        """Tell whether the sender knows where the receiver listens."""
+        sender = self.replicas.get(message.src)
+        if sender is None:
+            return True
+        known = {v.id for v in sender.raft.log.voters}
+        return message.dst in known | set(sender.raft.progress)
+
     def deliver_all(self) -> None:
         for _ in range(len(self.messages)):
             self.deliver(0)
--- a/tests/core/test_raft.py
+++ b/tests/core/test_raft.py
@@ -6,6 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from chervilshift.core.raft.messages import first_snapshot
 from chervilshift.core.raft.node import ELECTION_MAX_S, Raft
 from tests.core.raft_world import World
 
@@ -130,7 +131,7 @@
     world.crash(leader.me.id)
     world.crash(other)
     forgetful.hard_state = type(forgetful.hard_state)()
-    forgetful.snapshot = type(forgetful.snapshot)(voters=world.voters)
+    forgetful.snapshot = first_snapshot(world.voters)
     forgetful.entries = ()
     world.cut = set()
     world.restart(other)
