--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks of the decisions, and slopes for docs/CAPACITY.md."""
--- a/chervilshift/core/dispatcher.py
+++ b/chervilshift/core/dispatcher.py
@@ -197,6 +197,11 @@
         belief = self._beliefs.get(endpoint)
         return self._slowness(belief, now) if belief else 1.0
 
+    def gap_s(self, endpoint: str, now: float) -> float:
+        """Return an endpoint's usual time between tokens, or zero."""
+        belief = self._beliefs.get(endpoint)
+        return belief.gap_s(now) if belief else 0.0
+
     # Choosing
 
     def _choose(
