Endpoints that left get nothing through the prefix index

Cause: candidates came from the holders of a prefix without a look at the endpoints now usable, while a leaving endpoint's belief is kept for its running work. Candidates must be usable now; a test holds it.

Run: pytest tests/core/test_dispatcher.py, 16 passed; with the change off, test_endpoint_that_left_gets_nothing_though_it_holds_the_prefix fails.

--- a/chervilshift/core/dispatcher.py
+++ b/chervilshift/core/dispatcher.py
@@ -67,12 +67,14 @@
         self._holders: dict[int, dict[str, None]] = {}
         self._placed: dict[str, str] = {}
         self._served_at: dict[str, float] = {}
+        self._usable: frozenset[str] = frozenset()
 
     # Endpoints
 
     def set_endpoints(self, infos: Iterable[EndpointInfo], now: float) -> None:
         """Say which endpoints may get new work, all of them."""
         current = {info.id: info for info in infos}
+        self._usable = frozenset(current)
         for endpoint in tuple(self._beliefs):
             if endpoint not in current:
                 self._forget_if_idle(endpoint)
@@ -229,6 +231,7 @@
             belief = self._beliefs.get(endpoint)
             if (
                 belief is not None
+                and endpoint in self._usable
                 and endpoint not in job.excluded
                 and job.target in belief.info.serves
             ):
@@ -333,5 +336,5 @@
         belief = self._beliefs.get(endpoint)
         if belief is None or belief.flights:
             return
-        if not any(endpoint in names for names in self._serving.values()):
+        if endpoint not in self._usable:
             del self._beliefs[endpoint]
--- /dev/null
+++ b/tests/core/test_dispatcher.py
@@ -0,0 +1,178 @@
+"""Queues, scores and assignments of the policy core."""
+
+from random import Random
+
+import pytest
+
+from chervilshift.core.dispatcher import STRANDED_S, Dispatcher, Policy
+from chervilshift.core.jobs import Job, prefix_blocks
+from chervilshift.core.moves import must_leave, worth_moving
+from chervilshift.core.registry import EndpointInfo, LoadReport
+
+PROMPT = "the same long system prompt " * 100
+
+
+def info(number: int, capacity: int = 4, region: str = "west"):
+    return EndpointInfo(
+        id=f"m{number}",
+        address=f"127.0.0.1:{number}",
+        host=f"h{number}",
+        failure_domain="fd0",
+        region=region,
+        kind="engine",
+        serves=("desk",),
+        capacity=capacity,
+    )
+
+
+def dispatcher(count: int, **fields) -> Dispatcher:
+    made = Dispatcher(policy=Policy(), region="west", rng=Random(1))
+    made.set_endpoints([info(n, **fields) for n in range(count)], 0.0)
+    return made
+
+
+def job(name: str, customer="a", long=False, at=0.0, **fields) -> Job:
+    return Job(
+        id=name,
+        customer=customer,
+        target="desk",
+        arrived_at=at,
+        deadline_at=at + 10.0,
+        prompt_tokens=fields.pop("prompt_tokens", 100),
+        predicted_tokens=50,
+        long=long,
+        **fields,
+    )
+
+
+def place(made: Dispatcher, now: float = 0.0) -> dict[str, str]:
+    return {a.job.id: a.endpoint for a in made.assign(now)}
+
+
+def test_endpoint_that_left_gets_nothing_though_it_holds_the_prefix():
+    made = dispatcher(2)
+    blocks = prefix_blocks(PROMPT)
+    made.submit(job("first", blocks=blocks))
+    holder = place(made)["first"]
+    made.set_endpoints([info(n) for n in range(2) if f"m{n}" != holder], 1.0)
+    made.submit(job("second", blocks=blocks))
+    assert place(made, 1.0)["second"] != holder
+
+
+def test_same_prefix_goes_where_it_is_cached():
+    made = dispatcher(6, capacity=16)
+    blocks = prefix_blocks(PROMPT)
+    chosen = set()
+    for number in range(8):
+        made.submit(job(f"j{number}", blocks=blocks, prompt_tokens=700))
+        chosen |= set(place(made).values())
+        made.first_token(f"j{number}", 0.1)
+    assert len(chosen) <= 2
+
+
+def test_long_work_is_bounded_per_endpoint_and_short_passes_it():
+    made = dispatcher(1, capacity=4)
+    for number in range(4):
+        made.submit(job(f"long{number}", long=True))
+    made.submit(job("short"))
+    placed = place(made)
+    assert sum(name.startswith("long") for name in placed) == 2
+    assert "short" in placed
+
+
+def test_no_more_than_capacity_is_placed():
+    made = dispatcher(2, capacity=4)
+    for number in range(20):
+        made.submit(job(f"j{number}"))
+    assert len(place(made)) == 8
+    assert len(made.queue) == 12
+
+
+def test_customers_take_turns():
+    made = dispatcher(1, capacity=100)
+    for number in range(60):
+        made.submit(job(f"big{number}", customer="big"))
+    for number in range(5):
+        made.submit(job(f"small{number}", customer="small"))
+    order = list(place(made))
+    last_small = max(order.index(f"small{n}") for n in range(5))
+    assert last_small < 30
+
+
+def test_others_load_in_reports_counts_until_it_is_old():
+    made = dispatcher(1, capacity=4)
+    made.report("m0", LoadReport(running=4), 0.0)
+    made.submit(job("waits"))
+    assert place(made, 0.5) == {}
+    assert place(made, 20.0) == {"waits": "m0"}
+
+
+def test_slow_endpoint_is_found_against_its_peers_and_used_less():
+    made = dispatcher(4, capacity=16)
+    for name, gap_s in (("m0", 0.2), ("m1", 0.02), ("m2", 0.02), ("m3", 0.02)):
+        only = [info(n, capacity=16) for n in range(4) if f"m{n}" == name]
+        made.set_endpoints(only, 0.0)
+        made.submit(job(f"probe-{name}"))
+        place(made)
+        made.set_endpoints([info(n, capacity=16) for n in range(4)], 0.0)
+        for _ in range(6):
+            made.token_gap(f"probe-{name}", gap_s, 1.0)
+    assert made.slowness("m0", 1.0) > 5
+    assert made.slowness("m1", 1.0) < 1.5
+    for number in range(20):
+        made.submit(job(f"j{number}"))
+    placed = list(place(made, 1.0).values())
+    assert placed.count("m0") <= 1
+    # It returns slowly once nothing bad was seen for a while.
+    assert made.slowness("m0", 60.0) == 1.0
+
+
+def test_deadline_and_missing_endpoints_empty_the_queue():
+    made = dispatcher(0)
+    made.set_endpoints([info(0, capacity=1)], 0.0)
+    made.submit(job("runs"))
+    place(made)
+    made.submit(job("late"))
+    assert [j.id for j in made.expired(11.0)] == ["late"]
+    begun = job("begun", at=11.0)
+    begun.begun = True
+    made.submit(begun)
+    made.submit(job("new", at=11.0))
+    made.set_endpoints([], 11.0)
+    stranded = made.stranded(11.0 + STRANDED_S + 0.1)
+    assert [j.id for j in stranded] == ["new"]
+
+
+def test_size_prediction_learns_and_errs_on_the_long_side():
+    made = dispatcher(1)
+    assert made.sizes.predict("kind", 512) == 512
+    for tokens in (40, 40, 200, 40):
+        made.sizes.learn(job("x", kind="kind"), tokens)
+    assert 80 < made.sizes.predict("kind", 512) < 150
+
+
+@pytest.mark.parametrize(
+    ("left_s", "remaining", "leaves"),
+    [(None, 10_000, False), (30.0, 100, False), (30.0, 1000, True)],
+)
+def test_streams_leave_when_they_can_not_finish(left_s, remaining, leaves):
+    assert must_leave(left_s, remaining, 0.03) is leaves
+
+
+def test_moving_must_pay():
+    assert worth_moving(10.0, 0.3, 500, 2000)
+    assert not worth_moving(10.0, 0.3, 3, 2000)
+    assert not worth_moving(1.2, 0.03, 5000, 100)
+
+
+@pytest.mark.parametrize("count", [10, 100, 1000])
+def test_work_per_decision_does_not_grow_with_the_endpoints(count):
+    made = dispatcher(count, capacity=64)
+    scored = []
+    score = made._score
+    made._score = lambda *args: scored.append(1) or score(*args)
+    for number in range(50):
+        made.submit(job(f"j{number}", blocks=(1, 2, 3)))
+    assert len(place(made)) == 50
+    # The sample, and the few endpoints that hold the prefix.
+    assert len(scored) / 50 <= made.policy.candidates + 8
