Overload: early refusal, bounded moves, a window on own work per endpoint

Ruled out: engine priorities, size prediction.

Change: moves only when the gap misses its target, nothing waits and a budget allows; short work is refused at once when its predicted wait is over 0.4 s, each customer within its share; own work per endpoint is bounded by a window that reports move by one up and a quarter down, never below the entry's own part of the capacity.

--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -177,7 +177,11 @@
         self._rng = Random(SEED + user.seed)
         self.engines = [self._engine(n) for n in range(user.engines)]
         self.policies = [
-            POLICIES[policy](region=REGIONS[n % 2], rng=Random(SEED * 10 + n))
+            POLICIES[policy](
+                region=REGIONS[n % 2],
+                rng=Random(SEED * 10 + n),
+                entries=ENTRIES,
+            )
             for n in range(ENTRIES)
         ]
         self.waiting: list[list[Arrival]] = [[] for _ in range(ENTRIES)]
--- a/chervilshift/config.py
+++ b/chervilshift/config.py
@@ -123,8 +123,13 @@
     long_share: Annotated[float, Field(gt=0, le=1)] = Field(
         0.5, description="Share of an endpoint's capacity for long requests."
     )
+    queue_wait_s: Positive = Field(
+        0.4,
+        description="Predicted wait beyond which short requests are refused "
+        "at once, in seconds.",
+    )
     queue_timeout_s: Positive = Field(
-        10.0,
+        1.0,
         description="Longest wait of a short request, in seconds.",
     )
     long_queue_timeout_s: Positive = Field(
--- a/chervilshift/core/beliefs.py
+++ b/chervilshift/core/beliefs.py
@@ -11,6 +11,9 @@
 CACHE_BLOCKS = 4096
 CACHE_TTL_S = 300.0
 SMOOTHING = 0.25
+FIRST_WINDOW = 1.5
+SHRINK = 0.75
+ROOMY = 0.75
 SLOWNESS_HALF_LIFE_S = 4.0
 
 
@@ -64,6 +67,7 @@
         "info",
         "long_flights",
         "unstarted_tokens",
+        "window",
     )
 
     def __init__(self, *, info: EndpointInfo):
@@ -71,6 +75,7 @@
         self.flights: dict[str, Flight] = {}
         self.long_flights = 0
         self.unstarted_tokens = 0
+        self.window: float | None = None
         self._others_running = 0
         self._others_long = 0
         self._reported_at = float("-inf")
@@ -80,9 +85,23 @@
 
     # Load
 
-    def report(self, load: LoadReport, now: float) -> None:
-        """Take in the endpoint's own report."""
+    def report(self, load: LoadReport, now: float, entries: int) -> None:
+        """Take in the endpoint's own report, which all `entries` hear.
+
+        The window on own work follows it, up by one and down by a share:
+        all entries see the same room, late, and would fill it many times.
+        """
         total = load.running + load.waiting
+        part = self.part(entries)
+        if self.window is None:
+            self.window = part * FIRST_WINDOW
+        if total > self.info.capacity:
+            self.window = max(part, self.window * SHRINK)
+        elif (
+            total <= ROOMY * self.info.capacity
+            and len(self.flights) >= self.window - 1
+        ):
+            self.window = min(self.info.capacity, self.window + 1)
         self._others_running = max(0, total - len(self.flights))
         self._others_long = max(0, load.running_long - self.long_flights)
         self._reported_at = now
@@ -91,6 +110,24 @@
         """Return the estimated number of requests at the endpoint."""
         return len(self.flights) + self._others_running * self._trust(now)
 
+    def part(self, entries: int) -> float:
+        """Return this entry's part of the endpoint's capacity."""
+        return max(1.0, self.info.capacity / max(1, entries))
+
+    def may_take(self, capacity: float, entries: int, now: float) -> bool:
+        """Tell whether one more job fits, of all and of own work.
+
+        `capacity` is what the endpoint can do now. An entry's own part of
+        it is there for it whatever the reports say.
+        """
+        own = len(self.flights)
+        scale = capacity / self.info.capacity
+        if own < self.part(entries) * scale:
+            return True
+        if self.window is not None and own >= self.window * scale:
+            return False
+        return self.running(now) < capacity
+
     def running_long(self, now: float) -> float:
         """Return the estimated number of long requests at the endpoint."""
         return self.long_flights + self._others_long * self._trust(now)
--- a/chervilshift/core/budgets.py
+++ b/chervilshift/core/budgets.py
@@ -15,13 +15,18 @@
         self._burst = burst
         self._permits = burst
 
+    @property
+    def available(self) -> bool:
+        """Whether a permit could be taken now."""
+        return self._permits >= 1.0
+
     def earn(self) -> None:
         """Note one request."""
         self._permits = min(self._burst, self._permits + self.share)
 
     def spend(self) -> bool:
         """Take one permit if there is one."""
-        if self._permits < 1.0:
+        if not self.available:
             return False
         self._permits -= 1.0
         return True
--- a/chervilshift/core/dispatcher.py
+++ b/chervilshift/core/dispatcher.py
@@ -8,8 +8,11 @@
 from random import Random
 from statistics import median
 
+from chervilshift.core.admission import Admission
 from chervilshift.core.beliefs import EndpointBelief, Flight
+from chervilshift.core.budgets import RatioBudget
 from chervilshift.core.jobs import BLOCK_CHARS, CHARS_PER_TOKEN, Job
+from chervilshift.core.moves import worth_moving
 from chervilshift.core.queues import FairQueue
 from chervilshift.core.registry import EndpointInfo, LoadReport
 from chervilshift.core.sizes import SizePredictor
@@ -27,16 +30,30 @@
 MAX_SLOWNESS = 20.0
 HOLDERS_PER_BLOCK = 8
 STRANDED_S = 2.0
+MOVE_SHARE = 0.1
+MOVE_BURST = 20.0
 
 
 class Policy:
-    """The settings the decisions go by."""
+    """The settings the decisions go by.
 
-    __slots__ = ("candidates", "long_share")
+    `entries` is how many entries share the endpoints.
+    """
 
-    def __init__(self, *, candidates: int = 6, long_share: float = 0.5):
+    __slots__ = ("candidates", "entries", "long_share", "queue_wait_s")
+
+    def __init__(
+        self,
+        *,
+        candidates: int = 6,
+        long_share: float = 0.5,
+        queue_wait_s: float = 0.4,
+        entries: int = 1,
+    ):
+        self.entries = entries
         self.candidates = candidates
         self.long_share = long_share
+        self.queue_wait_s = queue_wait_s
 
 
 class Assignment:
@@ -67,6 +84,8 @@
         self._holders: dict[int, dict[str, None]] = {}
         self._placed: dict[str, str] = {}
         self._served_at: dict[str, float] = {}
+        self.admission = Admission(wait_s=policy.queue_wait_s)
+        self.moves = RatioBudget(share=MOVE_SHARE, burst=MOVE_BURST)
         self._usable: frozenset[str] = frozenset()
 
     # Endpoints
@@ -95,7 +114,7 @@
         """Take in an endpoint's load report."""
         belief = self._beliefs.get(endpoint)
         if belief is not None:
-            belief.report(load, now)
+            belief.report(load, now, self.policy.entries)
 
     def cache_event(
         self,
@@ -120,8 +139,14 @@
 
     # Jobs
 
+    def admits(self, job: Job, now: float) -> bool:
+        """Tell whether a new job should be queued rather than refused."""
+        return self.admission.allows(job, self.queue, now)
+
     def submit(self, job: Job, *, front: bool = False) -> None:
         """Queue a job; `front` for one that is being moved."""
+        if not front:
+            self.moves.earn()
         self.queue.push(job, front=front)
 
     def forgive(self, job: Job) -> None:
@@ -144,6 +169,7 @@
                 if chosen is None:
                     continue
                 self.queue.take(job)
+                self.admission.placed(job, now)
                 yield self._place(job, chosen, now)
                 placed = True
                 break
@@ -199,10 +225,24 @@
         belief = self._beliefs.get(endpoint)
         return self._slowness(belief, now) if belief else 1.0
 
-    def gap_s(self, endpoint: str, now: float) -> float:
-        """Return an endpoint's usual time between tokens, or zero."""
-        belief = self._beliefs.get(endpoint)
-        return belief.gap_s(now) if belief else 0.0
+    def worth_moving(
+        self, job: Job, produced_tokens: int, target_gap_s: float, now: float
+    ) -> bool:
+        """Tell whether a running stream gains by leaving a slow endpoint.
+
+        Never while work waits: a move would take its place in the queue.
+        """
+        belief = self._belief_of(job.id)
+        if belief is None or len(self.queue) or not self.moves.available:
+            return False
+        gap_s = belief.gap_s(now)
+        if gap_s <= target_gap_s:
+            return False
+        slowness = self._against_peers(belief, gap_s, "gap_s", now)
+        remaining = job.predicted_tokens - produced_tokens
+        if not worth_moving(slowness, gap_s, remaining, job.prompt_tokens):
+            return False
+        return self.moves.spend()
 
     # Choosing
 
@@ -249,7 +289,7 @@
         slowness = self._slowness(belief, now)
         if slowness > SLOW_RATIO:
             capacity = max(1.0, capacity / slowness)
-        if belief.running(now) >= capacity:
+        if not belief.may_take(capacity, self.policy.entries, now):
             return False
         if not job.long:
             return True
--- a/chervilshift/core/queues.py
+++ b/chervilshift/core/queues.py
@@ -43,6 +43,12 @@
         else:
             lane.jobs.append(job)
 
+    def shares(self) -> dict[str, tuple[int, float]]:
+        return {
+            customer: (len(lane.jobs), lane.jobs[0].share)
+            for customer, lane in self._lanes.items()
+        }
+
     def heads(self) -> tuple[Job, ...]:
         """Return each customer's first job, the next in turn first."""
         return tuple(lane.jobs[0] for lane in self._lanes.values())
@@ -89,6 +95,10 @@
         """Return how many jobs of a customer wait."""
         return self._count.get(customer, 0)
 
+    def short_shares(self) -> dict[str, tuple[int, float]]:
+        """Return each customer's waiting short jobs and its share."""
+        return self._short.shares()
+
     def push(self, job: Job, *, front: bool = False) -> None:
         """Add a job; `front` for one that had its turn already."""
         self._lanes(job).push(job, front=front)
--- a/chervilshift/entry/scheduler.py
+++ b/chervilshift/entry/scheduler.py
@@ -69,6 +69,7 @@
         """Put a configuration in force."""
         self.dispatcher.policy.candidates = cfg.routing.candidates
         self.dispatcher.policy.long_share = cfg.routing.long_share
+        self.dispatcher.admission.wait_s = cfg.routing.queue_wait_s
         self.retries.share = cfg.routing.retry_share
         self.hedges.share = cfg.routing.hedge_share
 
@@ -85,6 +86,8 @@
             return Bad(
                 AtCapacity(customer=job.customer, reason="too many running")
             )
+        if not self.dispatcher.admits(job, self._directory.now()):
+            return Bad(AtCapacity(customer=job.customer, reason="overload"))
         self.retries.earn()
         self.hedges.earn()
         return Success(None)
@@ -129,6 +132,8 @@
 
     def _refresh(self) -> None:
         now = self._directory.now()
+        entries = len(self._directory.entries())
+        self.dispatcher.policy.entries = max(1, entries)
         self.dispatcher.set_endpoints(self._directory.endpoints(), now)
         for endpoint, load, seen_at in self._directory.loads():
             if self._reported.get(endpoint) != seen_at:
