--- a/chervilshift/core/dispatcher.py
+++ b/chervilshift/core/dispatcher.py
@@ -30,8 +30,8 @@
 MAX_SLOWNESS = 20.0
 HOLDERS_PER_BLOCK = 8
 STRANDED_S = 2.0
-MOVE_SHARE = 0.1
-MOVE_BURST = 20.0
+MOVE_SHARE = 0.2
+MOVE_BURST = 40.0
 
 
 class Policy:
@@ -225,6 +225,11 @@
         belief = self._beliefs.get(endpoint)
         return self._slowness(belief, now) if belief else 1.0
 
+    def gap_s(self, endpoint: str, now: float) -> float:
+        """Return an endpoint's usual time between tokens, or zero."""
+        belief = self._beliefs.get(endpoint)
+        return belief.gap_s(now) if belief else 0.0
+
     def worth_moving(
         self, job: Job, produced_tokens: int, target_gap_s: float, now: float
     ) -> bool:
--- a/chervilshift/core/moves.py
+++ b/chervilshift/core/moves.py
@@ -6,10 +6,10 @@
 MOVE_MARGIN_S = 2.0
 USUAL_GAP_S = 0.03
 MIN_SLOWNESS = 1.8
-PREFILL_S_PER_TOKEN = 0.0002
-MOVE_OVERHEAD_S = 0.25
+PREFILL_S_PER_TOKEN = 0.0001
+MOVE_OVERHEAD_S = 0.1
 # A move must save this multiple of what it costs.
-MIN_GAIN = 2.0
+MIN_GAIN = 1.5
 
 
 def must_leave(
--- a/chervilshift/entry/session.py
+++ b/chervilshift/entry/session.py
@@ -6,6 +6,7 @@
 
 from chervilshift.core.dispatcher import Assignment
 from chervilshift.core.jobs import Job
+from chervilshift.core.moves import must_leave
 from chervilshift.core.records import RecordPart
 from chervilshift.core.registry import endpoint_key
 from chervilshift.core.stream import StreamBuffer
@@ -23,10 +24,7 @@
 MAX_ATTEMPTS = 8
 CANCEL_TIMEOUT_S = 1.0
 WATCH_INTERVAL_S = 0.1
-# Left for moving a stream away before its endpoint goes.
-MOVE_MARGIN_S = 2.0
 RECORD_RETRY_S = 1.0
-USUAL_GAP_S = 0.03
 
 
 class StreamRequest(msgspec.Struct, kw_only=True, frozen=True):
@@ -65,6 +63,7 @@
         metrics: Metrics,
         reconnect_s: float,
         deadline_s: float,
+        token_gap_s: float,
     ):
         self.request = request
         self.job = job
@@ -86,6 +85,7 @@
         self._metrics = metrics
         self._reconnect_s = reconnect_s
         self._deadline_s = deadline_s
+        self._token_gap_s = token_gap_s
         self._prompt_tokens = job.prompt_tokens
         self._attempt: Attempt | None = None
         self._scope = anyio.CancelScope()
@@ -297,19 +297,26 @@
             if attempt is None:
                 continue
             attempt.check_progress()
-            if self._must_move(attempt):
+            reason = self._reason_to_move(attempt, now)
+            if reason:
                 self.job.excluded.add(attempt.endpoint)
-                attempt.move("endpoint leaves")
+                attempt.move(reason)
 
-    def _must_move(self, attempt: Attempt) -> bool:
-        """Move in time, unless the stream will finish before the end."""
-        left_s = self._directory.leaving_in(attempt.endpoint)
-        if left_s is None:
-            return False
+    def _reason_to_move(self, attempt: Attempt, now: float) -> str:
+        """Return why the stream should go on elsewhere, or an empty text."""
         produced = len(self.buffer.tokens)
-        expected = max(1, self.job.predicted_tokens - produced)
-        needed_s = expected * USUAL_GAP_S
-        return left_s < needed_s + MOVE_MARGIN_S
+        remaining = max(1, self.job.predicted_tokens - produced)
+        left_s = self._directory.leaving_in(attempt.endpoint)
+        dispatcher = self._scheduler.dispatcher
+        if must_leave(
+            left_s, remaining, dispatcher.gap_s(attempt.endpoint, now)
+        ):
+            return "endpoint leaves"
+        if attempt.tokens and dispatcher.worth_moving(
+            self.job, produced, self._token_gap_s, now
+        ):
+            return "endpoint slow"
+        return ""
 
     def _abandoned(self, now: float) -> bool:
         left_at = self.readers_left_at
--- a/chervilshift/entry/sessions.py
+++ b/chervilshift/entry/sessions.py
@@ -5,6 +5,7 @@
 from itertools import islice
 
 import msgspec
+from absl import logging
 from anyio.abc import TaskGroup
 from returns.result import Failure as Bad
 
@@ -20,7 +21,7 @@
 from chervilshift.entry.recorder import Recorder
 from chervilshift.entry.scheduler import Scheduler
 from chervilshift.entry.session import Session, StreamRequest
-from chervilshift.errors import Draining, Superseded
+from chervilshift.errors import Draining, Failure, Superseded
 from chervilshift.events import EventLog
 from chervilshift.metrics import Metrics
 from chervilshift.platform.engine import EngineClient
@@ -212,6 +213,7 @@
             metrics=self._metrics,
             reconnect_s=cfg.limits.reconnect_s,
             deadline_s=cfg.models[asked.model].deadline_s,
+            token_gap_s=cfg.models[asked.model].token_gap_ms / 1e3,
         )
         session.buffer.done = done
         self._sessions[asked.request_id] = session
@@ -224,6 +226,10 @@
         running[customer] = running.get(customer, 0) + 1
         try:
             await session.run()
+        except Exception:
+            # One stream's fault must not end all others.
+            logging.exception("session failed: %s", session.request.request_id)
+            session.stop(Failure())
         finally:
             running[customer] -= 1
             self._keep_finished(session)
