--- a/chervilshift/cmdline.py
+++ b/chervilshift/cmdline.py
@@ -18,6 +18,7 @@
 
 from chervilshift import __version__, errors, logs
 from chervilshift.config import SITE_KEY, hash_key, validate
+from chervilshift.configpage import config_page
 from chervilshift.control.process import ControlProcess, format_cluster
 from chervilshift.core.commands import ConfigDocument
 from chervilshift.dev import DevProcess
@@ -67,6 +68,10 @@
             raise checked.failure()
         print("ok")
 
+    def page(self) -> None:
+        """Print the page that documents every key."""
+        print(config_page(), end="")
+
     def apply(
         self,
         base: str,
@@ -287,7 +292,7 @@
 
 def main() -> None:
     """Run the command that the arguments name."""
-    _run(lambda: fire.Fire(Commands, name="chervilshift"))
+    _run(lambda: fire.Fire(Commands(), name="chervilshift"))
 
 
 def _run(command: Callable[[], object]) -> None:
--- a/chervilshift/core/ledger.py
+++ b/chervilshift/core/ledger.py
@@ -159,16 +159,20 @@
             record = Record(
                 state=FREE, digest="", owner="", attempt="", since_s=now_s
             )
+        called_off = (*record.called_off, settle.attempt)
+        called_off = called_off[-CALLED_OFF_ATTEMPTS:]
         attempt = (settle.owner, settle.attempt)
         if (
             record.state == CLAIMED
             and (record.owner, record.attempt) == attempt
         ):
             record = _replace(record, state=FREE, digest="")
-        called_off = (*record.called_off, settle.attempt)
-        called_off = called_off[-CALLED_OFF_ATTEMPTS:]
-        record = _replace(record, called_off=called_off, since_s=now_s)
-        self._put(name, record)
+        if record.state == FREE:
+            freed = _replace(record, called_off=called_off, since_s=now_s)
+            self._put(name, freed)
+        else:
+            # Another's claim keeps its age and its place.
+            self._records[name] = _replace(record, called_off=called_off)
 
     def _finish(
         self, name: str, record: Record, settle: Settle, now_s: float
--- a/chervilshift/core/machine.py
+++ b/chervilshift/core/machine.py
@@ -2,6 +2,7 @@
 
 import hashlib
 from functools import singledispatchmethod
+from itertools import chain
 
 import msgspec
 
@@ -143,15 +144,12 @@
         return Ok()
 
     def _winner(self, base_version: int) -> str:
-        """Name the change that was accepted from `base_version`."""
-        return next(
-            (
-                change.change_id
-                for change in self._changes.values()
-                if change.base_version == base_version
-            ),
-            "",
-        )
+        """Name the change made from `base_version`, or the one in force."""
+        changes = tuple(self._changes.values())
+        made = (c for c in changes if c.base_version == base_version)
+        in_force = (c for c in changes if c.version == self.version)
+        winner = next(chain(made, in_force), None)
+        return winner.change_id if winner else ""
 
 
 def document_digest(document: ConfigDocument) -> str:
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -276,6 +276,7 @@
             "serves": ["desk" if kind == "engine" else "booking"],
             "entries": list(self.entries.values()),
             "key": ENDPOINT,
+            "capacity": behaviour.get("capacity", 16),
             "behaviour": behaviour,
         }
         self.commands[name] = ["standin", self._write(name)]
--- a/tests/links.py
+++ b/tests/links.py
@@ -29,6 +29,7 @@
             while data := await self.reader.read(CHUNK_BYTES):
                 if self.link.delay_s:
                     await asyncio.sleep(self.link.delay_s)
+                self.link.count(len(data), forward=self.forward)
                 if not self.swallows():
                     self.writer.write(data)
                     await self.writer.drain()
@@ -53,9 +54,17 @@
         self.hole_from = False
         self.cut = False
         self.delay_s = 0.0
+        self.bytes_to = 0
+        self.bytes_from = 0
         self._links = links
         self._pipes: list[_Pipe] = []
 
+    def count(self, size: int, *, forward: bool) -> None:
+        if forward:
+            self.bytes_to += size
+        else:
+            self.bytes_from += size
+
     def black_hole(self) -> None:
         self.hole_to = self.hole_from = True
 
@@ -109,6 +118,12 @@
     def _run(self) -> None:
         asyncio.set_event_loop(self._loop)
         self._loop.run_forever()
+        tasks = asyncio.all_tasks(self._loop)
+        for task in tasks:
+            task.cancel()
+        ended = asyncio.gather(*tasks, return_exceptions=True)
+        self._loop.run_until_complete(ended)
+        self._loop.close()
 
     def add(self, target: str) -> Link:
         link = Link(self, target)
