--- a/chervilshift/core/raft/node.py
+++ b/chervilshift/core/raft/node.py
@@ -103,6 +103,7 @@
         self._saved_index = log.last_index
         self._install: Snapshot | None = None
         self._messages: list[RaftMessage] = []
+        self._due: dict[str, float] = {}
         self._votes: dict[str, bool] = {}
         self._pre = False
         # A restarted voter may have promised a lease just before.
@@ -210,6 +211,7 @@
 
     def take_ready(self) -> Ready:
         """Return what has to be saved and sent since the last call."""
+        self._flush_appends()
         hard_state = HardState(term=self.term, vote=self.vote)
         changed = hard_state != self._saved_hard_state
         first = max(self._saved_index + 1, self.log.first_index)
@@ -395,6 +397,16 @@
         return entry.index
 
     def _send_append(self, vid: str, now: float) -> None:
+        """Plan a message to a peer; one goes out for all that is new."""
+        self._due[vid] = now
+
+    def _flush_appends(self) -> None:
+        due, self._due = self._due, {}
+        for vid, now in due.items():
+            if vid in self.progress:
+                self._make_append(vid, now)
+
+    def _make_append(self, vid: str, now: float) -> None:
         progress = self.progress[vid]
         prev_index = progress.next - 1
         prev_term = self.log.term_at(prev_index)
@@ -449,8 +461,6 @@
         if index <= self.commit or self.log.term_at(index) != self.term:
             return
         self.commit = index
-        for vid in tuple(self.progress):
-            self._send_append(vid, now)
         removed = self.me.id not in self.voter_ids
         if removed and self.log.voters_index <= self.commit:
             self._become_follower(self.term, now)
--- a/chervilshift/errors.py
+++ b/chervilshift/errors.py
@@ -9,6 +9,7 @@
     "AtCapacity",
     "BadRequest",
     "BodyTooLarge",
+    "CannotListen",
     "ChangeIdReused",
     "ConfigConflict",
     "ConfigFault",
@@ -291,6 +292,13 @@
     remedy = "mend the disk, then restart the process"
 
 
+class CannotListen(Failure):
+    """The address to listen on can't be had."""
+
+    template = "can't listen on {address}: {reason}"
+    remedy = "free the address, or change it in the settings"
+
+
 class CorruptLog(Failure):
     """The log is damaged before its end."""
 
--- a/chervilshift/wire/rpc.py
+++ b/chervilshift/wire/rpc.py
@@ -88,8 +88,15 @@
         return {METHOD: handler}
 
     async def start(self, host: str, port: int) -> None:
-        """Listen on an address."""
-        await self._server.start(host, port, ssl=self._credentials.server_tls)
+        """Listen on an address; raises CannotListen."""
+        try:
+            await self._server.start(
+                host, port, ssl=self._credentials.server_tls
+            )
+        except OSError as exc:
+            raise errors.CannotListen(
+                address=f"{host}:{port}", reason=exc.strerror
+            ) from exc
 
     async def close(self) -> None:
         """Stop listening and end open calls."""
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -27,7 +27,12 @@
 WAIT_S = 60.0
 FIRST_PORT = 10_000
 LAST_PORT = 32_000
-PORTS = itertools.cycle(range(FIRST_PORT, LAST_PORT))
+PORTS_APART = 100
+# Runs beside this one start elsewhere in the range.
+START = os.getpid() * PORTS_APART % (LAST_PORT - FIRST_PORT)
+PORTS = itertools.islice(
+    itertools.cycle(range(FIRST_PORT, LAST_PORT)), START, None
+)
 
 CONFIG = f"""\
 models:
--- a/tests/test_cmdline.py
+++ b/tests/test_cmdline.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from tests.cluster import OPERATOR, Cluster
+from tests.cluster import OPERATOR, Cluster, eventually
 
 ROOT = Path(__file__).parent.parent
 EXAMPLES = ROOT / "examples"
@@ -133,7 +133,12 @@
 
 
 def test_time_line_is_in_causal_order_over_processes(running):
-    running.apply("e2", change="causal", at=running.version("e2"))
+    _, reply = running.apply("e2", change="causal", at=running.version("e2"))
+    for entry in running.entries:
+        eventually(
+            lambda entry=entry: running.version(entry) == reply["version"],
+            "in force",
+        )
     events = running.events()
     order = [
         (event["process"], event["event"])
