--- a/chervilshift/control/node.py
+++ b/chervilshift/control/node.py
@@ -24,7 +24,8 @@
     Snapshot,
     Voter,
 )
-from chervilshift.core.raft.node import LEADER, HardState, Raft, Ready
+from chervilshift.core.raft.node import Raft
+from chervilshift.core.raft.state import LEADER, HardState, Ready
 from chervilshift.errors import (
     AtCapacity,
     Failure,
--- a/chervilshift/control/storage.py
+++ b/chervilshift/control/storage.py
@@ -23,7 +23,7 @@
     Voter,
     first_snapshot,
 )
-from chervilshift.core.raft.node import HardState
+from chervilshift.core.raft.state import HardState
 from chervilshift.errors import CorruptLog, Failure, StorageFailed
 
 __all__ = ["Disk", "Identity", "Recovered", "Storage"]
--- a/chervilshift/core/raft/node.py
+++ b/chervilshift/core/raft/node.py
@@ -11,12 +11,11 @@
 from functools import singledispatchmethod
 from random import Random
 
-from chervilshift.core.message import Message
+from chervilshift.core.raft.election import Elections
+from chervilshift.core.raft.leadership import Leadership
 from chervilshift.core.raft.log import RaftLog
 from chervilshift.core.raft.messages import (
     COMMAND,
-    NOOP,
-    VOTERS,
     Append,
     AppendReply,
     InstallSnapshot,
@@ -27,57 +26,22 @@
     TimeoutNow,
     Voter,
     VoteReply,
-    encode_voters,
 )
 from chervilshift.core.raft.progress import Progress
+from chervilshift.core.raft.state import (
+    CANDIDATE,
+    ELECTION_MAX_S,
+    FOLLOWER,
+    LEADER,
+    LEASE_S,
+    HardState,
+    Ready,
+)
 
-__all__ = ["CANDIDATE", "FOLLOWER", "LEADER", "HardState", "Raft", "Ready"]
-
-FOLLOWER = "follower"
-CANDIDATE = "candidate"
-LEADER = "leader"
-
-HEARTBEAT_S = 0.2
-ELECTION_MIN_S = 1.0
-ELECTION_MAX_S = 2.0
-# Shorter than the time for which voters refuse other candidates.
-LEASE_S = 0.8 * ELECTION_MIN_S
-SNAPSHOT_RETRY_S = 2.0
-CAUGHT_UP_ENTRIES = 16
-
-
-class HardState(Message):
-    """What a replica must not forget: its term and its vote in it."""
-
-    term: int = 0
-    vote: str = ""
-
-
-class Ready:
-    """Work for the driver: save first, then send."""
-
-    __slots__ = ("entries", "hard_state", "messages", "snapshot")
-
-    def __init__(
-        self,
-        *,
-        hard_state: HardState | None,
-        entries: tuple[LogEntry, ...],
-        snapshot: Snapshot | None,
-        messages: tuple[RaftMessage, ...],
-    ):
-        self.hard_state = hard_state
-        self.entries = entries
-        self.snapshot = snapshot
-        self.messages = messages
-
-    @property
-    def must_save(self) -> bool:
-        """Whether anything has to be durable before the messages go."""
-        return bool(self.hard_state or self.entries or self.snapshot)
+__all__ = ["Raft"]
 
 
-class Raft:
+class Raft(Elections, Leadership):
     """The replica `me`; all times are monotonic seconds of its process."""
 
     def __init__(
@@ -232,248 +196,6 @@
         if self.is_leader:
             self._advance_commit(now)
 
-    # Elections
-
-    def _reset_election_timer(self, now: float) -> None:
-        spread = self._rng.uniform(ELECTION_MIN_S, ELECTION_MAX_S)
-        self._election_at = now + spread
-
-    def _become_follower(self, term: int, now: float) -> None:
-        if term > self.term:
-            self.term = term
-            self.vote = ""
-            self.leader = None
-            self._leader_age_s = float("inf")
-        self.role = FOLLOWER
-        self.transferring_to = None
-        self.progress = {}
-        self._reset_election_timer(now)
-
-    def _ignores(self, message: RaftMessage, now: float) -> bool:
-        """Refuse candidates while a leader is known to be in touch."""
-        if not isinstance(message, RequestVote) or message.transfer:
-            return False
-        if self.is_leader:
-            return now - self._quorum_acked_at(now) < ELECTION_MIN_S
-        return now - self._contact_at < ELECTION_MIN_S
-
-    def _campaign(self, now: float, *, pre: bool, transfer: bool = False):
-        self._reset_election_timer(now)
-        if self.me.id not in self.voter_ids:
-            return
-        self.role = CANDIDATE
-        self.leader = None
-        self._pre = pre
-        if not pre:
-            self.term += 1
-            self.vote = self.me.id
-        self._votes = {self.me.id: True}
-        self._messages += [
-            RequestVote(
-                src=self.me.id,
-                dst=vid,
-                term=self.term + 1 if pre else self.term,
-                last_index=self.log.last_index,
-                last_term=self.log.last_term,
-                pre=pre,
-                transfer=transfer,
-            )
-            for vid in self.voter_ids
-            if vid != self.me.id
-        ]
-        self._count_votes(now)
-
-    def _count_votes(self, now: float) -> None:
-        granted = {vid for vid, vote in self._votes.items() if vote}
-        if len(granted & set(self.voter_ids)) < self._quorum():
-            return
-        if self._pre:
-            self._campaign(now, pre=False)
-        else:
-            self._become_leader(now)
-
-    def _become_leader(self, now: float) -> None:
-        self.role = LEADER
-        self.leader = self.me.id
-        self.transferring_to = None
-        self.progress = {
-            voter.id: Progress(
-                voter=voter, next_index=self.log.last_index + 1, now=now
-            )
-            for voter in self.log.voters
-            if voter.id != self.me.id
-        }
-        # An election is no proof of contact for the lease.
-        for progress in self.progress.values():
-            progress.acked_at = now - LEASE_S
-        self._term_start = self.log.last_index + 1
-        self._append_own(NOOP, b"", now)
-
-    # Leading
-
-    def _quorum(self) -> int:
-        return len(self.log.voters) // 2 + 1
-
-    def _acked_at(self, vid: str, now: float) -> float:
-        if vid == self.me.id:
-            return now
-        progress = self.progress.get(vid)
-        return progress.acked_at if progress else float("-inf")
-
-    def _quorum_acked_at(self, now: float) -> float:
-        times = sorted(
-            (self._acked_at(vid, now) for vid in self.voter_ids), reverse=True
-        )
-        return times[self._quorum() - 1]
-
-    def _answers(self, vid: str, now: float) -> bool:
-        return now - self._acked_at(vid, now) < ELECTION_MIN_S
-
-    def _tick_leader(self, now: float) -> None:
-        if now - self._quorum_acked_at(now) > ELECTION_MAX_S:
-            self._become_follower(self.term, now)
-            self.leader = None
-            return
-        if self.transferring_to and now > self._transfer_until:
-            # The successor may still act on the order: no lease any more.
-            self._become_follower(self.term, now)
-            self.leader = None
-            return
-        if now >= self._heartbeat_at:
-            self._heartbeat_at = now + HEARTBEAT_S
-            for vid in tuple(self.progress):
-                self._send_append(vid, now)
-        self._drop_silent_learners(now)
-        self._repair_voters(now)
-
-    def _drop_silent_learners(self, now: float) -> None:
-        silent = [
-            vid
-            for vid, progress in self.progress.items()
-            if vid not in self.voter_ids
-            and now - progress.acked_at > 5 * ELECTION_MAX_S
-        ]
-        for vid in silent:
-            del self.progress[vid]
-
-    def _repair_voters(self, now: float) -> None:
-        """Replace a lost incarnation by its caught-up successor.
-
-        The successor is added before the lost one is removed, and each step
-        is one change of one voter that must commit before the next.
-        """
-        settled = self.log.voters_index <= self.commit
-        if not settled or self.commit < self._term_start:
-            return
-        voters = self.log.voters
-        newest = {voter.name: voter.id for voter in voters}
-        lost = next((v for v in voters if newest[v.name] != v.id), None)
-        if lost is not None:
-            target = tuple(v for v in voters if v.id != lost.id)
-            self._append_own(VOTERS, encode_voters(target), now)
-            return
-        for vid, progress in self.progress.items():
-            behind = self.log.last_index - progress.match
-            if (
-                vid not in self.voter_ids
-                and self._answers(vid, now)
-                and progress.match
-                and behind <= CAUGHT_UP_ENTRIES
-            ):
-                target = (*voters, progress.voter)
-                self._append_own(VOTERS, encode_voters(target), now)
-                return
-
-    def _append_own(self, kind: str, data: bytes, now: float) -> int:
-        entry = LogEntry(
-            index=self.log.last_index + 1,
-            term=self.term,
-            kind=kind,
-            data=data,
-        )
-        self.log.append((entry,))
-        for vid in tuple(self.progress):
-            self._send_append(vid, now)
-        return entry.index
-
-    def _send_append(self, vid: str, now: float) -> None:
-        """Plan a message to a peer; one goes out for all that is new."""
-        self._due[vid] = now
-
-    def _flush_appends(self) -> None:
-        due, self._due = self._due, {}
-        for vid, now in due.items():
-            if vid in self.progress:
-                self._make_append(vid, now)
-
-    def _make_append(self, vid: str, now: float) -> None:
-        progress = self.progress[vid]
-        prev_index = progress.next - 1
-        prev_term = self.log.term_at(prev_index)
-        if prev_term is None:
-            self._send_snapshot(progress, now)
-            return
-        entries = self.log.batch(progress.next)
-        self._messages.append(
-            Append(
-                src=self.me.id,
-                dst=vid,
-                term=self.term,
-                prev_index=prev_index,
-                prev_term=prev_term,
-                commit=self.commit,
-                sent_at=now,
-                lease_age_s=max(0.0, now - self._quorum_acked_at(now)),
-                entries=entries,
-            )
-        )
-        progress.next += len(entries)
-
-    def _send_snapshot(self, progress: Progress, now: float) -> None:
-        waiting = progress.snapshot_at is not None
-        if waiting and now - progress.snapshot_at < SNAPSHOT_RETRY_S:
-            return
-        progress.snapshot_at = now
-        self._messages.append(
-            InstallSnapshot(
-                src=self.me.id,
-                dst=progress.voter.id,
-                term=self.term,
-                snapshot=self.log.full_snapshot,
-                sent_at=now,
-            )
-        )
-
-    def _advance_commit(self, now: float) -> None:
-        matches = sorted(
-            (
-                self._saved_index
-                if vid == self.me.id
-                else self.progress[vid].match
-                for vid in self.voter_ids
-                if vid == self.me.id or vid in self.progress
-            ),
-            reverse=True,
-        )
-        if len(matches) < self._quorum():
-            return
-        index = min(matches[self._quorum() - 1], self.log.last_index)
-        if index <= self.commit or self.log.term_at(index) != self.term:
-            return
-        self.commit = index
-        removed = self.me.id not in self.voter_ids
-        if removed and self.log.voters_index <= self.commit:
-            self._become_follower(self.term, now)
-
-    def _try_transfer(self, now: float) -> None:
-        target = self.transferring_to
-        progress = self.progress.get(target) if target else None
-        if progress is None or progress.match < self.log.last_index:
-            return
-        self._messages.append(
-            TimeoutNow(src=self.me.id, dst=target, term=self.term)
-        )
-
     # Messages
 
     @singledispatchmethod
--- /dev/null
+++ b/chervilshift/core/raft/state.py
@@ -0,0 +1,49 @@
+"""States, timings and records that the parts of a replica share."""
+
+from chervilshift.core.message import Message
+from chervilshift.core.raft.messages import LogEntry, RaftMessage, Snapshot
+
+__all__ = ["CANDIDATE", "FOLLOWER", "LEADER", "HardState", "Ready"]
+
+FOLLOWER = "follower"
+CANDIDATE = "candidate"
+LEADER = "leader"
+
+HEARTBEAT_S = 0.2
+ELECTION_MIN_S = 1.0
+ELECTION_MAX_S = 2.0
+# Shorter than the time for which voters refuse other candidates.
+LEASE_S = 0.8 * ELECTION_MIN_S
+SNAPSHOT_RETRY_S = 2.0
+CAUGHT_UP_ENTRIES = 16
+
+
+class HardState(Message):
+    """What a replica must not forget: its term and its vote in it."""
+
+    term: int = 0
+    vote: str = ""
+
+
+class Ready:
+    """Work for the driver: save first, then send."""
+
+    __slots__ = ("entries", "hard_state", "messages", "snapshot")
+
+    def __init__(
+        self,
+        *,
+        hard_state: HardState | None,
+        entries: tuple[LogEntry, ...],
+        snapshot: Snapshot | None,
+        messages: tuple[RaftMessage, ...],
+    ):
+        self.hard_state = hard_state
+        self.entries = entries
+        self.snapshot = snapshot
+        self.messages = messages
+
+    @property
+    def must_save(self) -> bool:
+        """Whether anything has to be durable before the messages go."""
+        return bool(self.hard_state or self.entries or self.snapshot)
--- a/chervilshift/core/registry.py
+++ b/chervilshift/core/registry.py
@@ -239,6 +239,11 @@
         known = [at for at in times if at is not None]
         return min(known) - now if known else None
 
+    def host_leaves_in(self, host: str, now: float) -> float | None:
+        """Return seconds until a host goes, None without a notice."""
+        deadline = self._host_deadline(host)
+        return None if deadline is None else deadline - now
+
     def get(self, key: str) -> Held | None:
         """Return the item held under `key`."""
         return self._held.get(key)
--- a/chervilshift/entry/directory.py
+++ b/chervilshift/entry/directory.py
@@ -163,9 +163,7 @@
 
     def own_notice(self) -> float | None:
         """Return the seconds until this entry's own host goes."""
-        if self.leaving:
-            return None
-        return self.registry.leaving_in(self._key, self.now())
+        return self.registry.host_leaves_in(self.info.host, self.now())
 
     # The task
 
--- a/chervilshift/entry/process.py
+++ b/chervilshift/entry/process.py
@@ -222,18 +222,17 @@
 
     async def _drain(self, app: EntryApp) -> None:
         """Leave the lookup, serve late callers, finish what runs."""
+        began = self._clock.monotonic()
+        timeout_s = self._settings.drain_timeout_s
         left_s = self.directory.own_notice()
-        until = self._clock.monotonic() + self._settings.drain_timeout_s
-        if left_s is not None:
-            until = self._clock.monotonic() + left_s - GIVE_UP_MARGIN_S
         self._events.emit("draining", notice_s=left_s)
-        self.directory.leave(left_s or self._settings.drain_timeout_s)
-        late_s = self._settings.lookup_ttl_s + LEASE_S
-        await self._wait_until(min(until, self._clock.monotonic() + late_s))
+        self.directory.leave(timeout_s if left_s is None else left_s)
+        late_until = began + self._settings.lookup_ttl_s + LEASE_S
+        await self._sleep_until(late_until, began + timeout_s)
         app.closing = True
         self.sessions.draining = True
         self._calls.draining = True
-        while self._busy() and self._clock.monotonic() < until:
+        while self._busy() and not self._must_end(began + timeout_s):
             await anyio.sleep(POLL_S)
         if self._busy():
             logging.info("%d streams given up", self.sessions.active)
@@ -246,9 +245,16 @@
     def _busy(self) -> bool:
         return bool(self.sessions.active or self._calls.active)
 
-    async def _wait_until(self, at: float) -> None:
-        while (left_s := at - self._clock.monotonic()) > 0:
-            await anyio.sleep(min(left_s, POLL_S))
+    def _must_end(self, until: float) -> bool:
+        """Tell whether time is up; a notice may come while draining."""
+        left_s = self.directory.own_notice()
+        if left_s is not None and left_s < GIVE_UP_MARGIN_S:
+            return True
+        return self._clock.monotonic() >= until
+
+    async def _sleep_until(self, at: float, until: float) -> None:
+        while self._clock.monotonic() < at and not self._must_end(until):
+            await anyio.sleep(POLL_S)
 
 
 def _info(settings: EntrySettings) -> EntryInfo:
--- a/chervilshift/operator.py
+++ b/chervilshift/operator.py
@@ -7,6 +7,7 @@
 
 from chervilshift import errors
 from chervilshift.errors import Failure, PeerUnreachable
+from chervilshift.platform.connection import HTTP_ERRORS
 
 __all__ = ["OperatorClient"]
 
@@ -44,12 +45,7 @@
                 content=content,
                 extensions={"timeout": timeouts},
             )
-        except (
-            httpcore.NetworkError,
-            httpcore.ProtocolError,
-            httpcore.TimeoutException,
-            OSError,
-        ) as exc:
+        except HTTP_ERRORS as exc:
             raise PeerUnreachable(
                 address=self._entry, reason=type(exc).__name__
             ) from exc
--- a/chervilshift/platform/engine.py
+++ b/chervilshift/platform/engine.py
@@ -11,23 +11,20 @@
 import msgspec
 
 from chervilshift.errors import EndpointFailed
+from chervilshift.platform.connection import (
+    CONNECT_TIMEOUT_S,
+    HTTP_ERRORS,
+    NOT_RUN_HEADER,
+    failed,
+)
 
 __all__ = ["Chunk", "EngineClient", "Generate"]
 
-CONNECT_TIMEOUT_S = 1.0
 MAX_CONNECTIONS = 1000
 KEEPALIVE_S = 10.0
 SEPARATOR = b"\n\n"
 DATA = b"data: "
 DONE = b"[DONE]"
-NOT_RUN_HEADER = b"x-not-run"
-CONNECT_ERRORS = (httpcore.ConnectError, httpcore.ConnectTimeout)
-ERRORS = (
-    httpcore.NetworkError,
-    httpcore.ProtocolError,
-    httpcore.TimeoutException,
-    OSError,
-)
 
 
 class Generate(msgspec.Struct, kw_only=True, omit_defaults=True):
@@ -138,7 +135,7 @@
                 content=content,
                 extensions=_timeouts(CONNECT_TIMEOUT_S),
             )
-        except ERRORS:
+        except HTTP_ERRORS:
             return
 
     def _pool(self, address: str) -> httpcore.AsyncConnectionPool:
@@ -167,10 +164,8 @@
                 async with aclosing(_chunks(response)) as chunks:
                     async for chunk in chunks:
                         yield chunk
-        except CONNECT_ERRORS as exc:
-            raise _failed(address, exc, sent=False) from exc
-        except ERRORS as exc:
-            raise _failed(address, exc, sent=True) from exc
+        except HTTP_ERRORS as exc:
+            raise failed(address, exc) from exc
 
 
 async def _chunks(response: httpcore.Response) -> AsyncIterator[Chunk]:
@@ -210,11 +205,6 @@
     return EndpointFailed(endpoint=address, reason=reason, sent=not not_run)
 
 
-def _failed(address: str, exc: Exception, *, sent: bool) -> EndpointFailed:
-    reason = f"{type(exc).__name__} {exc}".strip()
-    return EndpointFailed(endpoint=address, reason=reason, sent=sent)
-
-
 def _timeouts(read_timeout_s: float) -> dict:
     return {
         "timeout": {
--- a/chervilshift/platform/service.py
+++ b/chervilshift/platform/service.py
@@ -7,11 +7,15 @@
 import httpcore
 
 from chervilshift.errors import EndpointFailed
+from chervilshift.platform.connection import (
+    CONNECT_TIMEOUT_S,
+    HTTP_ERRORS,
+    NOT_RUN_HEADER,
+    failed,
+)
 
 __all__ = ["ServiceCall", "ServiceClient", "ServiceReply"]
 
-CONNECT_TIMEOUT_S = 1.0
-NOT_RUN_HEADER = b"x-not-run"
 HOP_HEADERS = frozenset(
     (
         b"authorization",
@@ -29,12 +33,6 @@
     )
 )
 MAX_REPLY_BYTES = 16 << 20
-ERRORS = (
-    httpcore.NetworkError,
-    httpcore.ProtocolError,
-    httpcore.TimeoutException,
-    OSError,
-)
 
 
 class ServiceCall:
@@ -108,10 +106,8 @@
                 content=call.body,
                 extensions={"timeout": timeouts},
             )
-        except (httpcore.ConnectError, httpcore.ConnectTimeout) as exc:
-            raise _failed(address, exc, sent=False) from exc
-        except ERRORS as exc:
-            raise _failed(address, exc, sent=True) from exc
+        except HTTP_ERRORS as exc:
+            raise failed(address, exc) from exc
         finally:
             await connection.aclose()
         return _reply(address, response)
@@ -133,8 +129,3 @@
         for name, value in headers
         if name.lower() not in HOP_HEADERS
     )
-
-
-def _failed(address: str, exc: Exception, *, sent: bool) -> EndpointFailed:
-    reason = f"{type(exc).__name__} {exc}".strip()
-    return EndpointFailed(endpoint=address, reason=reason, sent=sent)
--- a/chervilshift/standins/process.py
+++ b/chervilshift/standins/process.py
@@ -10,6 +10,7 @@
 from absl import logging
 
 from chervilshift.entry.process import HttpServer
+from chervilshift.platform.connection import HTTP_ERRORS
 from chervilshift.standins.engine import EngineStandin
 from chervilshift.standins.service import ServiceStandin
 
@@ -122,12 +123,7 @@
                     content=content,
                     extensions={"timeout": timeouts},
                 )
-        except (
-            httpcore.NetworkError,
-            httpcore.ProtocolError,
-            httpcore.TimeoutException,
-            OSError,
-        ) as exc:
+        except HTTP_ERRORS as exc:
             logging.debug("announce to %s: %s", entry, exc)
             return False
         return response.status == 200
--- a/tests/control/test_storage.py
+++ b/tests/control/test_storage.py
@@ -8,7 +8,7 @@
 
 from chervilshift.control.storage import Disk, Storage
 from chervilshift.core.raft.messages import LogEntry, Snapshot
-from chervilshift.core.raft.node import HardState
+from chervilshift.core.raft.state import HardState
 from chervilshift.errors import CorruptLog, StorageFailed
 
 
--- a/tests/core/raft_world.py
+++ b/tests/core/raft_world.py
@@ -11,7 +11,8 @@
     Voter,
     first_snapshot,
 )
-from chervilshift.core.raft.node import HardState, Raft
+from chervilshift.core.raft.node import Raft
+from chervilshift.core.raft.state import HardState
 
 __all__ = ["World"]
 
--- a/tests/core/test_raft.py
+++ b/tests/core/test_raft.py
@@ -7,7 +7,8 @@
 from hypothesis import strategies as st
 
 from chervilshift.core.raft.messages import first_snapshot
-from chervilshift.core.raft.node import ELECTION_MAX_S, Raft
+from chervilshift.core.raft.node import Raft
+from chervilshift.core.raft.state import ELECTION_MAX_S
 from tests.core.raft_world import World
 
 steps = st.lists(
