--- a/chervilshift/config.py
+++ b/chervilshift/config.py
@@ -139,13 +139,10 @@
     retry_share: Amount = Field(
         0.1, description="Retries allowed, as a share of requests."
     )
-    hedge_share: Amount = Field(
-        0.05, description="Hedged requests allowed, as a share of requests."
-    )
 
 
 class Fleet(_Section):
-    """Prices the choice of host classes goes by."""
+    """Prices of hosts and of the link; no decision uses them yet."""
 
     reclaimable_price: Amount = Field(
         1.0, description="Price of a reclaimable host, per hour."
@@ -168,7 +165,9 @@
     )
     limits: Limits = Field(Limits(), description="Bounds on requests.")
     routing: Routing = Field(Routing(), description="Routing.")
-    fleet: Fleet = Field(Fleet(), description="Prices of hosts.")
+    fleet: Fleet = Field(
+        Fleet(), description="Prices of hosts and of the link."
+    )
 
 
 def hash_key(key: str) -> str:
--- a/chervilshift/core/beliefs.py
+++ b/chervilshift/core/beliefs.py
@@ -183,6 +183,10 @@
             dropped.append(self._blocks.popitem(last=False)[0])
         return tuple(dropped)
 
+    def held_blocks(self) -> tuple[int, ...]:
+        """Return all blocks believed cached."""
+        return tuple(self._blocks)
+
     def removed(self, blocks: tuple[int, ...]) -> None:
         """Stop believing blocks cached."""
         for block in blocks:
--- a/chervilshift/core/budgets.py
+++ b/chervilshift/core/budgets.py
@@ -1,4 +1,4 @@
-"""Budgets that keep retries and hedges a small share of the requests."""
+"""Budgets that keep retries and moves a small share of the requests."""
 
 __all__ = ["RatioBudget"]
 
--- a/chervilshift/core/dispatcher.py
+++ b/chervilshift/core/dispatcher.py
@@ -95,8 +95,7 @@
         current = {info.id: info for info in infos}
         self._usable = frozenset(current)
         for endpoint in tuple(self._beliefs):
-            if endpoint not in current:
-                self._forget_if_idle(endpoint)
+            self._forget_if_gone(endpoint)
         for endpoint, info in current.items():
             belief = self._beliefs.get(endpoint)
             if belief is None:
@@ -130,7 +129,7 @@
             return
         belief.removed(removed)
         for block in removed:
-            self._holders.get(block, {}).pop(endpoint, None)
+            self._unhold(block, endpoint)
         self._believe_cached(belief, stored, now)
 
     def serves(self, target: str) -> bool:
@@ -362,24 +361,31 @@
     ) -> None:
         endpoint = belief.info.id
         for block in belief.stored(blocks, now):
-            self._holders.get(block, {}).pop(endpoint, None)
+            self._unhold(block, endpoint)
         for block in blocks:
             holders = self._holders.setdefault(block, {})
             holders[endpoint] = None
             if len(holders) > HOLDERS_PER_BLOCK:
                 del holders[next(iter(holders))]
 
+    def _unhold(self, block: int, endpoint: str) -> None:
+        """Forget that an endpoint holds a block, and the block with it."""
+        holders = self._holders.get(block)
+        if holders is None:
+            return
+        holders.pop(endpoint, None)
+        if not holders:
+            del self._holders[block]
+
     def _belief_of(self, job_id: str) -> EndpointBelief | None:
         return self._beliefs.get(self._placed.get(job_id, ""))
 
-    def _forget_if_idle(self, endpoint: str) -> None:
-        if not self._beliefs[endpoint].flights:
-            del self._beliefs[endpoint]
-
     def _forget_if_gone(self, endpoint: str) -> None:
         """Drop an endpoint that left while it still had work."""
         belief = self._beliefs.get(endpoint)
         if belief is None or belief.flights:
             return
         if endpoint not in self._usable:
+            for block in belief.held_blocks():
+                self._unhold(block, endpoint)
             del self._beliefs[endpoint]
--- a/chervilshift/entry/process.py
+++ b/chervilshift/entry/process.py
@@ -98,7 +98,6 @@
             directory=self.directory,
             region=self._settings.region,
             rng=SystemRandom(),
-            events=self._events,
         )
         self._recorder = Recorder(
             directory=self.directory,
--- a/chervilshift/entry/scheduler.py
+++ b/chervilshift/entry/scheduler.py
@@ -6,7 +6,7 @@
 from returns.result import Failure as Bad
 from returns.result import Result, Success
 
-from chervilshift.config import Config
+from chervilshift.config import Config, Routing
 from chervilshift.core.budgets import RatioBudget
 from chervilshift.core.dispatcher import Assignment, Dispatcher, Policy
 from chervilshift.core.jobs import Job
@@ -17,13 +17,11 @@
     Failure,
     NoEndpoint,
 )
-from chervilshift.events import EventLog
 
 __all__ = ["Scheduler"]
 
 PUMP_INTERVAL_S = 0.05
 REFRESH_INTERVAL_S = 0.25
-RETRY_AFTER_S = 1
 
 
 class _Waiter:
@@ -53,14 +51,11 @@
         directory: Directory,
         region: str,
         rng: Random,
-        events: EventLog,
     ):
         self.dispatcher = Dispatcher(policy=Policy(), region=region, rng=rng)
-        self.retries = RatioBudget(share=0.1)
-        self.hedges = RatioBudget(share=0.05)
+        self.retries = RatioBudget(share=Routing().retry_share)
         self.running: dict[str, int] = {}
         self._directory = directory
-        self._events = events
         self._waiters: dict[str, _Waiter] = {}
         self._wake = anyio.Event()
         self._reported: dict[str, float] = {}
@@ -71,7 +66,6 @@
         self.dispatcher.policy.long_share = cfg.routing.long_share
         self.dispatcher.admission.wait_s = cfg.routing.queue_wait_s
         self.retries.share = cfg.routing.retry_share
-        self.hedges.share = cfg.routing.hedge_share
 
     def admit(self, job: Job, cfg: Config) -> Result[None, Failure]:
         """Refuse early what can't be served; nothing was sent then."""
@@ -89,7 +83,6 @@
         if not self.dispatcher.admits(job, self._directory.now()):
             return Bad(AtCapacity(customer=job.customer, reason="overload"))
         self.retries.earn()
-        self.hedges.earn()
         return Success(None)
 
     async def acquire(
--- a/chervilshift/entry/session.py
+++ b/chervilshift/entry/session.py
@@ -156,13 +156,15 @@
 
     async def _run_attempts(self) -> None:
         last: Failure | None = None
+        again = self.job.begun
         tries = 0
         while not self.buffer.done and self.failure is None:
             if tries >= MAX_ATTEMPTS:
                 raise StreamLost(
                     request_id=self.request.request_id, reason=str(last)
                 )
-            got = await self._scheduler.acquire(self.job, front=tries > 0)
+            got = await self._scheduler.acquire(self.job, front=again)
+            again = True
             if isinstance(got, Bad):
                 raise self._no_endpoint(got.failure(), last)
             last = await self._attempt_at(got.unwrap())
--- a/tests/core/test_dispatcher.py
+++ b/tests/core/test_dispatcher.py
@@ -70,6 +70,15 @@
     assert len(chosen) <= 2
 
 
+def test_index_of_prefixes_forgets_with_the_endpoint():
+    made = dispatcher(1)
+    made.submit(job("first", blocks=prefix_blocks(PROMPT)))
+    place(made)
+    made.ended("first", 10)
+    made.set_endpoints([], 1.0)
+    assert made._holders == {}
+
+
 def test_long_work_is_bounded_per_endpoint_and_short_passes_it():
     made = dispatcher(1, capacity=4)
     for number in range(4):
--- a/tests/proofs/test_at_most_once.py
+++ b/tests/proofs/test_at_most_once.py
@@ -36,7 +36,7 @@
     headers = {"idempotency-key": key, "x-mark": key}
     try:
         response = caller.request("POST", VISITS, value, headers, timeout)
-    except Exception as exc:  # noqa: BLE001
+    except Exception as exc:
         return 0, exc
     return response.status, response
 
--- a/tests/proofs/test_config.py
+++ b/tests/proofs/test_config.py
@@ -77,7 +77,7 @@
             if ready.status != 200:
                 return
             version = self.cluster.version(entry)
-        except Exception:  # noqa: BLE001
+        except Exception:
             return
         if version < self.seen[entry]:
             self.went_down.append((entry, self.seen[entry], version))
--- a/tests/proofs/test_graceful.py
+++ b/tests/proofs/test_graceful.py
@@ -83,7 +83,7 @@
                 reply = Caller(address).request(
                     "POST", "/svc/booking/visits", 1, headers
                 )
-            except Exception as exc:  # noqa: BLE001
+            except Exception as exc:
                 failures.append(repr(exc))
                 continue
             if reply.status != 200:
--- a/tests/proofs/test_not_run.py
+++ b/tests/proofs/test_not_run.py
@@ -159,7 +159,7 @@
     while True:
         try:
             status, reply = small.caller("e1").json("POST", CHAT, ASK)
-        except Exception:  # noqa: BLE001
+        except Exception:
             break
         if status != 200:
             kinds.add(reply["error"]["type"])
