--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -148,7 +148,7 @@
         cluster.settings["e1"]["rpc_address"] = link.address
         cluster.settings["e2"]["peers"] = [link.address]
         for name in ("e1", "e2"):
-            cluster._write(name)
+            cluster.write(name)
         cluster.start()
         cluster.wait_ready()
         announcers = Announcers(cluster.entries["e1"], count)
--- a/chervilshift/control/process.py
+++ b/chervilshift/control/process.py
@@ -8,6 +8,7 @@
 
 from chervilshift.clock import Clock
 from chervilshift.control.node import Node
+from chervilshift.control.orders import OrderTask
 from chervilshift.control.server import ControlServer
 from chervilshift.control.storage import Identity, Storage
 from chervilshift.core.raft.messages import Voter
@@ -63,6 +64,7 @@
             await tg.start(self.node.run)
             await server.start(host, port)
             tg.start_soon(self._join_while_outside, me)
+            tg.start_soon(self._order_task().run)
             self._events.emit("started", role="control", replica=me.id)
             task_status.started()
             await stop.wait()
@@ -75,6 +77,15 @@
         self._storage.close()
         self._events.emit("stopped", role="control")
 
+    def _order_task(self) -> OrderTask:
+        return OrderTask(
+            node=self.node,
+            entries=tuple(self._settings.entries),
+            clients=self._clients,
+            clock=self._clock,
+            events=self._events,
+        )
+
     def _identity(self) -> Identity:
         """Return the identity; an empty folder gets a new one."""
         identity = self._storage.identity()
--- /dev/null
+++ b/chervilshift/platform/orders.py
@@ -0,0 +1,33 @@
+"""Adapter for orders to endpoints, over HTTP."""
+
+import httpcore
+import msgspec
+
+from chervilshift.core.orders import ORDER_TIMEOUT_S, Order
+from chervilshift.platform.connection import HTTP_ERRORS
+
+__all__ = ["OrderClient"]
+
+
+class OrderClient:
+    """Sends orders; what they came to is read back from announcements."""
+
+    __slots__ = ()
+
+    async def send(self, order: Order) -> bool:
+        """Send one order; tell whether the endpoint took it."""
+        timeouts = dict.fromkeys(("connect", "read", "write"), ORDER_TIMEOUT_S)
+        content = msgspec.json.encode(
+            {"token": order.token, "adapters": order.adapters}
+        )
+        try:
+            async with httpcore.AsyncConnectionPool() as pool:
+                response = await pool.request(
+                    "POST",
+                    f"http://{order.address}/v1/orders",
+                    content=content,
+                    extensions={"timeout": timeouts},
+                )
+        except HTTP_ERRORS:
+            return False
+        return response.status == 200
--- a/chervilshift/settings.py
+++ b/chervilshift/settings.py
@@ -68,6 +68,7 @@
     data_folder: Path
     control: list[Address]
     voters: list[VoterSettings] = []
+    entries: list[Address] = []
     rpc_address: Address | None = None
 
 
--- a/chervilshift/standins/engine.py
+++ b/chervilshift/standins/engine.py
@@ -39,6 +39,8 @@
     end_early: int = 0
     refuse: bool = False
     unseeded: bool = False
+    checks_fencing: bool = True
+    load_ms: float = 50.0
 
 
 class _Generation:
@@ -69,6 +71,9 @@
         self.prefilled_tokens = 0
         self.running = 0
         self.leaving = False
+        self.adapters: tuple[str, ...] = ()
+        self.orders: list[dict] = []
+        self._token = 0
         self._generations: dict[str, _Generation] = {}
         self._limiter = anyio.Semaphore(behaviour.capacity)
         self._tasks: TaskGroup | None = None
@@ -84,6 +89,7 @@
                 Route("/v1/generate", self._generate, methods=["POST"]),
                 Route("/v1/resume", self._resume, methods=["POST"]),
                 Route("/v1/cancel", self._cancel, methods=["POST"]),
+                Route("/v1/orders", self._order, methods=["POST"]),
                 Route("/standin", self._control, methods=["GET", "POST"]),
             ]
         )
@@ -91,7 +97,12 @@
     def load(self) -> dict:
         """Return the load as announced."""
         running = min(self.running, self.behaviour.capacity)
-        return {"running": running, "waiting": self.running - running}
+        return {
+            "running": running,
+            "waiting": self.running - running,
+            "adapters": self.adapters,
+            "checks_fencing": self.behaviour.checks_fencing,
+        }
 
     async def _generate(self, request: Request) -> Response:
         if self.behaviour.refuse or self.leaving:
@@ -128,6 +139,19 @@
             generation.scope.cancel()
         return JSONResponse({"cancelled": known})
 
+    async def _order(self, request: Request) -> Response:
+        """Load adapters; an old fencing token is refused or ignored."""
+        order = await request.json()
+        old = order["token"] < self._token
+        taken = not (old and self.behaviour.checks_fencing)
+        self.orders.append({**order, "taken": taken})
+        if not taken:
+            return Response(status_code=409)
+        self._token = max(self._token, order["token"])
+        await anyio.sleep(self.behaviour.load_ms / 1e3)
+        self.adapters = tuple(order["adapters"])
+        return Response()
+
     async def _control(self, request: Request) -> Response:
         if request.method == "POST":
             known = msgspec.to_builtins(self.behaviour)
@@ -138,6 +162,8 @@
                 "executions": self.executions,
                 "running": self.running,
                 "prefilled_tokens": self.prefilled_tokens,
+                "adapters": self.adapters,
+                "orders": self.orders,
             }
         )
 
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -236,7 +236,7 @@
                     for index, other in enumerate(names)
                 ],
             }
-            self.commands[name] = ["control", self._write(name)]
+            self.commands[name] = ["control", self.write(name)]
             self._run_to_end([*self.commands[name], "--format"])
 
     def add_entry(self, name: str, number: int = 0, **settings) -> None:
@@ -260,7 +260,7 @@
             "lookup_ttl_s": 1.0,
             **settings,
         }
-        self.commands[name] = ["entry", self._write(name)]
+        self.commands[name] = ["entry", self.write(name)]
 
     def add_standin(
         self, name: str, kind: str = "engine", number: int = 0, **behaviour
@@ -284,7 +284,7 @@
             "capacity": behaviour.get("capacity", 16),
             "behaviour": behaviour,
         }
-        self.commands[name] = ["standin", self._write(name)]
+        self.commands[name] = ["standin", self.write(name)]
 
     def _control_addresses(self, source: str) -> list[str]:
         return [self.control_links[source, c].address for c in self.controls]
@@ -299,7 +299,7 @@
             "events_folder": str(self.folder / "events"),
         }
 
-    def _write(self, name: str) -> str:
+    def write(self, name: str) -> str:
         path = self.folder / f"{name}.yaml"
         path.write_text(yaml.safe_dump(self.settings[name]))
         return str(path)
