Histograms of first token, gaps and calls; TLS between processes tested

The histograms existed and nothing recorded into them; /metrics shows them now. TLS by settings had no test. absl's line before its flags are parsed broke the JSON-line logs and is gone.

--- a/chervilshift/entry/calls.py
+++ b/chervilshift/entry/calls.py
@@ -85,6 +85,7 @@
             "admitted", request=job.id, customer=customer, service=name
         )
         self.active += 1
+        began = self._directory.now()
         try:
             if call.method in service.repeatable_methods:
                 return await self._repeatable(call, job, service)
@@ -92,6 +93,8 @@
             return await self._at_most_once(call, job, service, key)
         finally:
             self.active -= 1
+            taken_s = self._directory.now() - began
+            self._metrics.observe("service_call", taken_s)
 
     async def _repeatable(
         self, call: ServiceCall, job: Job, service: Service
--- a/chervilshift/entry/session.py
+++ b/chervilshift/entry/session.py
@@ -91,6 +91,7 @@
         self._scope = anyio.CancelScope()
         self._stopped = False
         self._may_have_run = epoch > 1
+        self._observed = epoch > 1
         self._record_again_at = 0.0
 
     # For readers
@@ -224,9 +225,14 @@
             self.job.deadline_at = self.job.arrived_at + self._deadline_s
             self.job.begun = True
             self._scheduler.dispatcher.first_token(self.job.id, now)
+            if not self._observed:
+                self._observed = True
+                waited_s = now - self.job.arrived_at
+                self._metrics.observe("first_token", waited_s)
         elif new:
             gap_s = (now - attempt.last_at) / len(new)
             self._scheduler.dispatcher.token_gap(self.job.id, gap_s, now)
+            self._metrics.observe("token_gap", gap_s)
         if chunk.finish_reason:
             total = chunk.offset + len(chunk.tokens)
             self.buffer.finish(attempt.number, total, chunk.finish_reason)
--- a/chervilshift/logs.py
+++ b/chervilshift/logs.py
@@ -5,7 +5,7 @@
 import sys
 from datetime import UTC, datetime
 
-from absl import logging
+from absl import flags, logging
 
 __all__ = ["setup"]
 
@@ -32,6 +32,8 @@
 
 def setup(*, process: str, verbosity: str = "info") -> None:
     """Send this process's logs to stderr as JSON lines."""
+    # Nothing here is set by flags, and absl warns until they are parsed.
+    flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
     handler = logging.get_absl_handler()
     handler.python_handler.stream = sys.stderr
--- a/tests/test_cmdline.py
+++ b/tests/test_cmdline.py
@@ -161,3 +161,8 @@
     assert caller.request("GET", "/healthz").status == 200
     text = caller.request("GET", "/metrics").content.decode()
     assert "chervilshift_events_started_total 1" in text
+    stream = caller.chat("measured", max_tokens=20)
+    stream.read()
+    text = caller.request("GET", "/metrics").content.decode()
+    for name in ("first_token", "token_gap"):
+        assert f'chervilshift_{name}_seconds{{quantile="0.95"}}' in text
--- /dev/null
+++ b/tests/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, by the package they mirror."""
--- /dev/null
+++ b/tests/wire/test_rpc.py
@@ -0,0 +1,110 @@
+"""Calls between processes: keys, TLS, deadlines, failures."""
+
+import ssl
+
+import anyio
+import pytest
+import trustme
+from returns.result import Failure as Bad
+
+from chervilshift.clock import SystemClock
+from chervilshift.errors import NotLeader, PeerUnreachable
+from chervilshift.events import HybridClock
+from chervilshift.settings import EntrySettings, Tls
+from chervilshift.wire.messages import Ack, ReadVersion, Version
+from chervilshift.wire.rpc import Client, Credentials, RpcServer
+from tests.cluster import free_address
+
+KEY = "a-key-between-processes"
+
+
+async def serve(message):
+    if isinstance(message, ReadVersion):
+        raise NotLeader(leader="elsewhere")
+    await anyio.sleep(0.2)
+    return Version(version=7)
+
+
+def call(server: Credentials, client: Credentials, message, timeout_s=5.0):
+    """Make one call to a server of its own; return the outcome."""
+    address = free_address()
+
+    async def run():
+        hlc = HybridClock(clock=SystemClock())
+        rpc = RpcServer(serve=serve, hlc=hlc, credentials=server)
+        host, _, port = address.rpartition(":")
+        await rpc.start(host, int(port))
+        caller = Client(address=address, hlc=hlc, credentials=client)
+        outcome = await caller.call(message, timeout_s)
+        caller.close()
+        await rpc.close()
+        return outcome
+
+    return anyio.run(run)
+
+
+def plain(key: str = KEY) -> Credentials:
+    return Credentials(key=key)
+
+
+def test_reply_and_typed_failure():
+    assert call(plain(), plain(), Ack()).unwrap() == Version(version=7)
+    failure = call(plain(), plain(), ReadVersion()).failure()
+    assert isinstance(failure, NotLeader)
+    assert failure.fields["leader"] == "elsewhere"
+
+
+def test_wrong_key_is_refused():
+    outcome = call(plain(), plain("another-key-of-some-length"), Ack())
+    assert isinstance(outcome.failure(), PeerUnreachable)
+
+
+def test_deadline_is_kept():
+    outcome = call(plain(), plain(), Ack(), timeout_s=0.05)
+    assert isinstance(outcome.failure(), PeerUnreachable)
+
+
+@pytest.fixture(scope="module")
+def authority():
+    return trustme.CA()
+
+
+def with_tls(authority: trustme.CA, folder) -> Credentials:
+    """Return credentials as the settings make them from files."""
+    cert = authority.issue_cert("127.0.0.1")
+    folder.mkdir()
+    cert.private_key_pem.write_to_path(folder / "key.pem")
+    for blob in cert.cert_chain_pems:
+        blob.write_to_path(folder / "cert.pem", append=True)
+    authority.cert_pem.write_to_path(folder / "ca.pem")
+    settings = EntrySettings(
+        process="e",
+        host="h",
+        failure_domain="f",
+        region="r",
+        rpc_listen="127.0.0.1:1",
+        listen="127.0.0.1:2",
+        cluster_key=KEY,
+        control=[],
+        tls=Tls(
+            certificate=folder / "cert.pem",
+            key=folder / "key.pem",
+            ca=folder / "ca.pem",
+        ),
+    )
+    return settings.credentials()
+
+
+def test_tls_on_both_sides(authority, tmp_path):
+    server = with_tls(authority, tmp_path / "a")
+    client = with_tls(authority, tmp_path / "b")
+    assert call(server, client, Ack()).unwrap() == Version(version=7)
+
+
+def test_tls_refuses_strangers_and_plain_callers(authority, tmp_path):
+    server = with_tls(authority, tmp_path / "a")
+    stranger = with_tls(trustme.CA(), tmp_path / "b")
+    for client in (stranger, plain()):
+        outcome = call(server, client, Ack(), timeout_s=2.0)
+        assert isinstance(outcome, Bad)
+    assert server.server_tls.verify_mode == ssl.CERT_REQUIRED
