--- a/chervilshift/entry/session.py
+++ b/chervilshift/entry/session.py
@@ -164,6 +164,7 @@
                 raise StreamLost(
                     request_id=self.request.request_id, reason=str(last)
                 )
+            self._emit("queued", begun=self.job.begun)
             got = await self._scheduler.acquire(self.job, front=again)
             again = True
             if isinstance(got, Bad):
--- a/tests/test_cmdline.py
+++ b/tests/test_cmdline.py
@@ -129,7 +129,7 @@
     import json
 
     events = [json.loads(line)["event"] for line in done.stdout.splitlines()]
-    assert events == ["admitted", "attempt", "finished"]
+    assert events == ["admitted", "queued", "attempt", "finished"]
 
 
 def test_time_line_is_in_causal_order_over_processes(running):
