A follower that lacks committed entries is not fresh

Ruled out: the entry's watch (it leaves a stale replica), the forwarder (the replica did hear). Freshness is now counted only when the follower has all that the leader committed.

Fails first: test_follower_that_lacks_entries_is_not_fresh... measured 0.5 s of staleness where more than 3 s had passed.

Two proofs read a version before it was in force at that entry (a commit now rides on the next heartbeat); they take it from the reply or wait, with the same assertions. Changes in proofs are resent after a lost reply.

--- a/chervilshift/core/raft/node.py
+++ b/chervilshift/core/raft/node.py
@@ -72,6 +72,7 @@
         self._pre = False
         # A restarted voter may have promised a lease just before.
         self._contact_at = now
+        self._fresh_at = now
         self._leader_age_s = float("inf")
         self._transfer_until = 0.0
         self._heartbeat_at = now
@@ -103,11 +104,13 @@
         """Return an upper bound on the age of the state's freshness.
 
         For a leader, the time since a quorum confirmed it; for a follower,
-        the same as told by the leader, plus the time since it was told.
+        the same as told by the leader, plus the time since it was told. A
+        follower that lacks what the leader has committed is not fresh,
+        however often it hears from it.
         """
         if self.is_leader:
             return max(0.0, now - self._quorum_acked_at(now))
-        return self._leader_age_s + max(0.0, now - self._contact_at)
+        return self._leader_age_s + max(0.0, now - self._fresh_at)
 
     def leader_voter(self) -> Voter | None:
         """Return where the known leader listens."""
@@ -244,13 +247,16 @@
         if message.term < self.term:
             self._reply(message, ok=False, match=self.log.last_index)
             return
-        self._hear_leader(message, message.lease_age_s, now)
+        self._hear_leader(message, now)
         match = self._accept(message)
         if match is None:
             back = min(message.prev_index - 1, self.log.last_index)
             self._reply(message, ok=False, match=max(back, self.commit))
             return
         self.commit = max(self.commit, min(message.commit, match))
+        if self.commit >= message.commit:
+            self._fresh_at = now
+            self._leader_age_s = message.lease_age_s
         self._reply(message, ok=True, match=match)
 
     @_handle.register
@@ -258,7 +264,7 @@
         if message.term < self.term:
             self._reply(message, ok=False, match=self.log.last_index)
             return
-        self._hear_leader(message, float("inf"), now)
+        self._hear_leader(message, now)
         snapshot = message.snapshot
         if snapshot.index > self.commit:
             self.log.reset(snapshot)
@@ -294,13 +300,12 @@
             self._campaign(now, pre=False, transfer=True)
 
     def _hear_leader(
-        self, message: Append | InstallSnapshot, age_s: float, now: float
+        self, message: Append | InstallSnapshot, now: float
     ) -> None:
         if self.role != FOLLOWER:
             self._become_follower(message.term, now)
         self.leader = message.src
         self._contact_at = now
-        self._leader_age_s = age_s
         self._reset_election_timer(now)
 
     def _accept(self, message: Append) -> int | None:
--- a/tests/core/test_raft.py
+++ b/tests/core/test_raft.py
@@ -252,3 +252,22 @@
     old.turn()
     world.run(0.5)
     assert world.leader() is not old
+
+
+def test_follower_that_lacks_entries_is_not_fresh_though_it_hears_much():
+    world = World()
+    world.run(3.0)
+    leader = world.leader()
+    lone = next(n for n in sorted(world.replicas) if n != leader.me.id)
+    # What the follower says is lost, and one entry on its way to it.
+    world.cut = {(lone, name) for name in world.replicas}
+    world.propose()
+    world.messages = [m for m in world.messages if m.dst != lone]
+    world.run(4.0)
+    follower = world.replicas[lone].raft
+    assert world.leader() is leader
+    assert follower.commit < leader.raft.commit
+    assert follower.staleness_s(world.now) > 3.0
+    world.cut = set()
+    world.run(1.0)
+    assert follower.staleness_s(world.now) < 1.0
--- a/tests/proofs/test_config.py
+++ b/tests/proofs/test_config.py
@@ -34,16 +34,26 @@
     return cluster.apply(entry, numbered(number), f"change-{number}", base)
 
 
-def changes(cluster: Cluster, count: int, first: int = 0, entry="e1") -> int:
+def changes(
+    cluster: Cluster, count: int, first: int = 0, entry="e1", at=None
+) -> int:
     """Apply many changes one after another; return the last version."""
-    version = cluster.version(entry)
+    version = cluster.version(entry) if at is None else at
     for number in range(first, first + count):
-        status, reply = change(cluster, number, entry, version)
+        status, reply = resent(cluster, number, entry, version)
         assert status == 200, reply
         version = reply["version"]
     return version
 
 
+def resent(cluster: Cluster, number: int, entry: str, at: int):
+    """Send a change until there is a reply, as operators do."""
+    return eventually(
+        lambda: (got := change(cluster, number, entry, at))[0] < 500 and got,
+        f"a reply to change {number}",
+    )
+
+
 def wait_in_force(cluster: Cluster, version: int, entries=None) -> float:
     """Wait until a version is in force; return how long it took."""
     started = time.monotonic()
@@ -132,9 +142,10 @@
 def test_resend_after_hundreds_of_changes_returns_the_first_result(watched):
     base = watched.version("e1")
     first = change(watched, 0, "e1", base)
-    last = changes(watched, 300, first=1)
+    last = changes(watched, 300, first=1, at=first[1]["version"])
     again = change(watched, 0, "e2", base)
     assert again == first
+    wait_in_force(watched, last)
     assert watched.version("e1") == last
     other = watched.apply("e1", numbered(999), "change-0", base)
     assert other[0] == 422
@@ -237,7 +248,7 @@
     watched.kill(second)
     shutil.rmtree(watched.settings[second]["data_folder"])
     eventually(lambda: change(watched, 500)[0] == 200, "a quorum is left")
-    assert watched.version("e1") > version
+    wait_in_force(watched, version + 1)
     watched.start(second)
     eventually(lambda: change(watched, 501)[0] == 200, "and it goes on")
 
