--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import gc
 import json
 import os
 import statistics
@@ -17,7 +18,10 @@
 
 import fire
 import httpcore
+import msgspec
 
+from chervilshift.core.commands import Claim
+from chervilshift.core.ledger import Ledger
 from tests.cluster import ENDPOINT, Caller, Cluster
 
 __all__ = ["main"]
@@ -30,6 +34,7 @@
 STREAMS = (10, 30, 60)
 CLAIM_CALLERS = (1, 2, 4, 8)
 WATCHERS = (1, 2, 4, 8)
+LEDGER_RECORDS = (20_000, 50_000, 100_000, 200_000)
 GAP_MS = 20
 
 
@@ -366,11 +371,36 @@
     return time.monotonic() - began
 
 
+def ledger() -> list[Points]:
+    """Measure what the ledger's records take, here and in a snapshot."""
+    memory = Points("ledger memory per record", "MB")
+    snapshot = Points("ledger snapshot per record", "B")
+    own = Usage(os.getpid())
+    for count in LEDGER_RECORDS:
+        held = Ledger()
+        before = own.resident_mb()
+        for number in range(count):
+            claim = Claim(
+                customer="qurum",
+                key=f"visit-{number:032d}",
+                digest=f"{number:064d}",
+                owner="0123456789abcdef",
+                attempt=f"{number:016d}",
+            )
+            held.claim(claim, 0.0)
+        memory.add(count, own.resident_mb() - before)
+        snapshot.add(count, len(msgspec.msgpack.encode(held.state())))
+        del held
+        gc.collect()
+    return [memory, snapshot]
+
+
 LINES: dict[str, Callable[[], list[Points]]] = {
     "endpoints": endpoints,
     "streams": streams,
     "claims": claims,
     "watchers": watchers,
+    "ledger": ledger,
 }
 
 
