--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -27,7 +27,7 @@
 WAIT_S = 60.0
 FIRST_PORT = 10_000
 LAST_PORT = 32_000
-PORTS_APART = 100
+PORTS_APART = 1009
 # Runs beside this one start elsewhere in the range.
 START = os.getpid() * PORTS_APART % (LAST_PORT - FIRST_PORT)
 PORTS = itertools.islice(
