Remove what reading the whole change found dead or doubled

No behaviour changes.

Run: lint; tests/core tests/control tests/wire tests/test_config.py 132 passed; proofs of answers and decisions 12, of reclaim and the thin path 8. The full suite was not run again on this commit.

--- a/chervilshift/core/registry.py
+++ b/chervilshift/core/registry.py
@@ -29,7 +29,6 @@
 MAX_ITEMS = 50_000
 
 ENGINE = "engine"
-SERVICE = "service"
 
 
 class LoadReport(Message):
--- a/chervilshift/entry/session.py
+++ b/chervilshift/entry/session.py
@@ -308,7 +308,6 @@
             attempt.check_progress()
             reason = self._reason_to_move(attempt, now)
             if reason:
-                self.job.excluded.add(attempt.endpoint)
                 attempt.move(reason)
 
     def _reason_to_move(self, attempt: Attempt, now: float) -> str:
--- a/chervilshift/platform/service.py
+++ b/chervilshift/platform/service.py
@@ -32,7 +32,6 @@
         b"upgrade",
     )
 )
-MAX_REPLY_BYTES = 16 << 20
 
 
 class ServiceCall:
--- a/chervilshift/standins/launch.py
+++ b/chervilshift/standins/launch.py
@@ -5,14 +5,13 @@
 import anyio
 import msgspec
 
+from chervilshift.core.registry import ENGINE
 from chervilshift.standins.engine import Behaviour, EngineStandin
 from chervilshift.standins.process import StandinProcess, StandinSettings
 from chervilshift.standins.service import ServiceBehaviour, ServiceStandin
 
 __all__ = ["make_standin", "standin_run"]
 
-ENGINE = "engine"
-
 
 def make_standin(settings: StandinSettings, behaviour: dict) -> StandinProcess:
     """Return a stand-in of the kind that the settings name."""
--- a/chervilshift/wire/messages.py
+++ b/chervilshift/wire/messages.py
@@ -6,12 +6,9 @@
 import msgspec
 
 from chervilshift.core.commands import (
-    ApplyConfig,
-    Claim,
     Command,
     CommandReply,
     ConfigDocument,
-    Settle,
 )
 from chervilshift.core.machine import Change
 from chervilshift.core.message import Message
@@ -183,6 +180,3 @@
 
 ENCODER = msgspec.msgpack.Encoder()
 DECODER = msgspec.msgpack.Decoder(Envelope)
-
-# Commands that a resend may repeat: the state machine knows them by id.
-RESENDABLE = (ApplyConfig, Claim, Settle)
