--- a/chervilshift/clock.py
+++ b/chervilshift/clock.py
@@ -23,8 +23,11 @@
     __slots__ = ()
 
     def monotonic(self) -> float:
-        """Return the seconds of the system's monotonic clock."""
-        return time.monotonic()
+        """Return the seconds since boot, suspended time included.
+
+        A lease must not look longer to a suspended host than to others.
+        """
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
 
     def utcnow(self) -> datetime:
         """Return the system's wall-clock time in UTC."""
--- a/chervilshift/cmdline.py
+++ b/chervilshift/cmdline.py
@@ -5,6 +5,7 @@
 """
 
 import json
+import os
 import sys
 import time
 import uuid
@@ -27,9 +28,20 @@
 from chervilshift.events import read_events
 from chervilshift.metrics import Metrics
 from chervilshift.operator import OperatorClient
+from chervilshift.platform.launch import (
+    SETTINGS_VARIABLE,
+    platform_control,
+    platform_gateway,
+)
 from chervilshift.replay import replay_file
 from chervilshift.runner import open_events, run_until_signal
-from chervilshift.settings import ControlSettings, EntrySettings, load
+from chervilshift.settings import (
+    ControlSettings,
+    EntrySettings,
+    GatewaySettings,
+    RoutedControlSettings,
+    load,
+)
 from chervilshift.standins.launch import standin_run
 
 __all__ = ["main"]
@@ -154,11 +166,48 @@
             time.sleep(POLL_S)
 
 
+class RoutedCommands:
+    """Run the processes that route traffic on the users' platform.
+
+    SETTINGS is a settings file, or $CHERVILSHIFT_SETTINGS.
+    """
+
+    def control(self, settings: str = "") -> None:
+        """Run a control process that serves gateways.
+
+        Args:
+            settings: the process's settings file.
+        """
+        cfg = _settings(RoutedControlSettings, _path(settings))
+        logs.setup(process=cfg.process, verbosity=cfg.log_level)
+        clock, events = open_events(
+            cfg.process, cfg.events_folder, stdout=True
+        )
+        process = platform_control(cfg, clock, events)
+        sys.exit(run_until_signal(process.run))
+
+    def gateway(self, settings: str = "") -> None:
+        """Run a gateway: what clients connect to.
+
+        Args:
+            settings: the process's settings file.
+        """
+        cfg = _settings(GatewaySettings, _path(settings))
+        logs.setup(process=cfg.process, verbosity=cfg.log_level)
+        metrics = Metrics()
+        clock, events = open_events(
+            cfg.process, cfg.events_folder, metrics, stdout=True
+        )
+        process = platform_gateway(cfg, clock, events, metrics)
+        sys.exit(run_until_signal(process.run))
+
+
 class Commands:
     """Serve language models and plain services on reclaimable hosts."""
 
     def __init__(self):
         self.config = ConfigCommands()
+        self.routed = RoutedCommands()
 
     def dev(
         self, listen: str = "127.0.0.1:8080", data: str = "data/dev"
@@ -315,6 +364,14 @@
     return loaded.unwrap()
 
 
+def _path(settings: str) -> str:
+    """Return the settings' path, given or named by the platform."""
+    path = settings or os.environ.get(SETTINGS_VARIABLE, "")
+    if not path:
+        raise errors.SettingsRefused(faults="no settings file is named")
+    return path
+
+
 def _document(base: str, overlays: tuple[str, ...]) -> ConfigDocument:
     texts = {}
     for name in overlays:
--- a/chervilshift/control/node.py
+++ b/chervilshift/control/node.py
@@ -1,6 +1,7 @@
 """The task that owns one replica: consensus, storage and state machine."""
 
 import math
+from collections.abc import Callable
 from random import Random
 
 import anyio
@@ -46,6 +47,8 @@
 COMPACT_ENTRIES = 1000
 KEEP_ENTRIES = 200
 TIME_STEP_S = 5.0
+# A full or failing disk is tried again this often.
+DISK_RETRY_S = 0.3
 MAX_PENDING = 2000
 
 COMMANDS = msgspec.msgpack.Decoder(Command)
@@ -90,8 +93,10 @@
         clock: Clock,
         events: EventLog,
         rng: Random,
+        open_membership: bool = False,
     ):
         self.me = me
+        self._open_membership = open_membership
         self._storage = storage
         self._clients = clients
         self._clock = clock
@@ -208,6 +213,7 @@
             hard_state=recovered.hard_state,
             rng=self._rng,
             now=now,
+            open_membership=self._open_membership,
         )
         self._restore(snapshot)
         self._events.emit(
@@ -270,7 +276,7 @@
     async def _save(self, ready: Ready) -> None:
         hard_state = HardState(term=self.raft.term, vote=self.raft.vote)
         if ready.snapshot is not None:
-            saved = await anyio.to_thread.run_sync(
+            await self._persist(
                 self._storage.save_snapshot,
                 ready.snapshot,
                 hard_state,
@@ -279,17 +285,26 @@
             self._restore(ready.snapshot)
             self._events.emit("snapshot_installed", index=ready.snapshot.index)
         else:
-            saved = await anyio.to_thread.run_sync(
-                self._storage.save, hard_state, ready.entries
-            )
-        self._check(saved)
+            await self._persist(self._storage.save, hard_state, ready.entries)
+
+    async def _persist(self, write: Callable, *args: object) -> None:
+        """Write on a thread; with open membership, until it succeeds.
 
-    def _check(self, saved: Result[None, Failure]) -> None:
-        if isinstance(saved, Bad):
+        A replica whose disk refuses writes sends nothing meanwhile, so the
+        others elect a leader without it.
+        """
+        while True:
+            saved = await anyio.to_thread.run_sync(write, *args)
+            if not isinstance(saved, Bad):
+                return
             self._events.emit("storage_failed", reason=str(saved.failure()))
             for proposal in self._pending.values():
                 proposal.finish(Bad(saved.failure()))
-            raise saved.failure()
+            self._pending = {}
+            if not self._open_membership:
+                raise saved.failure()
+            await anyio.sleep(DISK_RETRY_S)
+            await anyio.to_thread.run_sync(self._storage.reopen)
 
     def _restore(self, snapshot: Snapshot) -> None:
         state = STATES.decode(snapshot.data) if snapshot.data else None
@@ -342,10 +357,9 @@
         self.raft.log.compact(snapshot, KEEP_ENTRIES)
         hard_state = HardState(term=self.raft.term, vote=self.raft.vote)
         entries = self.raft.log.between(index + 1, self.raft.log.last_index)
-        saved = await anyio.to_thread.run_sync(
+        await self._persist(
             self._storage.save_snapshot, snapshot, hard_state, entries
         )
-        self._check(saved)
         self._events.emit("compacted", index=index)
 
     def _announce_config(self) -> None:
--- a/chervilshift/control/orders.py
+++ b/chervilshift/control/orders.py
@@ -10,8 +10,8 @@
 from chervilshift.core.commands import IssueFence
 from chervilshift.core.orders import ORDER_TIMEOUT_S, Order, OrderPlanner
 from chervilshift.core.registry import Delta, Pull, Registry
+from chervilshift.endpoints.orders import OrderClient
 from chervilshift.events import EventLog
-from chervilshift.platform.orders import OrderClient
 from chervilshift.wire.rpc import Clients
 
 __all__ = ["OrderTask"]
--- a/chervilshift/control/process.py
+++ b/chervilshift/control/process.py
@@ -4,6 +4,7 @@
 
 import anyio
 from absl import logging
+from anyio.abc import TaskGroup
 from returns.result import Failure as Bad
 
 from chervilshift.clock import Clock
@@ -29,6 +30,8 @@
 class ControlProcess:
     """Runs a replica until told to stop."""
 
+    open_membership = False
+
     def __init__(
         self, *, settings: ControlSettings, clock: Clock, events: EventLog
     ):
@@ -53,9 +56,10 @@
             clock=self._clock,
             events=self._events,
             rng=SystemRandom(),
+            open_membership=self.open_membership,
         )
         server = RpcServer(
-            serve=ControlServer(node=self.node).serve,
+            serve=self._server().serve,
             hlc=self._events.hlc,
             credentials=self._settings.credentials(),
         )
@@ -64,7 +68,7 @@
             await tg.start(self.node.run)
             await server.start(host, port)
             tg.start_soon(self._join_while_outside, me)
-            tg.start_soon(self._order_task().run)
+            await self._start_tasks(tg)
             self._events.emit("started", role="control", replica=me.id)
             task_status.started()
             await stop.wait()
@@ -77,14 +81,18 @@
         self._storage.close()
         self._events.emit("stopped", role="control")
 
-    def _order_task(self) -> OrderTask:
-        return OrderTask(
+    def _server(self) -> ControlServer:
+        return ControlServer(node=self.node)
+
+    async def _start_tasks(self, tg: TaskGroup) -> None:
+        orders = OrderTask(
             node=self.node,
             entries=tuple(self._settings.entries),
             clients=self._clients,
             clock=self._clock,
             events=self._events,
         )
+        tg.start_soon(orders.run)
 
     def _identity(self) -> Identity:
         """Return the identity; an empty folder gets a new one."""
--- /dev/null
+++ b/chervilshift/control/routed.py
@@ -0,0 +1,126 @@
+"""A control process that serves gateways: replica, interfaces, duties."""
+
+from collections.abc import Callable
+
+from anyio.abc import TaskGroup
+
+from chervilshift.clock import Clock
+from chervilshift.control.duties import Cloud, DutyTask
+from chervilshift.control.fleet import Decode, FleetService
+from chervilshift.control.process import (
+    INITIAL_INCARNATION,
+    ControlProcess,
+    split_address,
+)
+from chervilshift.control.server import ControlServer
+from chervilshift.control.storage import Identity
+from chervilshift.core.raft.messages import Voter
+from chervilshift.events import EventLog
+from chervilshift.httpserver import serve_app
+from chervilshift.settings import RoutedControlSettings
+
+__all__ = ["Adapter", "RoutedControl"]
+
+# Callers keep connections to control between announcements.
+IDLE_TIMEOUT_S = 15.0
+
+
+class Adapter:
+    """What an outside protocol brings: its decoder, apps and cloud."""
+
+    __slots__ = ("cloud", "control_app", "decode", "directory_app")
+
+    def __init__(
+        self,
+        *,
+        decode: Decode,
+        control_app: Callable[[FleetService], Callable],
+        directory_app: Callable[[FleetService], Callable],
+        cloud: Cloud,
+    ):
+        self.decode = decode
+        self.control_app = control_app
+        self.directory_app = directory_app
+        self.cloud = cloud
+
+
+class RoutedControl(ControlProcess):
+    """Runs a replica whose cluster finds its members from seeds."""
+
+    open_membership = True
+
+    def __init__(
+        self,
+        *,
+        settings: RoutedControlSettings,
+        adapter: Adapter,
+        clock: Clock,
+        events: EventLog,
+    ):
+        super().__init__(settings=settings, clock=clock, events=events)
+        self._adapter = adapter
+        self.fleet: FleetService | None = None
+
+    def _server(self) -> ControlServer:
+        self.fleet = FleetService(
+            node=self.node,
+            clients=self._clients,
+            decode=self._adapter.decode,
+            beat_s=self._settings.announce_interval_ms / 1000,
+            clock=self._clock,
+            events=self._events,
+        )
+        return ControlServer(node=self.node, fleet=self.fleet)
+
+    async def _start_tasks(self, tg: TaskGroup) -> None:
+        duties = DutyTask(
+            node=self.node,
+            presence=self.fleet.presence,
+            cloud=self._adapter.cloud,
+            serving=self.fleet.serving,
+            usage_window_s=self._settings.usage_window_s,
+            lease_s=self._settings.duty_lease_ms / 1000,
+            clock=self._clock,
+            events=self._events,
+        )
+        tg.start_soon(self.fleet.run)
+        tg.start_soon(duties.run)
+        for app, address in (
+            (self._adapter.control_app, self._settings.api_listen),
+            (self._adapter.directory_app, self._settings.directory_listen),
+        ):
+            await tg.start(self._serve, app(self.fleet), address)
+
+    async def _serve(self, app: Callable, address: str, *, task_status):
+        host, port = split_address(address)
+        await serve_app(
+            app,
+            host,
+            port,
+            idle_timeout_s=IDLE_TIMEOUT_S,
+            task_status=task_status,
+        )
+
+    def _identity(self) -> Identity:
+        """Return the identity; the first voters know each other from seeds.
+
+        An empty folder after the first start is a lost disk: the replica
+        must come back as a new one and ask to join.
+        """
+        identity = self._storage.identity()
+        if identity is not None:
+            return identity
+        me = self._settings.rpc_listen
+        voters = ()
+        if self._settings.bootstrap and me in self._settings.control:
+            voters = tuple(
+                Voter(
+                    name=address,
+                    incarnation=INITIAL_INCARNATION,
+                    address=address,
+                    failure_domain="",
+                )
+                for address in self._settings.control
+            )
+        self._events.emit("formatted", first=bool(voters))
+        return self._storage.format(name=me, voters=voters)
--- a/chervilshift/control/server.py
+++ b/chervilshift/control/server.py
@@ -6,8 +6,16 @@
 from returns.result import Result
 
 from chervilshift.config import validate
+from chervilshift.control.fleet import FleetService
 from chervilshift.control.node import Node
 from chervilshift.core.commands import ApplyConfig
+from chervilshift.core.fleet.sync import (
+    GatewaySync,
+    Heartbeats,
+    ReadServing,
+    ServingDocument,
+    SyncReply,
+)
 from chervilshift.core.message import Message
 from chervilshift.errors import BadRequest, NotLeader
 from chervilshift.wire.messages import (
@@ -34,10 +42,11 @@
 class ControlServer:
     """Maps messages to the node; raises typed failures."""
 
-    __slots__ = ("_node",)
+    __slots__ = ("_fleet", "_node")
 
-    def __init__(self, *, node: Node):
+    def __init__(self, *, node: Node, fleet: FleetService | None = None):
         self._node = node
+        self._fleet = fleet
 
     async def serve(self, message: Message) -> Message:
         """Answer one message."""
@@ -89,6 +98,24 @@
             raise NotLeader(leader=self._node.leader_address())
         return History(changes=self._node.machine.history(message.last))
 
+    @_serve.register
+    async def _(self, message: GatewaySync) -> SyncReply:
+        return self._routed().sync(message)
+
+    @_serve.register
+    async def _(self, message: Heartbeats) -> Ack:
+        self._routed().hear(message)
+        return Ack()
+
+    @_serve.register
+    async def _(self, message: ReadServing) -> ServingDocument:
+        return self._routed().read()
+
+    def _routed(self) -> FleetService:
+        if self._fleet is None:
+            raise BadRequest(reason="this cluster routes no traffic")
+        return self._fleet
+
     @_serve.register
     async def _(self, message: GetControlStatus) -> ControlStatus:
         return self._node.status()
--- a/chervilshift/control/storage.py
+++ b/chervilshift/control/storage.py
@@ -102,12 +102,14 @@
     is not known, and only a restart reads it back.
     """
 
-    __slots__ = ("_disk", "_failed", "_fd", "_folder")
+    __slots__ = ("_disk", "_end", "_failed", "_fd", "_folder")
 
     def __init__(self, *, folder: Path, disk: Disk | None = None):
         self._folder = folder
         self._disk = disk or Disk()
         self._fd = -1
+        # How far the log is known to be durable.
+        self._end = 0
         self._failed: StorageFailed | None = None
 
     def identity(self) -> Identity | None:
@@ -159,6 +161,7 @@
             self._disk.sync(self._fd)
         except OSError as exc:
             return Bad(self._fail(exc))
+        self._end += len(frame)
         return Success(None)
 
     def save_snapshot(
@@ -176,12 +179,26 @@
         try:
             self._write_file(SNAPSHOT_NAME, checked)
             self._write_file(LOG_NAME, frame)
-            os.close(self._fd)
+            self._end = len(frame)
+            self.close()
             self._open(self._folder / LOG_NAME, len(frame))
         except OSError as exc:
             return Bad(self._fail(exc))
         return Success(None)
 
+    def reopen(self) -> Result[None, Failure]:
+        """Cut what a failed write may have left, so that saves can go on.
+
+        What was saved before stays; the failed save has to be repeated.
+        """
+        self.close()
+        try:
+            self._open(self._folder / LOG_NAME, self._end)
+        except OSError as exc:
+            return Bad(self._fail(exc))
+        self._failed = None
+        return Success(None)
+
     def close(self) -> None:
         """Close the log file."""
         if self._fd >= 0:
@@ -198,6 +215,7 @@
         os.ftruncate(self._fd, end)
         os.lseek(self._fd, end, os.SEEK_SET)
         self._disk.sync(self._fd)
+        self._end = end
 
     def _write_file(self, name: str, data: bytes) -> None:
         target = self._folder / name
--- a/chervilshift/core/commands.py
+++ b/chervilshift/core/commands.py
@@ -1,5 +1,13 @@
 """Commands of the replicated state machine and their replies."""
 
+from chervilshift.core.fleet.commands import (
+    AcceptServing,
+    AnnounceEndpoint,
+    CommitUsage,
+    EndpointKnown,
+    ServingAccepted,
+    UsageCommitted,
+)
 from chervilshift.core.message import Message
 
 __all__ = [
@@ -129,5 +137,24 @@
     """The command was applied and has nothing to tell."""
 
 
-Command = ApplyConfig | Claim | Settle | IssueFence | AdvanceTime
-CommandReply = Applied | Conflict | Reused | ClaimReply | Fenced | Ok
+Command = (
+    ApplyConfig
+    | Claim
+    | Settle
+    | IssueFence
+    | AdvanceTime
+    | AcceptServing
+    | AnnounceEndpoint
+    | CommitUsage
+)
+CommandReply = (
+    Applied
+    | Conflict
+    | Reused
+    | ClaimReply
+    | Fenced
+    | Ok
+    | ServingAccepted
+    | EndpointKnown
+    | UsageCommitted
+)
--- /dev/null
+++ b/chervilshift/core/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about routed traffic: routes, endpoints, limits and scaling."""
--- /dev/null
+++ b/chervilshift/core/fleet/limits.py
@@ -0,0 +1,237 @@
+"""Customers' limits as one sum over all gateways.
+
+The leader holds one bucket per customer and grants from it; a gateway spends
+what it was granted. A gateway that can't reach the leader falls back to a
+share of the rate, and the leader sets that share aside as soon as it may be
+in use, so that the sum stays within the limit on both sides of a cut.
+"""
+
+from collections.abc import Iterable
+from itertools import chain
+
+from chervilshift.core.fleet.model import Customer
+
+__all__ = ["LimitAccount", "LimitLedger", "LimitTerms"]
+
+# A gateway without a leader's reply for this long spends its fallback share.
+FALLBACK_AFTER_S = 1.2
+# The leader sets a silent gateway's share aside earlier than it can be used.
+RESERVE_AFTER_S = 0.8
+# Below 1, so that shares set aside late stay inside the tolerance.
+FALLBACK_SHARE = 0.9
+# Prefetched tokens may use up this part of the tolerated overshoot.
+PREFETCH_SHARE = 0.4
+# Prefetching stops when the bucket is below this part of its burst.
+PREFETCH_LEVEL = 0.5
+# A fallback bucket holds at most this many seconds of its rate.
+FALLBACK_BURST_S = 1.0
+
+
+class LimitTerms:
+    """How far the sum may exceed a limit, as the operator tolerates it.
+
+    In a window of `window_s`, `tolerance` is a share of the limit and
+    `slack` an absolute amount on top.
+    """
+
+    __slots__ = ("slack", "tolerance", "window_s")
+
+    def __init__(self, *, window_s: float, tolerance: float, slack: float):
+        self.window_s = window_s
+        self.tolerance = tolerance
+        self.slack = slack
+
+    def prefetch_cap(self, customer: Customer, gateways: int) -> float:
+        """Return what one gateway may hold ahead of its requests."""
+        owed = customer.rate_per_s * self.window_s + customer.burst
+        spare = owed * self.tolerance + self.slack
+        return PREFETCH_SHARE * spare / max(1, gateways)
+
+
+class _Bucket:
+    __slots__ = ("at", "level")
+
+    def __init__(self, *, level: float, at: float):
+        self.level = level
+        self.at = at
+
+    def refill(self, rate: float, burst: float, now: float) -> None:
+        elapsed_s = max(0.0, now - self.at)
+        self.level = min(burst, self.level + rate * elapsed_s)
+        self.at = now
+
+
+class LimitLedger:
+    """The leader's side: grants from one bucket per customer.
+
+    A bucket may go into debt by one grant, so that large requests are
+    granted as readily as small ones.
+    """
+
+    __slots__ = ("_buckets", "_led_since")
+
+    def __init__(self):
+        self._buckets: dict[str, _Bucket] = {}
+        self._led_since: float | None = None
+
+    def step_down(self) -> None:
+        """Forget the buckets: another leader may grant from now on."""
+        self._buckets = {}
+        self._led_since = None
+
+    def grant(
+        self,
+        customers: Iterable[Customer],
+        needed: dict[str, float],
+        prefetch: dict[str, float],
+        silent_share: float,
+        now: float,
+    ) -> dict[str, float]:
+        """Return tokens granted per customer.
+
+        `silent_share` is the part of the known gateways, 0 to 1, that may
+        be spending their fallback shares.
+        """
+        if self._led_since is None:
+            self._led_since = now
+        if now - self._led_since < FALLBACK_AFTER_S:
+            # Gateways that lost the last leader may not have noticed yet.
+            silent_share = 1.0
+        limited = (c for c in customers if c.rate_per_s > 0)
+        grants = {
+            customer.name: self._take(
+                customer,
+                needed.get(customer.name, 0.0),
+                prefetch.get(customer.name, 0.0),
+                silent_share,
+                now,
+            )
+            for customer in limited
+        }
+        return {name: amount for name, amount in grants.items() if amount}
+
+    def _take(
+        self,
+        customer: Customer,
+        needed: float,
+        prefetch: float,
+        silent_share: float,
+        now: float,
+    ) -> float:
+        bucket = self._buckets.setdefault(
+            customer.name, _Bucket(level=0.0, at=now)
+        )
+        reserved = silent_share * FALLBACK_SHARE
+        rate = customer.rate_per_s * max(0.0, 1.0 - reserved)
+        bucket.refill(rate, customer.burst, now)
+        granted = needed if bucket.level > 0 else 0.0
+        bucket.level -= granted
+        left = bucket.level - prefetch
+        if left >= PREFETCH_LEVEL * customer.burst:
+            bucket.level = left
+            granted += prefetch
+        return granted
+
+
+class _Account:
+    __slots__ = ("balance", "fallback", "waiting")
+
+    def __init__(self):
+        self.balance = 0.0
+        self.fallback = _Bucket(level=0.0, at=0.0)
+        self.waiting = 0.0
+
+
+class LimitAccount:
+    """A gateway's side: spends what was granted, or its fallback share."""
+
+    __slots__ = ("_accounts", "_customers", "_gateways", "_led_at", "_terms")
+
+    def __init__(self, *, terms: LimitTerms, now: float):
+        self._terms = terms
+        self._accounts: dict[str, _Account] = {}
+        self._customers: dict[str, Customer] = {}
+        self._gateways = 1
+        self._led_at = now
+
+    def configure(self, customers: Iterable[Customer]) -> None:
+        """Take the customers of a new configuration."""
+        self._customers = {c.name: c for c in customers}
+        for name, account in self._accounts.items():
+            customer = self._customers.get(name)
+            cap = self._cap(customer) if customer else 0.0
+            account.balance = min(account.balance, cap)
+
+    def credit(
+        self, grants: dict[str, float], gateways: int, now: float
+    ) -> None:
+        """Take a leader's reply."""
+        self._led_at = now
+        self._gateways = max(1, gateways)
+        for name, amount in grants.items():
+            self._account(name).balance += amount
+
+    def take(self, customer: Customer, amount: float, now: float) -> bool:
+        """Spend `amount` if the limit allows it here and now."""
+        if customer.rate_per_s <= 0:
+            return True
+        account = self._account(customer.name)
+        if account.balance >= amount:
+            account.balance -= amount
+            return True
+        if not self._fallen_back(now):
+            account.fallback.at = now
+            account.fallback.level = 0.0
+            return False
+        share = FALLBACK_SHARE * customer.rate_per_s / self._gateways
+        account.fallback.refill(share, share * FALLBACK_BURST_S, now)
+        if account.fallback.level <= 0:
+            return False
+        account.fallback.level -= amount
+        return True
+
+    def give_back(self, customer: Customer, amount: float) -> None:
+        """Return what a request did not use: it never ran."""
+        if customer.rate_per_s > 0:
+            self._account(customer.name).balance += amount
+
+    def wait_for(self, name: str, amount: float) -> None:
+        """Note that a request waits for `amount`."""
+        self._account(name).waiting += amount
+
+    def stop_waiting(self, name: str, amount: float) -> None:
+        """Note that a request no longer waits."""
+        account = self._account(name)
+        account.waiting = max(0.0, account.waiting - amount)
+
+    def needed(self) -> dict[str, float]:
+        """Return what waiting requests lack, per customer."""
+        lacks = (
+            (name, account.waiting - account.balance)
+            for name, account in self._accounts.items()
+            if account.waiting
+        )
+        return {name: amount for name, amount in lacks if amount > 0}
+
+    def prefetch(self) -> dict[str, float]:
+        """Return what would fill the balances up to what may be held."""
+        names = chain(self._customers)
+        gaps = (
+            (name, self._cap(self._customers[name]) - self._balance(name))
+            for name in names
+            if self._customers[name].rate_per_s > 0
+        )
+        return {name: gap for name, gap in gaps if gap > 0}
+
+    def _fallen_back(self, now: float) -> bool:
+        return now - self._led_at > FALLBACK_AFTER_S
+
+    def _cap(self, customer: Customer) -> float:
+        return self._terms.prefetch_cap(customer, self._gateways)
+
+    def _balance(self, name: str) -> float:
+        account = self._accounts.get(name)
+        return account.balance if account else 0.0
+
+    def _account(self, name: str) -> _Account:
+        return self._accounts.setdefault(name, _Account())
--- /dev/null
+++ b/chervilshift/core/fleet/retries.py
@@ -0,0 +1,51 @@
+"""The budget for attempts beyond the first, per service."""
+
+__all__ = ["RetryBudget", "RetryTerms"]
+
+# Part of the allowed ratio that one gateway plans with; the rest covers
+# windows in which requests and retries fall apart.
+RATIO_SHARE = 0.5
+
+
+class RetryTerms:
+    """Allowed retries over all gateways: a ratio of requests plus `extra`.
+
+    Both are counted in windows of `window_s`.
+    """
+
+    __slots__ = ("extra", "ratio", "window_s")
+
+    def __init__(self, *, ratio: float, extra: float, window_s: float):
+        self.ratio = ratio
+        self.extra = extra
+        self.window_s = window_s
+
+
+class RetryBudget:
+    """A gateway's part of a service's budget.
+
+    It earns by requests, and its part of `extra` is regained evenly over
+    two windows, so that no window sees more than the whole part.
+    """
+
+    __slots__ = ("_at", "_permits", "_terms")
+
+    def __init__(self, *, terms: RetryTerms, now: float):
+        self._terms = terms
+        self._at = now
+        self._permits = 0.0
+
+    def earn(self) -> None:
+        """Note a client's request."""
+        self._permits += RATIO_SHARE * self._terms.ratio
+
+    def spend(self, gateways: int, now: float) -> bool:
+        """Take one permit if there is one."""
+        most = self._terms.extra / 2 / max(1, gateways)
+        regained = most * (now - self._at) / self._terms.window_s
+        self._permits = min(most, self._permits + regained)
+        self._at = now
+        if self._permits < 1:
+            return False
+        self._permits -= 1
+        return True
--- a/chervilshift/core/machine.py
+++ b/chervilshift/core/machine.py
@@ -22,6 +22,12 @@
     Reused,
     Settle,
 )
+from chervilshift.core.fleet.commands import (
+    AcceptServing,
+    AnnounceEndpoint,
+    CommitUsage,
+)
+from chervilshift.core.fleet.state import FleetSnapshot, FleetState
 from chervilshift.core.ledger import Ledger, LedgerState
 from chervilshift.core.message import Message
 
@@ -49,6 +55,7 @@
     ledger: LedgerState
     fence: int
     time_s: float
+    fleet: FleetSnapshot = FleetSnapshot()
 
 
 class Machine:
@@ -58,6 +65,7 @@
         "_changes",
         "document",
         "fence",
+        "fleet",
         "ledger",
         "time_s",
         "version",
@@ -69,6 +77,7 @@
         self.fence = state.fence if state else 0
         self.time_s = state.time_s if state else 0.0
         self.ledger = Ledger(state=state.ledger if state else None)
+        self.fleet = FleetState(snapshot=state.fleet if state else None)
         self._changes = {
             change.change_id: change
             for change in (state.changes if state else ())
@@ -87,6 +96,7 @@
             ledger=self.ledger.state(),
             fence=self.fence,
             time_s=self.time_s,
+            fleet=self.fleet.snapshot(),
         )
 
     def history(self, last: int) -> tuple[Change, ...]:
@@ -137,6 +147,12 @@
         self.fence = index
         return Fenced(token=index)
 
+    @_apply.register(AcceptServing)
+    @_apply.register(AnnounceEndpoint)
+    @_apply.register(CommitUsage)
+    def _(self, command: Command, index: int) -> CommandReply:
+        return self.fleet.apply(command, index)
+
     @_apply.register
     def _(self, command: AdvanceTime, index: int) -> Ok:
         self.time_s += command.elapsed_s
--- a/chervilshift/core/raft/election.py
+++ b/chervilshift/core/raft/election.py
@@ -91,5 +91,6 @@
         # An election is no proof of contact for the lease.
         for progress in self.progress.values():
             progress.acked_at = now - LEASE_S
+        self._led_at = now
         self._term_start = self.log.last_index + 1
         self._append_own(NOOP, b"", now)
--- a/chervilshift/core/raft/leadership.py
+++ b/chervilshift/core/raft/leadership.py
@@ -14,6 +14,8 @@
     ELECTION_MAX_S,
     ELECTION_MIN_S,
     HEARTBEAT_S,
+    MIN_VOTERS,
+    REMOVE_AFTER_S,
     SNAPSHOT_RETRY_S,
 )
 
@@ -97,6 +99,30 @@
                 target = (*voters, progress.voter)
                 self._append_own(VOTERS, encode_voters(target), now)
                 return
+        if self.open_membership:
+            self._remove_silent_voter(now)
+
+    def _remove_silent_voter(self, now: float) -> None:
+        """Remove one voter that has long been silent.
+
+        Only while the others all answer: a cut must not shrink the set to
+        those on this side of it, and a silent voter must not be traded for
+        the loss of the next one.
+        """
+        voters = self.log.voters
+        if len(voters) <= MIN_VOTERS or now - self._led_at < REMOVE_AFTER_S:
+            return
+        silent = [
+            v
+            for v in voters
+            if now - self._acked_at(v.id, now) > REMOVE_AFTER_S
+        ]
+        others = [v for v in voters if v not in silent]
+        if len(silent) != 1 or not all(
+            self._answers(v.id, now) for v in others
+        ):
+            return
+        self._append_own(VOTERS, encode_voters(tuple(others)), now)
 
     def _append_own(self, kind: str, data: bytes, now: float) -> int:
         entry = LogEntry(
--- a/chervilshift/core/raft/node.py
+++ b/chervilshift/core/raft/node.py
@@ -42,7 +42,12 @@
 
 
 class Raft(Elections, Leadership):
-    """The replica `me`; all times are monotonic seconds of its process."""
+    """The replica `me`; all times are monotonic seconds of its process.
+
+    With `open_membership` any replica that asks becomes a voter once it has
+    caught up, and a voter that stays silent is removed; it asks again when
+    it returns.
+    """
 
     def __init__(
         self,
@@ -52,8 +57,10 @@
         hard_state: HardState,
         rng: Random,
         now: float,
+        open_membership: bool = False,
     ):
         self.me = me
+        self.open_membership = open_membership
         self.log = log
         self.term = hard_state.term
         self.vote = hard_state.vote
@@ -77,6 +84,7 @@
         self._transfer_until = 0.0
         self._heartbeat_at = now
         self._term_start = 0
+        self._led_at = now
         self._reset_election_timer(now)
 
     # Queries
@@ -156,7 +164,8 @@
             for other in self.log.voters
         ):
             return False
-        if voter.name not in {other.name for other in self.log.voters}:
+        known = {other.name for other in self.log.voters}
+        if voter.name not in known and not self.open_membership:
             return False
         self.progress[voter.id] = Progress(voter=voter, next_index=1, now=now)
         self._send_append(voter.id, now)
--- a/chervilshift/core/raft/state.py
+++ b/chervilshift/core/raft/state.py
@@ -16,6 +16,11 @@
 LEASE_S = 0.8 * ELECTION_MIN_S
 SNAPSHOT_RETRY_S = 2.0
 CAUGHT_UP_ENTRIES = 16
+# A voter that is silent for longer than restarts and short cuts last is
+# taken for gone.
+REMOVE_AFTER_S = 10.0
+# The smallest set that survives the loss of one voter.
+MIN_VOTERS = 3
 
 
 class HardState(Message):
--- /dev/null
+++ b/chervilshift/endpoints/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters to engines, plain services and the cloud."""
--- a/chervilshift/platform/engine.py
+++ b/chervilshift/endpoints/engine.py
@@ -10,13 +10,13 @@
 import httpcore
 import msgspec
 
-from chervilshift.errors import EndpointFailed
-from chervilshift.platform.connection import (
+from chervilshift.endpoints.connection import (
     CONNECT_TIMEOUT_S,
     HTTP_ERRORS,
     NOT_RUN_HEADER,
     failed,
 )
+from chervilshift.errors import EndpointFailed
 
 __all__ = ["Chunk", "EngineClient", "Generate"]
 
--- a/chervilshift/platform/orders.py
+++ b/chervilshift/endpoints/orders.py
@@ -4,7 +4,7 @@
 import msgspec
 
 from chervilshift.core.orders import ORDER_TIMEOUT_S, Order
-from chervilshift.platform.connection import HTTP_ERRORS
+from chervilshift.endpoints.connection import HTTP_ERRORS
 
 __all__ = ["OrderClient"]
 
--- a/chervilshift/platform/service.py
+++ b/chervilshift/endpoints/service.py
@@ -6,13 +6,13 @@
 
 import httpcore
 
-from chervilshift.errors import EndpointFailed
-from chervilshift.platform.connection import (
+from chervilshift.endpoints.connection import (
     CONNECT_TIMEOUT_S,
     HTTP_ERRORS,
     NOT_RUN_HEADER,
     failed,
 )
+from chervilshift.errors import EndpointFailed
 
 __all__ = ["ServiceCall", "ServiceClient", "ServiceReply"]
 
--- a/chervilshift/entry/attempt.py
+++ b/chervilshift/entry/attempt.py
@@ -12,14 +12,14 @@
 from chervilshift.clock import Clock
 from chervilshift.core.dispatcher import Assignment
 from chervilshift.core.registry import EndpointInfo
-from chervilshift.errors import EndpointFailed, Failure
-from chervilshift.events import EventLog
-from chervilshift.platform.engine import (
+from chervilshift.endpoints.engine import (
     Chunk,
     EngineClient,
     Generate,
     Resume,
 )
+from chervilshift.errors import EndpointFailed, Failure
+from chervilshift.events import EventLog
 
 __all__ = ["Attempt"]
 
--- a/chervilshift/entry/calls.py
+++ b/chervilshift/entry/calls.py
@@ -11,6 +11,11 @@
 from chervilshift.core.commands import Reused
 from chervilshift.core.dispatcher import Assignment
 from chervilshift.core.jobs import Job
+from chervilshift.endpoints.service import (
+    ServiceCall,
+    ServiceClient,
+    ServiceReply,
+)
 from chervilshift.entry.claims import Claims
 from chervilshift.entry.directory import Directory
 from chervilshift.entry.http import read_body
@@ -29,11 +34,6 @@
 )
 from chervilshift.events import EventLog
 from chervilshift.metrics import Metrics
-from chervilshift.platform.service import (
-    ServiceCall,
-    ServiceClient,
-    ServiceReply,
-)
 
 __all__ = ["CallHandler"]
 
--- a/chervilshift/entry/claims.py
+++ b/chervilshift/entry/claims.py
@@ -8,8 +8,8 @@
 from returns.result import Result
 
 from chervilshift.core.commands import Claim, ClaimReply, Reused, Settle
+from chervilshift.endpoints.service import ServiceReply
 from chervilshift.errors import Failure
-from chervilshift.platform.service import ServiceReply
 from chervilshift.wire.leader import LeaderClient
 from chervilshift.wire.messages import Submit
 
--- a/chervilshift/entry/process.py
+++ b/chervilshift/entry/process.py
@@ -9,6 +9,8 @@
 from chervilshift.clock import Clock
 from chervilshift.control.process import split_address
 from chervilshift.core.registry import LEASE_S, EntryInfo
+from chervilshift.endpoints.engine import EngineClient
+from chervilshift.endpoints.service import ServiceClient
 from chervilshift.entry.announcements import AnnouncementHandler
 from chervilshift.entry.app import EntryApp
 from chervilshift.entry.auth import Authenticator
@@ -23,9 +25,8 @@
 from chervilshift.entry.sessions import Sessions
 from chervilshift.entry.watch import ConfigWatch
 from chervilshift.events import EventLog
+from chervilshift.httpserver import HttpServer
 from chervilshift.metrics import Metrics
-from chervilshift.platform.engine import EngineClient
-from chervilshift.platform.service import ServiceClient
 from chervilshift.settings import EntrySettings
 from chervilshift.wire.leader import LeaderClient
 from chervilshift.wire.rpc import Clients, RpcServer
@@ -39,22 +40,6 @@
 CLOSE_TIMEOUT_S = 5
 
 
-class HttpServer(uvicorn.Server):
-    """A uvicorn server that leaves signals to the process."""
-
-    def capture_signals(self):
-        """Capture nothing."""
-        return _Nothing()
-
-
-class _Nothing:
-    def __enter__(self) -> None:
-        return None
-
-    def __exit__(self, *exc_info: object) -> None:
-        return None
-
-
 class EntryProcess:
     """Runs an entry until told to stop, then drains it."""
 
--- a/chervilshift/entry/session.py
+++ b/chervilshift/entry/session.py
@@ -10,6 +10,7 @@
 from chervilshift.core.records import RecordPart
 from chervilshift.core.registry import endpoint_key
 from chervilshift.core.stream import StreamBuffer
+from chervilshift.endpoints.engine import Chunk, EngineClient, Generate
 from chervilshift.entry.attempt import Attempt
 from chervilshift.entry.directory import Directory
 from chervilshift.entry.recorder import Recorder, Recording
@@ -17,7 +18,6 @@
 from chervilshift.errors import Failure, NoEndpoint, StreamLost, Superseded
 from chervilshift.events import EventLog
 from chervilshift.metrics import Metrics
-from chervilshift.platform.engine import Chunk, EngineClient, Generate
 
 __all__ = ["Session", "StreamRequest"]
 
--- a/chervilshift/entry/sessions.py
+++ b/chervilshift/entry/sessions.py
@@ -17,6 +17,7 @@
     Takeover,
 )
 from chervilshift.core.registry import EntryInfo
+from chervilshift.endpoints.engine import EngineClient
 from chervilshift.entry.directory import Directory
 from chervilshift.entry.recorder import Recorder
 from chervilshift.entry.scheduler import Scheduler
@@ -24,7 +25,6 @@
 from chervilshift.errors import Draining, Failure, Superseded
 from chervilshift.events import EventLog
 from chervilshift.metrics import Metrics
-from chervilshift.platform.engine import EngineClient
 from chervilshift.wire.rpc import Clients
 
 __all__ = ["Sessions"]
--- a/chervilshift/errors.py
+++ b/chervilshift/errors.py
@@ -11,6 +11,7 @@
     "BodyTooLarge",
     "CannotListen",
     "ChangeIdReused",
+    "CloudRefused",
     "ConfigConflict",
     "ConfigFault",
     "ConfigRefused",
@@ -34,6 +35,10 @@
     "StorageFailed",
     "StreamLost",
     "Superseded",
+    "OverLimit",
+    "Unserved",
+    "UpstreamFailed",
+    "UpstreamTimeout",
     "Unauthorized",
 ]
 
@@ -304,3 +309,43 @@
 
     template = "log {path} is corrupt at byte {offset}"
     remedy = "remove the data folder; the replica rejoins with a new identity"
+
+
+class CloudRefused(Failure):
+    """The cloud did not take a duty call."""
+
+    status = 502
+    template = "the cloud did not take {path}: {reason}"
+    remedy = "the holder repeats the call; look at the cloud if it persists"
+
+
+class OverLimit(Failure):
+    """The customer's limit is spent."""
+
+    status, not_run = 429, True
+    template = "limit of customer {customer} is spent"
+    remedy = "send less, or raise the customer's limit"
+
+
+class Unserved(Failure):
+    """The request can't be served in time; it did not run."""
+
+    status, not_run = 503, True
+    template = "not served: {reason}"
+    remedy = "come back after the time in Retry-After"
+
+
+class UpstreamFailed(Failure):
+    """An endpoint failed under the request, which may have run."""
+
+    status = 502
+    template = "endpoint {endpoint} failed: {reason}"
+    remedy = "retry only what may be repeated"
+
+
+class UpstreamTimeout(Failure):
+    """The route's timeout passed under the request, which may have run."""
+
+    status = 504
+    template = "no answer within {timeout_s} s"
+    remedy = "retry only what may be repeated"
--- /dev/null
+++ b/chervilshift/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The data plane for routed traffic: ingress, dispatch and streams."""
--- /dev/null
+++ b/chervilshift/gateway/dispatch.py
@@ -0,0 +1,476 @@
+"""Serves one request: admission, attempts at endpoints, and its answer."""
+
+from random import Random
+
+import anyio
+
+from chervilshift.clock import Clock
+from chervilshift.core.fleet.model import STREAM, Customer, Route
+from chervilshift.core.fleet.placement import Choice, Work
+from chervilshift.core.fleet.routes import pick_target
+from chervilshift.errors import (
+    EndpointFailed,
+    OverLimit,
+    Unserved,
+    UpstreamFailed,
+    UpstreamTimeout,
+)
+from chervilshift.events import EventLog
+from chervilshift.gateway.connections import Connections
+from chervilshift.gateway.dialect import Attempt, Call, Dialect
+from chervilshift.gateway.downstream import Downstream
+from chervilshift.gateway.relay import Relay
+from chervilshift.gateway.state import GatewayState
+from chervilshift.gateway.sync import ControlSync
+from chervilshift.gateway.upstream import Reply, Upstream
+from chervilshift.metrics import Metrics
+
+__all__ = ["Dispatcher"]
+
+# A request waits this part of its objective for its customer's limit.
+LIMIT_WAIT_SHARE = 0.5
+# Connections that were refused prove nothing ran; this many are tried.
+CONNECT_TRIES = 3
+# A client that is refused for a moment's reason may come back after this.
+SOON_S = 0.25
+# Output tokens assumed where the client declares none.
+PLAIN_OUTPUT = 0
+PRIORITY_MAX = 9
+
+
+class Exchange:
+    """One request under way and what is known of its attempts.
+
+    `maybe_ran` is true once an endpoint may have run it.
+    """
+
+    __slots__ = (
+        "amount",
+        "arrived_at",
+        "body",
+        "call",
+        "charged",
+        "connects",
+        "counted",
+        "customer",
+        "ends_at",
+        "failures",
+        "maybe_ran",
+        "relay",
+        "route",
+        "sends",
+        "service",
+        "tried",
+        "work",
+    )
+
+    def __init__(
+        self,
+        *,
+        call: Call,
+        route: Route,
+        customer: Customer | None,
+        body: bytes,
+        arrived_at: float,
+        service: str,
+    ):
+        self.call = call
+        self.route = route
+        self.customer = customer
+        self.body = body
+        self.arrived_at = arrived_at
+        self.service = service
+        waits_s = min(call.deadline_s or route.timeout_s, route.timeout_s)
+        self.ends_at = arrived_at + waits_s
+        self.work = Work(
+            tokens=call.prompt_tokens or 0,
+            parts=tuple((p.id, p.tokens) for p in call.parts),
+        )
+        self.amount = _amount(call, customer)
+        self.charged = False
+        self.counted = False
+        self.maybe_ran = False
+        self.sends = 0
+        self.connects = 0
+        self.tried: set[str] = set()
+        self.failures: list[str] = []
+        self.relay: Relay | None = None
+
+    @property
+    def id(self) -> str:
+        """The request's identity, for logs."""
+        return self.call.id.decode("latin-1")
+
+    @property
+    def priority(self) -> int:
+        """The urgency, 0 first; the customer's goes before the route's."""
+        own = self.customer.priority if self.customer else None
+        chosen = self.route.priority if own is None else own
+        return max(0, min(PRIORITY_MAX, chosen))
+
+
+class Dispatcher:
+    """Takes requests through admission and attempts to an answer."""
+
+    def __init__(
+        self,
+        *,
+        state: GatewayState,
+        sync: ControlSync,
+        conns: Connections,
+        dialect: Dialect,
+        clock: Clock,
+        events: EventLog,
+        metrics: Metrics,
+        rng: Random,
+    ):
+        self._state = state
+        self._sync = sync
+        self._conns = conns
+        self._dialect = dialect
+        self._clock = clock
+        self._events = events
+        self._metrics = metrics
+        self._rng = rng
+
+    async def serve(
+        self,
+        call: Call,
+        route: Route,
+        customer: Customer | None,
+        body: bytes,
+        arrived_at: float,
+        down: Downstream,
+    ) -> None:
+        """Answer one request, by its route's timeout at the latest."""
+        service = pick_target(route.targets, self._rng.random())
+        exchange = Exchange(
+            call=call,
+            route=route,
+            customer=customer,
+            body=body,
+            arrived_at=arrived_at,
+            service=service,
+        )
+        left_s = exchange.ends_at - self._clock.monotonic()
+        try:
+            with anyio.move_on_after(max(0.0, left_s)) as scope:
+                await self._serve(exchange, down)
+            if scope.cancelled_caught:
+                await self._time_out(exchange, down)
+        finally:
+            if exchange.charged and not exchange.maybe_ran:
+                self._state.limits.give_back(customer, exchange.amount)
+
+    async def _serve(self, exchange: Exchange, down: Downstream) -> None:
+        if not await self._admit(exchange):
+            await self._refuse(
+                exchange,
+                down,
+                OverLimit(customer=exchange.customer.name),
+                self._limit_wait_s(exchange),
+            )
+            return
+        self._state.budget(exchange.service).earn()
+        while True:
+            choice = self._choose(exchange)
+            if choice is None:
+                await self._give_up(exchange, down, "no endpoint")
+                return
+            if exchange.sends and not self._spend_retry(exchange):
+                await self._give_up(exchange, down, "retry budget is spent")
+                return
+            try:
+                await self._attempt(exchange, choice, down)
+                return
+            except EndpointFailed as exc:
+                self._note_failure(exchange, choice, exc)
+                if not self._may_retry(exchange, exc):
+                    await self._give_up(exchange, down, str(exc))
+                    return
+
+    # Admission
+
+    async def _admit(self, exchange: Exchange) -> bool:
+        """Charge the customer's limit, waiting a little for a grant."""
+        customer = exchange.customer
+        if customer is None:
+            return True
+        limits = self._state.limits
+        exchange.charged = limits.take(
+            customer, exchange.amount, self._clock.monotonic()
+        )
+        if exchange.charged:
+            return True
+        limits.wait_for(customer.name, exchange.amount)
+        wait_s = LIMIT_WAIT_SHARE * exchange.route.objective_s
+        try:
+            with anyio.move_on_after(wait_s):
+                while not exchange.charged:
+                    await self._sync.refresh()
+                    exchange.charged = limits.take(
+                        customer, exchange.amount, self._clock.monotonic()
+                    )
+        finally:
+            limits.stop_waiting(customer.name, exchange.amount)
+        return exchange.charged
+
+    def _limit_wait_s(self, exchange: Exchange) -> float:
+        """Return when the limit will have room again."""
+        customer = exchange.customer
+        return SOON_S + exchange.amount / max(1.0, customer.rate_per_s)
+
+    # Attempts
+
+    def _choose(self, exchange: Exchange) -> Choice | None:
+        table = self._state.table
+        spec = table.cfg.services.get(exchange.service)
+        if spec is None:
+            return None
+        return self._state.placement.choose(
+            spec,
+            exchange.work,
+            self._clock.monotonic(),
+            frozenset(exchange.tried),
+        )
+
+    def _spend_retry(self, exchange: Exchange) -> bool:
+        return self._state.budget(exchange.service).spend(
+            self._state.gateways, self._clock.monotonic()
+        )
+
+    def _may_retry(self, exchange: Exchange, exc: EndpointFailed) -> bool:
+        sent = exc.fields.get("sent", True)
+        if not sent and not exchange.sends:
+            return exchange.connects < CONNECT_TRIES
+        if exchange.sends >= exchange.route.attempts:
+            return False
+        return exchange.route.repeatable or not exchange.maybe_ran
+
+    def _note_failure(
+        self, exchange: Exchange, choice: Choice, exc: EndpointFailed
+    ) -> None:
+        reason = str(exc.fields.get("reason", ""))
+        exchange.failures.append(f"{choice.endpoint.id}: {reason}")
+        exchange.tried.add(choice.endpoint.id)
+        self._metrics.count("attempts_failed")
+
+    async def _attempt(
+        self, exchange: Exchange, choice: Choice, down: Downstream
+    ) -> None:
+        endpoint = choice.endpoint
+        endpoint.active += 1
+        endpoint.prefill_tokens += choice.unread_tokens
+        unread = [choice.unread_tokens]
+
+        def begun() -> None:
+            endpoint.prefill_tokens -= unread[0]
+            unread[0] = 0
+
+        try:
+            await self._send(exchange, choice, down, begun)
+        finally:
+            endpoint.active -= 1
+            begun()
+
+    async def _send(
+        self, exchange: Exchange, choice: Choice, down: Downstream, begun
+    ) -> None:
+        record = choice.endpoint.record
+        try:
+            up = await Upstream.connect(
+                record.id, record.address, self._conns, self._dialect
+            )
+        except EndpointFailed:
+            exchange.connects += 1
+            choice.endpoint.failed(self._clock.monotonic(), rest=True)
+            raise
+        async with up:
+            sent_at = self._clock.monotonic()
+            exchange.sends += 1
+            before = exchange.maybe_ran
+            exchange.maybe_ran = True
+            try:
+                reply = await up.send(
+                    exchange.call.method,
+                    record.address,
+                    exchange.call.target,
+                    self._headers(exchange, record.id, sent_at),
+                    exchange.body,
+                    exchange.call.id,
+                )
+            except EndpointFailed as exc:
+                choice.endpoint.failed(self._clock.monotonic(), rest=False)
+                if not exc.fields.get("sent", True):
+                    exchange.maybe_ran = before
+                raise
+            if exchange.route.kind == STREAM and reply.ok:
+                await self._relay(
+                    exchange, choice, up, reply, down, begun, sent_at
+                )
+            else:
+                await self._pass_on(exchange, choice, up, reply, down, sent_at)
+
+    def _headers(self, exchange: Exchange, endpoint_id: str, now: float):
+        resumed = exchange.relay.last_id if exchange.relay else None
+        if resumed is None:
+            resumed = exchange.call.last_event_id
+        attempt = Attempt(
+            endpoint_id=endpoint_id,
+            customer=exchange.customer.name if exchange.customer else "",
+            left_s=exchange.ends_at - now,
+            priority=exchange.priority,
+            last_event_id=resumed,
+        )
+        return self._dialect.attempt_headers(exchange.call, attempt)
+
+    async def _pass_on(
+        self,
+        exchange: Exchange,
+        choice: Choice,
+        up: Upstream,
+        reply: Reply,
+        down: Downstream,
+        sent_at: float,
+    ) -> None:
+        """Pass a whole reply on, or try again where that is allowed."""
+        body = await up.read(reply)
+        now = self._clock.monotonic()
+        self._begun(exchange)
+        failed = reply.status >= 500
+        again = (
+            failed
+            and exchange.route.repeatable
+            and exchange.sends < exchange.route.attempts
+            and down.started is False
+        )
+        if again:
+            raise EndpointFailed(
+                endpoint=choice.endpoint.id,
+                reason=f"status {reply.status}",
+                sent=True,
+            )
+        if not failed:
+            choice.endpoint.succeeded(now)
+            choice.endpoint.observe_call(now - sent_at)
+        if exchange.relay is not None and exchange.relay.started:
+            # A failure can't be spliced into a stream that has begun.
+            raise EndpointFailed(
+                endpoint=choice.endpoint.id,
+                reason=f"status {reply.status}",
+                sent=True,
+            )
+        headers = [
+            (name, value)
+            for name, value in self._dialect.reply_headers(reply.headers)
+            if name != b"content-length"
+        ]
+        headers.append((b"content-length", str(len(body)).encode()))
+        await down.start(reply.status, headers)
+        await down.finish(body)
+        self._finish(exchange, str(reply.status))
+
+    async def _relay(
+        self,
+        exchange: Exchange,
+        choice: Choice,
+        up: Upstream,
+        reply: Reply,
+        down: Downstream,
+        begun,
+        sent_at: float,
+    ) -> None:
+        """Relay a stream's events, spliced behind those already relayed."""
+        if exchange.relay is None:
+            exchange.relay = Relay(down=down)
+        relay = exchange.relay
+        first = True
+        relay.take_head(
+            reply.status, self._dialect.reply_headers(reply.headers)
+        )
+        async for chunk in up.iterate(reply):
+            if first and await relay.feed(chunk):
+                first = False
+                begun()
+                now = self._clock.monotonic()
+                choice.endpoint.remember(exchange.work)
+                choice.endpoint.observe_first(choice.wait_s, now - sent_at)
+                choice.endpoint.succeeded(now)
+                self._metrics.observe("first_event", now - exchange.arrived_at)
+                self._begun(exchange)
+            elif not first:
+                await relay.feed(chunk)
+        await relay.finish()
+        self._finish(exchange, "whole")
+
+    def _begun(self, exchange: Exchange) -> None:
+        """Count a request once an endpoint is known to have begun it."""
+        if exchange.customer is None or exchange.counted:
+            return
+        exchange.counted = True
+        wall_s = self._clock.utcnow().timestamp()
+        self._state.usage.begun(exchange.customer.name, wall_s)
+
+    # Ends
+
+    async def _give_up(
+        self, exchange: Exchange, down: Downstream, reason: str
+    ) -> None:
+        if exchange.maybe_ran:
+            failure = UpstreamFailed(
+                endpoint=", ".join(exchange.tried) or "?", reason=reason
+            )
+        else:
+            failure = Unserved(reason=reason)
+        await self._refuse(exchange, down, failure, SOON_S)
+
+    async def _time_out(self, exchange: Exchange, down: Downstream) -> None:
+        timeout_s = exchange.ends_at - exchange.arrived_at
+        if exchange.maybe_ran:
+            failure = UpstreamTimeout(timeout_s=round(timeout_s, 3))
+        else:
+            failure = Unserved(reason="timed out before it was sent")
+        await self._refuse(exchange, down, failure, SOON_S)
+
+    async def _refuse(
+        self,
+        exchange: Exchange,
+        down: Downstream,
+        failure,
+        retry_after_s: float,
+    ) -> None:
+        self._finish(exchange, failure.name, str(failure))
+        if down.started:
+            # The answer ends without its end; it must not look complete.
+            return
+        await down.refuse(failure, retry_after_s)
+
+    def _finish(
+        self, exchange: Exchange, outcome: str, reason: str = ""
+    ) -> None:
+        self._metrics.count(f"requests_{outcome.lower()}")
+        took_s = self._clock.monotonic() - exchange.arrived_at
+        late = took_s > exchange.route.objective_s
+        if not reason and not exchange.failures and not late:
+            return
+        self._events.emit(
+            "request",
+            request=exchange.id,
+            route=exchange.route.name,
+            service=exchange.service,
+            outcome=outcome,
+            reason=reason,
+            attempts=exchange.sends,
+            failures=exchange.failures,
+            took_s=round(took_s, 3),
+            version=self._state.version,
+        )
+
+
+def _amount(call: Call, customer: Customer | None) -> float:
+    """Return what a request costs of its customer's limit."""
+    if customer is None or not customer.by_tokens:
+        return 1.0
+    if call.prompt_tokens is None:
+        return customer.plain_tokens
+    return float(call.prompt_tokens + (call.output_tokens or 0))
--- /dev/null
+++ b/chervilshift/gateway/state.py
@@ -0,0 +1,97 @@
+"""What a gateway knows: configuration, endpoints, limits, budgets."""
+
+from collections.abc import Callable
+
+from absl import logging
+from returns.result import Failure as Bad
+from returns.result import Result
+
+from chervilshift.clock import Clock
+from chervilshift.core.fleet.limits import LimitAccount, LimitTerms
+from chervilshift.core.fleet.model import ServingConfig
+from chervilshift.core.fleet.placement import Placement
+from chervilshift.core.fleet.retries import RetryBudget, RetryTerms
+from chervilshift.core.fleet.routes import RouteTable
+from chervilshift.core.fleet.sync import GatewayInfo, GatewaySync, SyncReply
+from chervilshift.core.fleet.usage import UsageCounter
+from chervilshift.errors import Failure
+from chervilshift.events import EventLog
+
+__all__ = ["GatewayState"]
+
+
+class GatewayState:
+    """Held by the tasks of one gateway; changed by control's replies."""
+
+    def __init__(
+        self,
+        *,
+        info: Callable[[], GatewayInfo],
+        placement: Placement,
+        limit_terms: LimitTerms,
+        retry_terms: RetryTerms,
+        usage_window_s: float,
+        decode: Callable[[bytes], Result[ServingConfig, Failure]],
+        clock: Clock,
+        events: EventLog,
+    ):
+        self._info = info
+        self._decode = decode
+        self._clock = clock
+        self._events = events
+        self._retry_terms = retry_terms
+        self._budgets: dict[str, RetryBudget] = {}
+        self.placement = placement
+        self.limits = LimitAccount(terms=limit_terms, now=clock.monotonic())
+        self.usage = UsageCounter(window_s=usage_window_s)
+        self.table: RouteTable | None = None
+        self.revision = 0
+        self.gateways = 1
+
+    @property
+    def version(self) -> int:
+        """The version of the configuration in force here, or 0."""
+        return self.table.cfg.version if self.table else 0
+
+    def budget(self, service: str) -> RetryBudget:
+        """Return a service's retry budget."""
+        if service not in self._budgets:
+            self._budgets[service] = RetryBudget(
+                terms=self._retry_terms, now=self._clock.monotonic()
+            )
+        return self._budgets[service]
+
+    def request(self) -> GatewaySync:
+        """Return the gateway's news."""
+        return GatewaySync(
+            gateway=self._info(),
+            version=self.version,
+            revision=self.revision,
+            loads=self.placement.loads(),
+            usage=self.usage.counts(),
+            needed=self.limits.needed(),
+            prefetch=self.limits.prefetch(),
+        )
+
+    def absorb(self, reply: SyncReply) -> None:
+        """Take control's news; older versions change nothing."""
+        if reply.document is not None and reply.version > self.version:
+            self._configure(reply.document)
+        if reply.endpoints is not None and reply.revision > self.revision:
+            self.revision = reply.revision
+            self.placement.update(reply.endpoints)
+        self.gateways = max(1, reply.gateways)
+        if reply.led:
+            now = self._clock.monotonic()
+            self.placement.share(reply.loads)
+            self.limits.credit(reply.grants, self.gateways, now)
+
+    def _configure(self, document: bytes) -> None:
+        decoded = self._decode(document)
+        if isinstance(decoded, Bad):
+            logging.error("document refused: %s", decoded.failure())
+            return
+        cfg = decoded.unwrap()
+        self.table = RouteTable(cfg=cfg)
+        self.limits.configure(cfg.customers)
+        self._events.emit("config", version=cfg.version)
--- a/chervilshift/operator.py
+++ b/chervilshift/operator.py
@@ -6,8 +6,8 @@
 import msgspec
 
 from chervilshift import errors
+from chervilshift.endpoints.connection import HTTP_ERRORS
 from chervilshift.errors import Failure, PeerUnreachable
-from chervilshift.platform.connection import HTTP_ERRORS
 
 __all__ = ["OperatorClient"]
 
--- a/chervilshift/platform/__init__.py
+++ b/chervilshift/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Adapters to engines, plain services and the cloud."""
+"""Adapter to the users' platform: its wire names, and nothing else."""
--- /dev/null
+++ b/chervilshift/platform/cloud.py
@@ -0,0 +1,81 @@
+"""The platform's duty calls: usage reports and orders for endpoints."""
+
+import httpcore
+import msgspec
+from returns.result import Failure as Bad
+from returns.result import Result, Success
+
+from chervilshift.endpoints.connection import HTTP_ERRORS
+from chervilshift.errors import CloudRefused, Failure
+
+__all__ = ["CloudClient"]
+
+# The platform may be slow; a duty call is repeated while its lease lasts.
+CALL_TIMEOUT_S = 1.0
+MAX_CONNECTIONS = 2
+
+
+class CloudClient:
+    """Makes the calls that one holder at a time may make.
+
+    Each call carries the holder's name and its fencing token.
+    """
+
+    __slots__ = ("_holder", "_pool", "_url")
+
+    def __init__(self, *, address: str, holder: str):
+        self._url = f"http://{address}"
+        self._holder = holder
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=MAX_CONNECTIONS, retries=0
+        )
+
+    async def report_usage(
+        self, window: int, counts: dict[str, int], token: int
+    ) -> Result[None, Failure]:
+        """Report the requests begun in a window, by customer."""
+        body = {"window": window, "counts": counts}
+        return await self._post("/usage", body, token)
+
+    async def order(
+        self,
+        service: str,
+        failure_domain: str,
+        count: int,
+        *,
+        spot: bool,
+        token: int,
+    ) -> Result[None, Failure]:
+        """Order a number of endpoints of one kind in a failure domain."""
+        body: dict[str, object] = {
+            "service": service,
+            "zone": failure_domain,
+            "desired": count,
+        }
+        if spot:
+            body["spot"] = True
+        return await self._post("/scale", body, token)
+
+    async def _post(
+        self, path: str, body: dict, token: int
+    ) -> Result[None, Failure]:
+        timeouts = dict.fromkeys(
+            ("connect", "read", "write", "pool"), CALL_TIMEOUT_S
+        )
+        try:
+            response = await self._pool.request(
+                "POST",
+                self._url + path,
+                headers=[
+                    (b"content-type", b"application/json"),
+                    (b"duty-holder", self._holder.encode()),
+                    (b"fence-token", str(token).encode()),
+                ],
+                content=msgspec.json.encode(body),
+                extensions={"timeout": timeouts},
+            )
+        except HTTP_ERRORS as exc:
+            return Bad(CloudRefused(path=path, reason=type(exc).__name__))
+        if response.status != 200:
+            return Bad(CloudRefused(path=path, reason=str(response.status)))
+        return Success(None)
--- /dev/null
+++ b/chervilshift/platform/config.py
@@ -0,0 +1,227 @@
+"""The operator's configuration documents, decoded and checked."""
+
+from collections import Counter
+from itertools import chain
+
+import msgspec
+from returns.result import Failure as Bad
+from returns.result import Result, Success
+
+from chervilshift.core.fleet.model import (
+    SAFE,
+    STREAM,
+    UNSAFE,
+    Customer,
+    EngineSpec,
+    Route,
+    Scaling,
+    ServiceSpec,
+    ServingConfig,
+    ServingLimits,
+    Target,
+)
+from chervilshift.errors import ConfigRefused, Failure
+
+__all__ = ["decode_config"]
+
+TOKEN_UNIT = "token_stream"
+DEFAULT_TIMEOUT_MS = 30_000
+KINDS = (SAFE, UNSAFE, STREAM)
+
+
+class _Split(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct):
+    host: str
+    path_prefix: str
+    kind: str
+    timeout_ms: float = DEFAULT_TIMEOUT_MS
+    name: str = ""
+    # Time within which a reply earns its full value.
+    slo_ms: float = 1000
+    priority: int = 5
+    service: str | None = None
+    split: list[_Split] | None = None
+    attempts: int = 1
+    public: bool = False
+    resumable: bool = False
+    gap_target_ms: float = 0
+
+
+class _Model(msgspec.Struct):
+    name: str
+
+
+class _Engine(msgspec.Struct):
+    slots: int = 1
+    kv_tokens: int = 0
+    models: list[_Model] = []
+
+
+class _Scaling(msgspec.Struct):
+    # Bounds per failure domain, for both kinds of endpoint together.
+    min: int = 0
+    max: int = 0
+    boot_s: float = 0
+    spot_price: float = 1
+    zone_prices: dict[str, float] = {}
+
+
+class _Service(msgspec.Struct):
+    name: str
+    max_conns: int = 100
+    health_path: str = "/health"
+    engine: _Engine | None = None
+    scaling: _Scaling | None = None
+
+
+class _Tenant(msgspec.Struct):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+    unit: str = ""
+    plain_tokens: float = 1
+    rate_per_s: float = 0
+    burst: float = 0
+
+
+class _Limits(msgspec.Struct):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: float = 3000
+    idle_timeout_ms: float = 15_000
+
+
+class _Document(msgspec.Struct):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Tenant] = []
+
+
+DECODER = msgspec.json.Decoder(_Document)
+
+
+def decode_config(document: bytes) -> Result[ServingConfig, Failure]:
+    """Decode a document; fails with ConfigRefused and what is wrong."""
+    try:
+        decoded = DECODER.decode(document)
+    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        return Bad(ConfigRefused(faults=str(exc)))
+    faults = tuple(_faults(decoded))
+    if faults:
+        return Bad(ConfigRefused(faults="\n".join(faults)))
+    return Success(_config(decoded))
+
+
+def _targets(route: _Route) -> tuple[Target, ...]:
+    if route.split:
+        return tuple(
+            Target(service=part.service, weight=part.weight)
+            for part in route.split
+        )
+    return (Target(service=route.service or "", weight=1.0),)
+
+
+def _faults(decoded: _Document):
+    known = {service.name for service in decoded.services}
+    if decoded.version < 1:
+        yield f"version: {decoded.version} is not positive"
+    for route in decoded.routes:
+        label = f"route {route.name or route.path_prefix}"
+        targets = _targets(route)
+        for target in targets:
+            if target.service not in known:
+                yield f"{label}: unknown service {target.service!r}"
+            if target.weight < 0:
+                yield f"{label}: negative weight"
+        if sum(target.weight for target in targets) <= 0:
+            yield f"{label}: the weights add up to 0"
+        if route.timeout_ms <= 0:
+            yield f"{label}: timeout_ms must be positive"
+        if route.kind not in KINDS:
+            yield f"{label}: unknown kind {route.kind!r}"
+    places = Counter((r.host.lower(), r.path_prefix) for r in decoded.routes)
+    for (host, prefix), count in places.items():
+        if count > 1:
+            yield f"{count} routes share {host}{prefix}"
+    keys = Counter(
+        chain.from_iterable(set(t.api_keys) for t in decoded.tenants)
+    )
+    if any(count > 1 for count in keys.values()):
+        yield "two customers share a key"
+
+
+def _config(decoded: _Document) -> ServingConfig:
+    limits = decoded.limits
+    return ServingConfig(
+        version=decoded.version,
+        routes=tuple(_route(route) for route in decoded.routes),
+        services={s.name: _service(s) for s in decoded.services},
+        limits=ServingLimits(
+            header_bytes=limits.max_header_bytes,
+            body_bytes=limits.max_body_bytes,
+            header_timeout_s=limits.header_timeout_ms / 1000,
+            idle_timeout_s=limits.idle_timeout_ms / 1000,
+        ),
+        customers=tuple(_customer(tenant) for tenant in decoded.tenants),
+    )
+
+
+def _route(route: _Route) -> Route:
+    return Route(
+        name=route.name,
+        host=route.host,
+        prefix=route.path_prefix,
+        kind=route.kind,
+        targets=_targets(route),
+        timeout_s=route.timeout_ms / 1000,
+        objective_s=route.slo_ms / 1000,
+        priority=route.priority,
+        attempts=max(1, route.attempts),
+        public=route.public,
+        resumable=route.resumable,
+        gap_s=route.gap_target_ms / 1000,
+    )
+
+
+def _service(service: _Service) -> ServiceSpec:
+    engine = service.engine
+    scaling = service.scaling
+    return ServiceSpec(
+        name=service.name,
+        max_connections=service.max_conns,
+        health_path=service.health_path,
+        engine=None
+        if engine is None
+        else EngineSpec(
+            slots=engine.slots,
+            kv_tokens=engine.kv_tokens,
+            models=tuple(model.name for model in engine.models),
+        ),
+        scaling=None
+        if scaling is None
+        else Scaling(
+            minimum=scaling.min,
+            maximum=scaling.max,
+            boot_s=scaling.boot_s,
+            spot_price=scaling.spot_price,
+            prices=scaling.zone_prices,
+        ),
+    )
+
+
+def _customer(tenant: _Tenant) -> Customer:
+    return Customer(
+        name=tenant.name,
+        keys=tuple(tenant.api_keys),
+        rate_per_s=tenant.rate_per_s,
+        burst=tenant.burst,
+        by_tokens=tenant.unit == TOKEN_UNIT,
+        plain_tokens=tenant.plain_tokens,
+        priority=tenant.priority,
+    )
--- a/chervilshift/runner.py
+++ b/chervilshift/runner.py
@@ -21,11 +21,19 @@
 
 
 def open_events(
-    process: str, folder: Path | None, metrics: Metrics | None = None
+    process: str,
+    folder: Path | None,
+    metrics: Metrics | None = None,
+    *,
+    stdout: bool = False,
 ) -> tuple[Clock, EventLog]:
-    """Return the process's clock and its event log under `folder`."""
+    """Return the process's clock and its event log.
+
+    Events go to a file under `folder`; with `stdout`, and no folder, to
+    standard output.
+    """
     clock = SystemClock()
-    stream = None
+    stream = sys.stdout if stdout else None
     if folder is not None:
         folder.mkdir(parents=True, exist_ok=True)
         path = folder / f"events-{process}.jsonl"
--- a/chervilshift/settings.py
+++ b/chervilshift/settings.py
@@ -13,7 +13,15 @@
 from chervilshift.wire.rpc import Credentials
 from chervilshift.yamldoc import check, read
 
-__all__ = ["ControlSettings", "EntrySettings", "Tls", "load"]
+__all__ = [
+    "ControlSettings",
+    "EntrySettings",
+    "GatewaySettings",
+    "RoutedControlSettings",
+    "RoutedSettings",
+    "Tls",
+    "load",
+]
 
 Address = Annotated[str, Field(pattern=r"^[0-9.]+:[0-9]+$|^\[.*\]:[0-9]+$")]
 
@@ -72,6 +80,61 @@
     rpc_address: Address | None = None
 
 
+class RoutedSettings(ProcessSettings):
+    """What gateways and their control processes have in common.
+
+    `seeds` are public addresses of some control processes, which listen for
+    other processes on the same port as this one. `regions` maps failure
+    domains to regions.
+    """
+
+    seeds: list[Address]
+    regions: dict[str, str]
+    limit_window_s: Annotated[float, Field(gt=0)]
+    limit_tolerance: Annotated[float, Field(ge=0)]
+    limit_slack: Annotated[float, Field(ge=0)]
+    usage_window_s: Annotated[float, Field(gt=0)]
+    metrics_listen: Address | None = None
+
+    @property
+    def control(self) -> list[str]:
+        """Where the seeds listen for other processes."""
+        port = self.rpc_listen.rpartition(":")[2]
+        return [f"{s.rpartition(':')[0]}:{port}" for s in self.seeds]
+
+
+class RoutedControlSettings(RoutedSettings):
+    """Settings of a `control` process that serves gateways.
+
+    `bootstrap` is true only at the first start of a whole cluster; then the
+    seeds are its first voters.
+    """
+
+    data_folder: Path
+    api_listen: Address
+    directory_listen: Address
+    bootstrap: bool = False
+    cloud: Address
+    announce_interval_ms: Annotated[float, Field(gt=0)]
+    duty_lease_ms: Annotated[float, Field(ge=0)]
+
+    @property
+    def rpc_address(self) -> str:
+        """Where other processes reach this one."""
+        return self.rpc_listen
+
+
+class GatewaySettings(RoutedSettings):
+    """Settings of a `gateway` process."""
+
+    listen: Address
+    ready_listen: Address
+    stop_within_s: Annotated[float, Field(gt=0)]
+    retry_ratio: Annotated[float, Field(ge=0)]
+    retry_extra: Annotated[float, Field(ge=0)]
+    retry_window_s: Annotated[float, Field(gt=0)]
+
+
 class EntrySettings(ProcessSettings):
     """Settings of an `entry` process."""
 
--- a/chervilshift/standins/engine.py
+++ b/chervilshift/standins/engine.py
@@ -12,7 +12,7 @@
 from starlette.routing import Route
 
 from chervilshift.core.jobs import CHARS_PER_TOKEN
-from chervilshift.platform.engine import Event, Generate, Resume
+from chervilshift.endpoints.engine import Event, Generate, Resume
 
 __all__ = ["Behaviour", "EngineStandin", "expected_text", "token"]
 
--- a/chervilshift/standins/process.py
+++ b/chervilshift/standins/process.py
@@ -9,8 +9,8 @@
 import uvicorn
 from absl import logging
 
+from chervilshift.endpoints.connection import HTTP_ERRORS
 from chervilshift.entry.process import HttpServer
-from chervilshift.platform.connection import HTTP_ERRORS
 from chervilshift.standins.engine import EngineStandin
 from chervilshift.standins.service import ServiceStandin
 
--- a/chervilshift/wire/messages.py
+++ b/chervilshift/wire/messages.py
@@ -10,6 +10,13 @@
     CommandReply,
     ConfigDocument,
 )
+from chervilshift.core.fleet.sync import (
+    GatewaySync,
+    Heartbeats,
+    ReadServing,
+    ServingDocument,
+    SyncReply,
+)
 from chervilshift.core.machine import Change
 from chervilshift.core.message import Message
 from chervilshift.core.raft.messages import (
@@ -173,6 +180,11 @@
         | FetchRecord
         | RecordReply
         | Takeover
+        | GatewaySync
+        | SyncReply
+        | Heartbeats
+        | ReadServing
+        | ServingDocument
         | Ack
         | FailureReply
     )
