--- a/chervilshift/control/fleet.py
+++ b/chervilshift/control/fleet.py
@@ -15,7 +15,7 @@
     Command,
     CommandReply,
 )
-from chervilshift.core.fleet.limits import LimitLedger
+from chervilshift.core.fleet.limits import LimitLedger, LimitTerms
 from chervilshift.core.fleet.lookup import choose_gateways
 from chervilshift.core.fleet.model import (
     DRAINING,
@@ -69,6 +69,7 @@
         clients: Clients,
         decode: Decode,
         beat_s: float,
+        limit_terms: LimitTerms,
         clock: Clock,
         events: EventLog,
     ):
@@ -79,7 +80,7 @@
         self._clock = clock
         self._events = events
         self.presence = Presence()
-        self._limits = LimitLedger()
+        self._limits = LimitLedger(terms=limit_terms)
         self._leader = LeaderClient(addresses=(), clients=clients, clock=clock)
         self._beats: dict[str, Heartbeat] = {}
         self._heard: dict[str, tuple[int, float]] = {}
@@ -175,6 +176,17 @@
         led = self._node.has_lease()
         newer = fleet.version > message.version
         changed = fleet.revision > message.revision
+        cfg = self.serving()
+        customers = cfg.customers if cfg else ()
+        grants = {}
+        if led:
+            grants = self._limits.grant(
+                customers,
+                message.needed,
+                message.prefetch,
+                self.presence.silent_share(now),
+                now,
+            )
         return SyncReply(
             led=led,
             leader=self._node.leader_address(),
@@ -186,7 +198,8 @@
             document=fleet.document if newer else None,
             endpoints=fleet.endpoints() if changed else None,
             loads=self.presence.loads(message.gateway.id, now),
-            grants=self._grant(message, now) if led else {},
+            grants=grants,
+            waits=self._limits.waits(customers) if led else {},
         )
 
     def hear(self, message: Heartbeats) -> None:
@@ -249,18 +262,6 @@
             dict.fromkeys((*first, *(a for a in others if a != mine)))
         )
 
-    def _grant(self, message: GatewaySync, now: float) -> dict[str, float]:
-        cfg = self.serving()
-        if cfg is None:
-            return {}
-        return self._limits.grant(
-            cfg.customers,
-            message.needed,
-            message.prefetch,
-            self.presence.silent_share(now),
-            now,
-        )
-
     def _hear(self, beat: Heartbeat) -> None:
         self._heard[beat.endpoint] = (beat.born_ms, self._clock.monotonic())
         self._beats[beat.endpoint] = beat
--- a/chervilshift/control/routed.py
+++ b/chervilshift/control/routed.py
@@ -67,6 +67,7 @@
             clients=self._clients,
             decode=self._adapter.decode,
             beat_s=self._settings.announce_interval_ms / 1000,
+            limit_terms=self._settings.limit_terms(),
             clock=self._clock,
             events=self._events,
         )
--- a/chervilshift/core/fleet/limits.py
+++ b/chervilshift/core/fleet/limits.py
@@ -23,6 +23,9 @@
 PREFETCH_SHARE = 0.4
 # Prefetching stops when the bucket is below this part of its burst.
 PREFETCH_LEVEL = 0.5
+# A grant may put a bucket into debt by this part of the tolerated slack, so
+# that large requests are granted as readily as small ones.
+DEBT_SHARE = 0.25
 # A fallback bucket holds at most this many seconds of its rate.
 FALLBACK_BURST_S = 1.0
 
@@ -64,13 +67,14 @@
 class LimitLedger:
     """The leader's side: grants from one bucket per customer.
 
-    A bucket may go into debt by one grant, so that large requests are
-    granted as readily as small ones.
+    `needed` sums all requests that wait at a gateway, so what one grant may
+    overdraw is bounded.
     """
 
-    __slots__ = ("_buckets", "_led_since")
+    __slots__ = ("_buckets", "_debt", "_led_since")
 
-    def __init__(self):
+    def __init__(self, *, terms: LimitTerms):
+        self._debt = DEBT_SHARE * terms.slack
         self._buckets: dict[str, _Bucket] = {}
         self._led_since: float | None = None
 
@@ -110,6 +114,19 @@
         }
         return {name: amount for name, amount in grants.items() if amount}
 
+    def waits(self, customers: Iterable[Customer]) -> dict[str, float]:
+        """Return the seconds until each spent limit has room again."""
+        spent = (
+            (customer, self._buckets[customer.name].level)
+            for customer in customers
+            if customer.rate_per_s > 0 and customer.name in self._buckets
+        )
+        return {
+            customer.name: -level / customer.rate_per_s
+            for customer, level in spent
+            if level <= 0
+        }
+
     def _take(
         self,
         customer: Customer,
@@ -124,7 +141,9 @@
         reserved = silent_share * FALLBACK_SHARE
         rate = customer.rate_per_s * max(0.0, 1.0 - reserved)
         bucket.refill(rate, customer.burst, now)
-        granted = needed if bucket.level > 0 else 0.0
+        granted = 0.0
+        if bucket.level > 0:
+            granted = min(needed, bucket.level + self._debt)
         bucket.level -= granted
         left = bucket.level - prefetch
         if left >= PREFETCH_LEVEL * customer.burst:
@@ -145,10 +164,18 @@
 class LimitAccount:
     """A gateway's side: spends what was granted, or its fallback share."""
 
-    __slots__ = ("_accounts", "_customers", "_gateways", "_led_at", "_terms")
+    __slots__ = (
+        "_accounts",
+        "_customers",
+        "_gateways",
+        "_led_at",
+        "_room_at",
+        "_terms",
+    )
 
     def __init__(self, *, terms: LimitTerms, now: float):
         self._terms = terms
+        self._room_at: dict[str, float] = {}
         self._accounts: dict[str, _Account] = {}
         self._customers: dict[str, Customer] = {}
         self._gateways = 1
@@ -163,10 +190,15 @@
             account.balance = min(account.balance, cap)
 
     def credit(
-        self, grants: dict[str, float], gateways: int, now: float
+        self,
+        grants: dict[str, float],
+        waits: dict[str, float],
+        gateways: int,
+        now: float,
     ) -> None:
         """Take a leader's reply."""
         self._led_at = now
+        self._room_at = {name: now + wait for name, wait in waits.items()}
         self._gateways = max(1, gateways)
         for name, amount in grants.items():
             self._account(name).balance += amount
@@ -190,6 +222,10 @@
         account.fallback.level -= amount
         return True
 
+    def room_in_s(self, name: str, now: float) -> float:
+        """Return when a spent limit has room again, as the leader said."""
+        return max(0.0, self._room_at.get(name, now) - now)
+
     def give_back(self, customer: Customer, amount: float) -> None:
         """Return what a request did not use: it never ran."""
         if customer.rate_per_s > 0:
--- a/chervilshift/core/fleet/retries.py
+++ b/chervilshift/core/fleet/retries.py
@@ -24,8 +24,8 @@
 class RetryBudget:
     """A gateway's part of a service's budget.
 
-    It earns by requests, and its part of `extra` is regained evenly over
-    two windows, so that no window sees more than the whole part.
+    It earns by requests and holds up to half of its part of `extra`, which
+    it regains within one window: no window sees more than the whole part.
     """
 
     __slots__ = ("_at", "_permits", "_terms")
@@ -33,7 +33,8 @@
     def __init__(self, *, terms: RetryTerms, now: float):
         self._terms = terms
         self._at = now
-        self._permits = 0.0
+        # Filled up to what may be held at the first use.
+        self._permits = terms.extra
 
     def earn(self) -> None:
         """Note a client's request."""
--- a/chervilshift/core/fleet/sync.py
+++ b/chervilshift/core/fleet/sync.py
@@ -60,6 +60,8 @@
 
     `document` and `endpoints` are absent when the gateway has them.
     `grants` is given only by the leader; `led` tells whether it is one.
+    `waits` names customers whose limit is spent, with the seconds until it
+    has room again.
     """
 
     led: bool
@@ -73,6 +75,7 @@
     endpoints: tuple[EndpointRecord, ...] | None = None
     loads: dict[str, EndpointLoad] = {}
     grants: dict[str, float] = {}
+    waits: dict[str, float] = {}
 
 
 class Heartbeat(Message):
--- a/chervilshift/gateway/dispatch.py
+++ b/chervilshift/gateway/dispatch.py
@@ -202,23 +202,31 @@
         )
         if exchange.charged:
             return True
+        until = self._clock.monotonic() + (
+            LIMIT_WAIT_SHARE * exchange.route.objective_s
+        )
         limits.wait_for(customer.name, exchange.amount)
-        wait_s = LIMIT_WAIT_SHARE * exchange.route.objective_s
         try:
-            with anyio.move_on_after(wait_s):
-                while not exchange.charged:
+            while not exchange.charged:
+                now = self._clock.monotonic()
+                room_at = now + limits.room_in_s(customer.name, now)
+                if room_at >= until:
+                    break
+                with anyio.move_on_after(until - now):
+                    await anyio.sleep(room_at - now)
                     await self._sync.refresh()
-                    exchange.charged = limits.take(
-                        customer, exchange.amount, self._clock.monotonic()
-                    )
+                exchange.charged = limits.take(
+                    customer, exchange.amount, self._clock.monotonic()
+                )
         finally:
             limits.stop_waiting(customer.name, exchange.amount)
         return exchange.charged
 
     def _limit_wait_s(self, exchange: Exchange) -> float:
         """Return when the limit will have room again."""
-        customer = exchange.customer
-        return SOON_S + exchange.amount / max(1.0, customer.rate_per_s)
+        now = self._clock.monotonic()
+        name = exchange.customer.name
+        return max(SOON_S, self._state.limits.room_in_s(name, now))
 
     # Attempts
 
@@ -227,12 +235,14 @@
         spec = table.cfg.services.get(exchange.service)
         if spec is None:
             return None
-        return self._state.placement.choose(
-            spec,
-            exchange.work,
-            self._clock.monotonic(),
-            frozenset(exchange.tried),
-        )
+        now = self._clock.monotonic()
+        choose = self._state.placement.choose
+        tried = frozenset(exchange.tried)
+        choice = choose(spec, exchange.work, now, tried)
+        if choice is None and exchange.route.repeatable:
+            # The only endpoint may have failed for a moment.
+            choice = choose(spec, exchange.work, now)
+        return choice
 
     def _spend_retry(self, exchange: Exchange) -> bool:
         return self._state.budget(exchange.service).spend(
--- a/chervilshift/gateway/process.py
+++ b/chervilshift/gateway/process.py
@@ -9,7 +9,6 @@
 
 from chervilshift.clock import Clock
 from chervilshift.control.process import split_address
-from chervilshift.core.fleet.limits import LimitTerms
 from chervilshift.core.fleet.model import ServingConfig
 from chervilshift.core.fleet.placement import Placement
 from chervilshift.core.fleet.retries import RetryTerms
@@ -142,11 +141,7 @@
         return GatewayState(
             info=self._info,
             placement=Placement(region=cfg.region, regions=cfg.regions),
-            limit_terms=LimitTerms(
-                window_s=cfg.limit_window_s,
-                tolerance=cfg.limit_tolerance,
-                slack=cfg.limit_slack,
-            ),
+            limit_terms=cfg.limit_terms(),
             retry_terms=RetryTerms(
                 ratio=cfg.retry_ratio,
                 extra=cfg.retry_extra,
--- a/chervilshift/gateway/state.py
+++ b/chervilshift/gateway/state.py
@@ -84,7 +84,7 @@
         if reply.led:
             now = self._clock.monotonic()
             self.placement.share(reply.loads)
-            self.limits.credit(reply.grants, self.gateways, now)
+            self.limits.credit(reply.grants, reply.waits, self.gateways, now)
 
     def _configure(self, document: bytes) -> None:
         decoded = self._decode(document)
--- a/chervilshift/gateway/sync.py
+++ b/chervilshift/gateway/sync.py
@@ -15,13 +15,13 @@
 __all__ = ["ControlSync"]
 
 # The leader is asked often: it grants limits and shares load.
-LEADER_INTERVAL_S = 0.2
+LEADER_INTERVAL_S = 0.25
 # The others keep the gateway listed and know it when they come to lead.
-FOLLOWER_INTERVAL_S = 0.5
+FOLLOWER_INTERVAL_S = 0.7
 RETRY_INTERVAL_S = 0.2
 CALL_TIMEOUT_S = 0.8
 # Two urgent syncs are at least this far apart.
-URGENT_GAP_S = 0.02
+URGENT_GAP_S = 0.03
 # A control process that no reply has named for longer is not asked again.
 FORGET_AFTER_S = 20.0
 
--- a/chervilshift/gateway/upstream.py
+++ b/chervilshift/gateway/upstream.py
@@ -44,6 +44,10 @@
         """Return the body's chunks as they come."""
         return self._response.stream.__aiter__()
 
+    async def aclose(self) -> None:
+        """End the reply; a whole one leaves its connection idle."""
+        await self._response.aclose()
+
 
 class Upstream:
     """A connection in use by one attempt; use as a context manager.
@@ -94,6 +98,8 @@
         """Keep the connection if its reply is whole, else close it."""
         with anyio.CancelScope(shield=True):
             reply = self._reply
+            if reply is not None:
+                await reply.aclose()
             whole = reply is not None and self._conn.http.is_idle()
             if whole and not reply.head.closes:
                 await self._conns.release(self._conn, reply.head.idle_s)
--- a/chervilshift/httpserver.py
+++ b/chervilshift/httpserver.py
@@ -54,6 +54,7 @@
         lifespan="off",
         http="h11",
         ws="none",
+        proxy_headers=False,
         server_header=False,
         date_header=False,
         timeout_keep_alive=idle_timeout_s,
--- a/chervilshift/settings.py
+++ b/chervilshift/settings.py
@@ -9,6 +9,7 @@
 from returns.result import Result, Success
 
 from chervilshift.config import KeyHash
+from chervilshift.core.fleet.limits import LimitTerms
 from chervilshift.errors import SettingsRefused
 from chervilshift.wire.rpc import Credentials
 from chervilshift.yamldoc import check, read
@@ -96,6 +97,14 @@
     usage_window_s: Annotated[float, Field(gt=0)]
     metrics_listen: Address | None = None
 
+    def limit_terms(self) -> LimitTerms:
+        """Return how far customers' limits may be exceeded."""
+        return LimitTerms(
+            window_s=self.limit_window_s,
+            tolerance=self.limit_tolerance,
+            slack=self.limit_slack,
+        )
+
     @property
     def control(self) -> list[str]:
         """Where the seeds listen for other processes."""
--- /dev/null
+++ b/tests/core/fleet/test_limits.py
@@ -0,0 +1,167 @@
+"""Customers' limits as a sum over gateways, in and out of touch.
+
+The windows are those of the operator's bounds: in any 8 s no more than
+(rate x 8 + burst) x 1.1 + slack.
+"""
+
+import random
+from collections import deque
+
+import pytest
+
+from chervilshift.core.fleet.limits import (
+    LimitAccount,
+    LimitLedger,
+    LimitTerms,
+)
+from chervilshift.core.fleet.model import Customer
+
+WINDOW_S = 8.0
+TOLERANCE = 0.1
+SLACK = 72_000.0
+STEP_S = 0.05
+SYNC_S = 0.25
+# Half of the longest objective: how long a request waits for its limit.
+PATIENCE_S = 1.0
+
+
+def customer(rate: float = 20_000.0) -> Customer:
+    return Customer(
+        name="acme",
+        keys=("k",),
+        rate_per_s=rate,
+        burst=rate,
+        by_tokens=True,
+    )
+
+
+def terms() -> LimitTerms:
+    return LimitTerms(window_s=WINDOW_S, tolerance=TOLERANCE, slack=SLACK)
+
+
+class Gateway:
+    def __init__(self, who: Customer, rng: random.Random, load: float):
+        self.account = LimitAccount(terms=terms(), now=0.0)
+        self.account.configure((who,))
+        self.rng = rng
+        self.load = load
+        self.cut = False
+        self.seen_at = 0.0
+        self.waiting: list[tuple[float, float]] = []
+
+    def retry(self, who: Customer, now: float) -> float:
+        """Admit what waited for a grant; return the tokens admitted."""
+        admitted = 0.0
+        waiting, self.waiting = self.waiting, []
+        for amount, since in waiting:
+            self.account.stop_waiting(who.name, amount)
+            if self.account.take(who, amount, now):
+                admitted += amount
+            elif now - since < PATIENCE_S:
+                self.account.wait_for(who.name, amount)
+                self.waiting.append((amount, since))
+        return admitted
+
+
+def play(rate: float, load_x: float, cuts, gateways=8, seconds=60, seed=1):
+    """Return the highest use of a window and the share that was served."""
+    rng = random.Random(seed)
+    who = customer(rate)
+    nodes = [
+        Gateway(who, random.Random(seed + n), load_x * rate / gateways)
+        for n in range(gateways)
+    ]
+    ledger = LimitLedger(terms=terms())
+    used: deque[tuple[float, float]] = deque()
+    worst = total = asked = 0.0
+    for step in range(int(seconds / STEP_S)):
+        now = step * STEP_S
+        for number, node in enumerate(nodes):
+            node.cut = cuts(number, now)
+            due = (step + number) % int(SYNC_S / STEP_S) == 0
+            if due and not node.cut:
+                node.seen_at = now
+                silent = sum(now - n.seen_at > 0.8 for n in nodes)
+                grants = ledger.grant(
+                    (who,),
+                    node.account.needed(),
+                    node.account.prefetch(),
+                    silent / gateways,
+                    now,
+                )
+                waits = ledger.waits((who,))
+                node.account.credit(grants, waits, gateways, now)
+                amount = node.retry(who, now)
+                used.append((now, amount))
+                total += amount
+            for _ in range(2):
+                amount = rng.choice((200.0, 2_000.0, 9_000.0))
+                if rng.random() > node.load * STEP_S / 2 / 3_733.0:
+                    continue
+                asked += amount
+                if node.account.take(who, amount, now):
+                    used.append((now, amount))
+                    total += amount
+                else:
+                    node.account.wait_for("acme", amount)
+                    node.waiting.append((amount, now))
+        while used and used[0][0] < now - WINDOW_S:
+            used.popleft()
+        worst = max(worst, sum(amount for _, amount in used))
+    return worst, total / max(1.0, asked)
+
+
+def bound(rate: float) -> float:
+    return (rate * WINDOW_S + rate) * (1 + TOLERANCE) + SLACK
+
+
+@pytest.mark.parametrize("seed", range(5))
+@pytest.mark.parametrize("rate", [18_000.0, 250_000.0])
+def test_sum_stays_within_the_limit_while_half_of_the_gateways_are_cut(
+    rate, seed
+):
+    def cuts(number, now):
+        return number % 2 == 0 and 15 < now < 35
+
+    worst, _ = play(rate, 4.0, cuts, seed=seed)
+    assert worst <= bound(rate)
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_sum_stays_within_the_limit_without_any_leader(seed):
+    worst, served = play(18_000.0, 4.0, lambda n, t: t > 10, seed=seed)
+    assert worst <= bound(18_000.0)
+    assert served > 0.1
+
+
+def test_customer_below_its_limit_is_served_almost_whole():
+    _, served = play(250_000.0, 0.5, lambda n, t: False)
+    assert served > 0.97
+
+
+def test_large_and_small_requests_are_granted_alike():
+    who = customer(10_000.0)
+    ledger = LimitLedger(terms=terms())
+    ledger.grant((who,), {}, {}, 0.0, 0.0)
+    large = ledger.grant((who,), {"acme": 25_000.0}, {}, 0.0, 5.0)
+    assert large == {"acme": 25_000.0}
+    assert ledger.grant((who,), {"acme": 100.0}, {}, 0.0, 5.1) == {}
+    assert ledger.waits((who,))["acme"] > 1.0
+
+
+def test_new_leader_starts_with_the_shares_of_gateways_set_aside():
+    who = customer(10_000.0)
+    ledger = LimitLedger(terms=terms())
+    ledger.grant((who,), {}, {}, 0.0, 0.0)
+    first = ledger.grant((who,), {"acme": 5_000.0}, {}, 0.0, 1.0)
+    ledger.step_down()
+    assert ledger.grant((who,), {"acme": 5_000.0}, {}, 0.0, 1.1) == {}
+    assert first
+
+
+def test_many_requests_waiting_at_once_do_not_overdraw_the_limit():
+    who = customer(10_000.0)
+    ledger = LimitLedger(terms=terms())
+    ledger.grant((who,), {}, {}, 0.0, 0.0)
+    granted = ledger.grant((who,), {"acme": 900_000.0}, {}, 0.0, 5.0)
+    assert granted["acme"] <= who.burst + SLACK / 4
--- /dev/null
+++ b/tests/core/fleet/test_state.py
@@ -0,0 +1,119 @@
+"""The replicated state of endpoints, documents and usage."""
+
+import msgspec
+import pytest
+
+from chervilshift.core.fleet.commands import (
+    AcceptServing,
+    AnnounceEndpoint,
+    CommitUsage,
+)
+from chervilshift.core.fleet.model import (
+    DRAINING,
+    GONE,
+    READY,
+    SILENT,
+    EndpointRecord,
+)
+from chervilshift.core.fleet.state import FleetState
+
+
+def record(**changes) -> EndpointRecord:
+    fields = {
+        "id": "e1",
+        "born_ms": 1000,
+        "seq": 1,
+        "state": READY,
+        "service": "llm",
+        "address": "10.0.0.1:80",
+        "failure_domain": "a",
+        "slots": 8,
+    }
+    return EndpointRecord(**(fields | changes))
+
+
+def announce(held: FleetState, index: int, **changes) -> str:
+    command = AnnounceEndpoint(endpoint=record(**changes))
+    return held.apply(command, index).state
+
+
+def test_highest_version_takes_effect_and_lower_ones_change_nothing():
+    state = FleetState()
+    for version, kept in ((3, 3), (2, 3), (3, 3), (9, 9)):
+        document = f"v{version}-{kept}".encode()
+        command = AcceptServing(version=version, document=document)
+        assert state.apply(command, version).version == kept
+    assert state.document == b"v9-9"
+
+
+def test_same_version_with_other_content_changes_nothing():
+    state = FleetState()
+    state.apply(AcceptServing(version=5, document=b"first"), 1)
+    state.apply(AcceptServing(version=5, document=b"other"), 2)
+    assert state.document == b"first"
+
+
+def test_leaving_is_sticky_within_an_incarnation():
+    state = FleetState()
+    announce(state, 1)
+    assert announce(state, 2, seq=5, state=DRAINING) == DRAINING
+    assert announce(state, 3, seq=9, state=READY) == DRAINING
+    assert announce(state, 4, born_ms=2000, seq=0, state=READY) == READY
+
+
+def test_late_announcement_of_a_dead_boot_does_not_replace_its_successor():
+    state = FleetState()
+    announce(state, 1)
+    announce(state, 2, id="e2", born_ms=5000)
+    assert announce(state, 3, seq=7) == GONE
+    assert [e.id for e in state.endpoints()] == ["e2"]
+
+
+def test_announcement_of_a_dead_boot_first_heard_late_names_no_endpoint():
+    state = FleetState()
+    announce(state, 1, id="e2", born_ms=5000)
+    assert announce(state, 2, id="e1", born_ms=1000) == GONE
+    assert [e.id for e in state.endpoints()] == ["e2"]
+
+
+def test_silent_endpoint_returns_with_its_next_announcement():
+    state = FleetState()
+    announce(state, 1)
+    assert announce(state, 2, state=SILENT) == SILENT
+    assert announce(state, 3, seq=2) == READY
+
+
+def test_departure_without_a_start_time_ends_what_is_held():
+    state = FleetState()
+    announce(state, 1)
+    assert announce(state, 2, born_ms=0, seq=0, state=GONE, address="")
+    assert state.endpoint("e1").state == GONE
+
+
+def test_departure_of_an_older_boot_does_not_end_the_newer():
+    state = FleetState()
+    announce(state, 1, born_ms=5000)
+    announce(state, 2, born_ms=1000, state=GONE)
+    assert state.endpoint("e1").state == READY
+
+
+def test_first_committed_usage_of_a_window_stays():
+    state = FleetState()
+    first = CommitUsage(window=7, counts={"acme": 3})
+    second = CommitUsage(window=7, counts={"acme": 4})
+    assert state.apply(first, 1).counts == {"acme": 3}
+    assert state.apply(second, 2).counts == {"acme": 3}
+    assert state.newest_usage() == 7
+
+
+@pytest.mark.parametrize("state_name", [READY, DRAINING, SILENT])
+def test_snapshot_restores_everything(state_name):
+    state = FleetState()
+    announce(state, 4, state=state_name)
+    state.apply(AcceptServing(version=2, document=b"doc"), 5)
+    state.apply(CommitUsage(window=1, counts={"a": 1}), 6)
+    data = msgspec.msgpack.encode(state.snapshot())
+    decoded = msgspec.msgpack.decode(data, type=type(state.snapshot()))
+    again = FleetState(snapshot=decoded)
+    assert again.snapshot() == state.snapshot()
+    assert again.revision == 4
--- /dev/null
+++ b/tests/platform/standin.py
@@ -0,0 +1,422 @@
+"""A stand-in of the platform: endpoints, cloud and calls, on loopback.
+
+Endpoints speak the published worker protocol; a test scripts how each
+request goes by `behave`.
+"""
+
+from collections import Counter
+from collections.abc import Callable
+from pathlib import Path
+from random import Random
+
+import anyio
+import httpcore
+import msgspec
+
+from chervilshift.clock import SystemClock
+from chervilshift.events import EventLog, HybridClock
+from chervilshift.httpserver import serve_app
+from chervilshift.metrics import Metrics
+from chervilshift.platform.launch import platform_control, platform_gateway
+from chervilshift.settings import GatewaySettings, RoutedControlSettings
+from tests.cluster import free_address
+
+__all__ = ["Endpoint", "Platform", "Reply"]
+
+HOST = "shop.example"
+KEY = "customer-key"
+WAIT_S = 20.0
+COMMON = {
+    "host": "h",
+    "region": "here",
+    "cluster_key": "key-between-processes",
+    "regions": {"a": "here", "b": "here", "far": "there"},
+    "limit_window_s": 8,
+    "limit_tolerance": 0.1,
+    "limit_slack": 72_000,
+    "usage_window_s": 1,
+}
+
+
+class Reply:
+    """What a client got; `whole` unless the answer broke off."""
+
+    __slots__ = ("body", "headers", "status", "whole")
+
+    def __init__(
+        self, *, status: int, headers: dict, body: bytes, whole: bool
+    ):
+        self.status = status
+        self.headers = headers
+        self.body = body
+        self.whole = whole
+
+
+class Endpoint:
+    """One worker; `behave(number)` names what its n-th request meets.
+
+    Behaviours: `ok`, `full` (not run), `error`, `cut` (the reply breaks
+    off), `other` (a reply to another request), `unsigned`, `hang`.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        service: str,
+        address: str,
+        events: int = 5,
+        behave: Callable[[int], str] = lambda number: "ok",
+    ):
+        self.name = name
+        self.service = service
+        self.address = address
+        self.events = events
+        self.behave = behave
+        self.runs: list[dict[bytes, bytes]] = []
+        self.bodies: list[bytes] = []
+        self.arrivals = 0
+        self.cancelled = 0
+        self.seq = 0
+
+    def checkin(self, state: str = "ready", **changes) -> bytes:
+        """Return an announcement's body."""
+        self.seq += 1
+        said = {
+            "service": self.service,
+            "addr": self.address,
+            "zone": "a",
+            "version": "v1",
+            "slots": 8,
+            "state": state,
+            "cold_left_ms": 0,
+            "seq": self.seq,
+            "born": 1000,
+        }
+        return msgspec.json.encode(said | changes)
+
+    async def __call__(self, scope, receive, send) -> None:
+        """Serve one request."""
+        headers = dict(scope["headers"])
+        body = b""
+        while True:
+            message = await receive()
+            body += message.get("body", b"")
+            if not message.get("more_body"):
+                break
+        self.arrivals += 1
+        behaviour = self.behave(self.arrivals)
+        if headers.get(b"expect-instance") != self.name.encode():
+            await _answer(send, 421, [(b"instance-id", self.name.encode())])
+            return
+        if behaviour == "full":
+            await _answer(send, 503, [(b"not-run", b"1")])
+            return
+        self.runs.append(headers)
+        self.bodies.append(body)
+        request_id = headers[b"request-id"]
+        own = [(b"request-id", request_id), (b"server-stamp", b"stamp")]
+        if behaviour == "hang":
+            await self._hang(receive)
+        elif behaviour == "other":
+            await _answer(send, 200, [(b"request-id", b"x"), own[1]])
+        elif behaviour == "unsigned":
+            await _answer(send, 200, own[:1])
+        elif behaviour == "error":
+            await _answer(send, 500, own)
+        else:
+            await self._run(headers, own, send, cut=behaviour == "cut")
+
+    async def _hang(self, receive) -> None:
+        while (await receive())["type"] != "http.disconnect":
+            continue
+        self.cancelled += 1
+
+    async def _run(self, headers, own, send, *, cut: bool) -> None:
+        first = int(headers.get(b"last-event-id", b"0")) + 1
+        last = self.events // 2 if cut else self.events
+        await send(
+            {
+                "type": "http.response.start",
+                "status": 200,
+                "headers": [*own, (b"x-from", self.name.encode())],
+            }
+        )
+        for number in range(first, last + 1):
+            event = f"id: {number}\ndata: {number}\n\n".encode()
+            await _write(send, event)
+            await anyio.sleep(0.005)
+        if cut:
+            await _write(send, b"id: 99\nda")
+            raise ConnectionResetError
+        await send({"type": "http.response.body", "body": b""})
+
+
+class Cloud:
+    """Takes duty calls and keeps them."""
+
+    def __init__(self):
+        self.calls: list[tuple[str, int, str, dict]] = []
+
+    async def __call__(self, scope, receive, send) -> None:
+        """Take one call."""
+        message = await receive()
+        headers = dict(scope["headers"])
+        body = msgspec.json.decode(message["body"])
+        token = int(headers[b"fence-token"])
+        holder = headers[b"duty-holder"].decode()
+        self.calls.append((scope["path"], token, holder, body))
+        await _answer(send, 200, [])
+
+
+class Platform:
+    """Three control processes, gateways, endpoints and a cloud."""
+
+    def __init__(self, folder: Path, tg, gateways: int = 1):
+        self._folder = folder
+        self._tg = tg
+        self._clock = SystemClock()
+        self.gateway_count = gateways
+        self.cloud = Cloud()
+        self.controls: list = []
+        self.gateways: list = []
+        self.stops: list[anyio.Event] = []
+        self.done: Counter[int] = Counter()
+        self.api: list[str] = []
+        self.lookups: list[str] = []
+        self.rng = Random(7)
+
+    async def start(self) -> None:
+        """Start everything on loopback."""
+        rpc = free_address()
+        port = rpc.rpartition(":")[2]
+        hosts = [f"127.0.0.{n}" for n in range(11, 14)]
+        cloud = free_address()
+        await self._tg.start(_serve, self.cloud, cloud)
+        api_port = free_address().rpartition(":")[2]
+        seeds = [f"{host}:{api_port}" for host in hosts]
+        for number, host in enumerate(hosts):
+            lookup = free_address()
+            self.api.append(seeds[number])
+            self.lookups.append(lookup)
+            settings = RoutedControlSettings(
+                process=f"core-{number}",
+                failure_domain="a",
+                rpc_listen=f"{host}:{port}",
+                seeds=seeds,
+                data_folder=self._folder / f"core-{number}",
+                api_listen=seeds[number],
+                directory_listen=lookup,
+                bootstrap=True,
+                cloud=cloud,
+                announce_interval_ms=400,
+                duty_lease_ms=300,
+                **COMMON,
+            )
+            control = platform_control(settings, self._clock, self._events())
+            self.controls.append(control)
+            self._tg.start_soon(control.run, anyio.Event())
+        for number in range(self.gateway_count):
+            await self._start_gateway(number, seeds, port)
+
+    async def _start_gateway(self, number, seeds, port) -> None:
+        stop = anyio.Event()
+        settings = GatewaySettings(
+            process=f"front-{number}",
+            failure_domain="a",
+            rpc_listen=f"127.0.0.{20 + number}:{port}",
+            seeds=seeds,
+            listen=free_address(),
+            ready_listen=free_address(),
+            stop_within_s=6,
+            retry_ratio=0.2,
+            retry_extra=400,
+            retry_window_s=10,
+            **COMMON,
+        )
+        gateway = platform_gateway(
+            settings, self._clock, self._events(), Metrics()
+        )
+        self.gateways.append((gateway, settings))
+        self.stops.append(stop)
+
+        async def run() -> None:
+            await gateway.run(stop)
+            self.done[number] += 1
+
+        self._tg.start_soon(run)
+
+    def _events(self) -> EventLog:
+        return EventLog(process="test", hlc=HybridClock(clock=self._clock))
+
+    async def configure(self, version: int = 1, **changes) -> int:
+        """Put a configuration at the first control process that takes it."""
+        document = config(version) | changes
+        body = msgspec.json.encode(document)
+        for address in self.api * 50:
+            status, _ = await call("PUT", address, "/api/config", body)
+            if status != 503:
+                return status
+            await anyio.sleep(0.1)
+        return 503
+
+    async def add(self, endpoint: Endpoint) -> None:
+        """Start an endpoint and announce it until it is acknowledged."""
+        await self._tg.start(_serve, endpoint, endpoint.address)
+        await self.say(endpoint, "ready")
+        placed = [g.state.placement for g, _ in self.gateways]
+        await eventually(
+            lambda: all(
+                any(e.id == endpoint.name for e in p.endpoints())
+                for p in placed
+            )
+        )
+
+    async def say(self, endpoint: Endpoint, state: str, **changes) -> None:
+        """Announce a state to any control process until acknowledged."""
+        path = f"/api/instances/{endpoint.name}"
+        for address in self.api * 50:
+            body = endpoint.checkin(state, **changes)
+            status, _ = await call("PUT", address, path, body)
+            if status == 200:
+                return
+            await anyio.sleep(0.05)
+        raise AssertionError("announcement was never acknowledged")
+
+    async def ask(
+        self,
+        path: str,
+        *,
+        method: str = "POST",
+        gateway: int = 0,
+        body: bytes = b"hello",
+        key: str = KEY,
+        deadline_ms: int = 5000,
+        headers: tuple = (),
+    ) -> Reply:
+        """Send one client request."""
+        address = self.gateways[gateway][1].listen
+        sent = [
+            ("Host", HOST),
+            ("Request-Id", f"{self.rng.getrandbits(64):016x}"),
+            ("Deadline-Ms", str(deadline_ms)),
+            ("Key", key),
+            *headers,
+        ]
+        return await request(method, address, path, sent, body)
+
+
+def config(version: int) -> dict:
+    """Return a configuration with a route of each kind."""
+
+    def route(prefix: str, kind: str, service: str, **changes) -> dict:
+        made = {
+            "name": prefix,
+            "host": HOST,
+            "path_prefix": prefix,
+            "kind": kind,
+            "timeout_ms": 3000,
+            "slo_ms": 800,
+            "priority": 1,
+            "service": service,
+            "attempts": 1,
+            "public": False,
+            "resumable": False,
+            "gap_target_ms": 300,
+        }
+        return made | changes
+
+    return {
+        "version": version,
+        "routes": [
+            route("/stream/", "stream", "llm", attempts=3, resumable=True),
+            route("/once/", "stream", "llm"),
+            route("/write/", "unsafe", "app"),
+            route("/read/", "safe", "app", attempts=3),
+            route("/open/", "safe", "app", public=True),
+        ],
+        "services": [
+            {
+                "name": "llm",
+                "health_path": "/health",
+                "max_conns": 50,
+                "engine": {"slots": 8, "kv_tokens": 100_000},
+            },
+            {"name": "app", "health_path": "/health", "max_conns": 50},
+        ],
+        "limits": {"idle_timeout_ms": 15_000},
+        "tenants": [{"name": "acme", "api_keys": [KEY]}],
+    }
+
+
+async def eventually(condition: Callable[[], bool]) -> None:
+    """Wait until a condition holds."""
+    with anyio.fail_after(WAIT_S):
+        while not condition():
+            await anyio.sleep(0.02)
+
+
+async def call(
+    method: str, address: str, path: str, body: bytes = b""
+) -> tuple[int, bytes]:
+    """Call an interface of a control process; 503 when there is none."""
+    try:
+        async with httpcore.AsyncConnectionPool() as pool:
+            response = await pool.request(
+                method,
+                f"http://{address}{path}",
+                content=body or None,
+                headers=[("host", "x")],
+            )
+    except httpcore.ConnectError:
+        return 503, b""
+    return response.status, response.content
+
+
+async def request(method, address, path, headers, body) -> Reply:
+    """Send a request and read what comes, whole or not."""
+    async with (
+        httpcore.AsyncConnectionPool() as pool,
+        pool.stream(
+            method,
+            f"http://{address}{path}",
+            headers=headers,
+            content=body or None,
+        ) as response,
+    ):
+        chunks = []
+        whole = True
+        try:
+            async for chunk in response.aiter_stream():
+                chunks.append(chunk)
+        except httpcore.ProtocolError:
+            whole = False
+        fields = {k.decode().lower(): v for k, v in response.headers}
+        return Reply(
+            status=response.status,
+            headers=fields,
+            body=b"".join(chunks),
+            whole=whole,
+        )
+
+
+async def _answer(send, status: int, headers: list) -> None:
+    await send(
+        {
+            "type": "http.response.start",
+            "status": status,
+            "headers": [*headers, (b"content-length", b"2")],
+        }
+    )
+    await send({"type": "http.response.body", "body": b"{}"})
+
+
+async def _write(send, data: bytes) -> None:
+    await send({"type": "http.response.body", "body": data, "more_body": True})
+
+
+async def _serve(app, address: str, *, task_status) -> None:
+    host, _, port = address.rpartition(":")
+    await serve_app(
+        app, host, int(port), idle_timeout_s=10.0, task_status=task_status
+    )
--- /dev/null
+++ b/tests/platform/test_path.py
@@ -0,0 +1,339 @@
+"""The whole path through real sockets: what callers get and what ran."""
+
+from collections.abc import Awaitable, Callable
+
+import anyio
+import msgspec
+import pytest
+
+from tests.cluster import free_address
+from tests.platform.standin import (
+    KEY,
+    Endpoint,
+    Platform,
+    call,
+    eventually,
+    request,
+)
+
+IDS = [b"1", b"2", b"3", b"4", b"5"]
+
+
+def play(
+    tmp_path,
+    scenario: Callable[[Platform], Awaitable[None]],
+    *endpoints: Endpoint,
+    gateways: int = 1,
+) -> None:
+    async def run() -> None:
+        async with anyio.create_task_group() as tg:
+            platform = Platform(tmp_path, tg, gateways)
+            await platform.start()
+            assert await platform.configure() == 200
+            for gateway, _ in platform.gateways:
+                await eventually(lambda g=gateway: g.state.version == 1)
+            for endpoint in endpoints:
+                await platform.add(endpoint)
+            await scenario(platform)
+            tg.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
+def worker(name: str, service: str = "llm", *behaviours: str) -> Endpoint:
+    """Return an endpoint whose first requests meet `behaviours`."""
+
+    def behave(number: int) -> str:
+        if number <= len(behaviours):
+            return behaviours[number - 1]
+        return "ok"
+
+    return Endpoint(
+        name=name, service=service, address=free_address(), behave=behave
+    )
+
+
+def ids(body: bytes) -> list[bytes]:
+    lines = body.splitlines()
+    return [ln[4:] for ln in lines if ln.startswith(b"id: ")]
+
+
+def test_stream_is_whole_and_headers_are_the_systems(tmp_path):
+    one = worker("w1")
+
+    async def scenario(platform: Platform) -> None:
+        forged = (("Tenant", "evil"), ("Kv-From", "x"), ("Hold", "1"))
+        reply = await platform.ask("/stream/a?b=c", headers=forged)
+        assert (reply.status, reply.whole) == (200, True)
+        assert ids(reply.body) == IDS
+        assert reply.headers["server-stamp"] == b"stamp"
+        seen = one.runs[0]
+        assert seen[b"tenant"] == b"acme"
+        assert seen[b"expect-instance"] == b"w1"
+        assert b"key" not in seen
+        assert not {b"kv-from", b"hold"} & set(seen)
+        assert 0 < int(seen[b"deadline-ms"]) <= 3000
+        assert one.bodies == [b"hello"]
+
+    play(tmp_path, scenario, one)
+
+
+def test_connection_is_kept_for_the_next_request(tmp_path):
+    one = worker("w1")
+
+    async def scenario(platform: Platform) -> None:
+        for _ in range(5):
+            assert (await platform.ask("/once/a")).status == 200
+        conns = platform.gateways[0][0]._conns
+        assert conns.open_count("w1") == 1
+
+    play(tmp_path, scenario, one)
+
+
+def test_resumable_stream_goes_on_at_another_endpoint(tmp_path):
+    behaviours = iter(("cut", *["ok"] * 9))
+    workers = [worker("w1"), worker("w2")]
+    for one in workers:
+        one.behave = lambda number: next(behaviours)
+
+    async def scenario(platform: Platform) -> None:
+        reply = await platform.ask("/stream/a")
+        assert (reply.status, reply.whole) == (200, True)
+        assert ids(reply.body) == IDS
+        runs = [run for w in workers for run in w.runs]
+        assert len(runs) == 2
+        assert {run.get(b"last-event-id") for run in runs} == {None, b"2"}
+
+    play(tmp_path, scenario, *workers)
+
+
+def test_resumable_stream_goes_on_at_the_only_endpoint(tmp_path):
+    one = worker("w1", "llm", "cut")
+
+    async def scenario(platform: Platform) -> None:
+        reply = await platform.ask("/stream/a")
+        assert (reply.status, reply.whole) == (200, True)
+        assert ids(reply.body) == IDS
+
+    play(tmp_path, scenario, one)
+
+
+def test_stream_that_may_not_be_resumed_ends_broken(tmp_path):
+    workers = [worker("w1", "llm", "cut"), worker("w2", "llm", "cut")]
+
+    async def scenario(platform: Platform) -> None:
+        reply = await platform.ask("/once/a")
+        assert not reply.whole
+        assert sum(len(w.runs) for w in workers) == 1
+
+    play(tmp_path, scenario, *workers)
+
+
+@pytest.mark.parametrize("behaviour", ["other", "unsigned"])
+def test_reply_that_is_not_the_endpoints_own_promises_nothing(
+    tmp_path, behaviour
+):
+    one = worker("p1", "app", behaviour)
+
+    async def scenario(platform: Platform) -> None:
+        reply = await platform.ask("/write/a")
+        assert reply.status == 502
+        assert "server-stamp" not in reply.headers
+        assert len(one.runs) == 1
+
+    play(tmp_path, scenario, one)
+
+
+def test_refusal_by_the_endpoint_is_a_true_not_run(tmp_path):
+    one = worker("p1", "app", "full")
+
+    async def scenario(platform: Platform) -> None:
+        reply = await platform.ask("/write/a")
+        assert reply.status == 503
+        assert float(reply.headers["retry-after"]) > 0
+        assert not one.runs
+
+    play(tmp_path, scenario, one)
+
+
+def test_failed_read_is_tried_elsewhere_and_a_failed_write_is_not(tmp_path):
+    workers = [worker("p1", "app", "error"), worker("p2", "app", "error")]
+
+    async def scenario(platform: Platform) -> None:
+        assert (await platform.ask("/write/a")).status == 500
+        assert sum(w.arrivals for w in workers) == 1
+        reply = await platform.ask("/read/a", method="GET", body=b"")
+        assert reply.status == 200
+
+    play(tmp_path, scenario, *workers)
+
+
+def test_unanswered_request_ends_at_its_timeout_and_frees_the_endpoint(
+    tmp_path,
+):
+    one = worker("p1", "app", "hang")
+
+    async def scenario(platform: Platform) -> None:
+        reply = await platform.ask("/write/a", deadline_ms=300)
+        assert reply.status == 504
+        await eventually(lambda: one.cancelled == 1)
+
+    play(tmp_path, scenario, one)
+
+
+def test_client_that_leaves_frees_the_endpoint(tmp_path):
+    one = worker("w1", "llm", "hang")
+
+    async def scenario(platform: Platform) -> None:
+        with anyio.move_on_after(0.3):
+            await platform.ask("/once/a")
+        await eventually(lambda: one.cancelled == 1)
+
+    play(tmp_path, scenario, one)
+
+
+def test_keys_and_routes_that_are_not_configured_are_refused(tmp_path):
+    one = worker("p1", "app")
+
+    async def scenario(platform: Platform) -> None:
+        assert (await platform.ask("/read/a", key="wrong")).status == 401
+        assert (await platform.ask("/none/a")).status == 404
+        assert (await platform.ask("/open/a", key="wrong")).status == 200
+        assert one.arrivals == 1
+
+    play(tmp_path, scenario, one)
+
+
+def test_ambiguous_framing_is_refused(tmp_path):
+    one = worker("p1", "app")
+
+    async def scenario(platform: Platform) -> None:
+        address = platform.gateways[0][1].listen
+        host, _, port = address.rpartition(":")
+        head = (
+            "POST /write/a HTTP/1.1\r\nHost: shop.example\r\n"
+            f"Request-Id: r1\r\nKey: {KEY}\r\nContent-Length: 4\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+        )
+        stream = await anyio.connect_tcp(host, int(port))
+        await stream.send(head.encode())
+        answer = await stream.receive()
+        assert answer.startswith(b"HTTP/1.1 400")
+        assert not one.arrivals
+
+    play(tmp_path, scenario, one)
+
+
+def test_leaving_endpoint_gets_nothing_new(tmp_path):
+    workers = [worker("p1", "app"), worker("p2", "app")]
+
+    async def scenario(platform: Platform) -> None:
+        await platform.say(workers[0], "draining")
+        placement = platform.gateways[0][0].state.placement
+        await eventually(
+            lambda: any(
+                e.record.state == "draining" for e in placement.endpoints()
+            )
+        )
+        before = workers[0].arrivals
+        for _ in range(6):
+            reply = await platform.ask("/read/a", method="GET", body=b"")
+            assert reply.status == 200
+        assert workers[0].arrivals == before
+
+    play(tmp_path, scenario, *workers)
+
+
+def test_broken_announcements_name_no_endpoint(tmp_path):
+    one = worker("p1", "app")
+
+    async def scenario(platform: Platform) -> None:
+        broken = (
+            b"\xff\xfe",
+            b"[]",
+            b'{"service":1}',
+            one.checkin("sleeping"),
+            one.checkin(addr="nowhere"),
+        )
+        for body in broken:
+            path = "/api/instances/bad"
+            status, _ = await call("PUT", platform.api[0], path, body)
+            assert status == 400
+        reply = await platform.ask("/read/a", method="GET", body=b"")
+        assert reply.status == 200
+
+    play(tmp_path, scenario, one)
+
+
+def test_configuration_is_read_back_and_never_older(tmp_path):
+    async def scenario(platform: Platform) -> None:
+        assert await platform.configure(5) == 200
+        assert await platform.configure(3) == 200
+        for address in platform.api:
+            status, body = await call("GET", address, "/api/config")
+            assert status == 200
+            assert msgspec.json.decode(body)["version"] == 5
+        assert await platform.configure(6, routes=[{"host": "x"}]) == 400
+        status, body = await call("GET", platform.api[1], "/api/config")
+        assert msgspec.json.decode(body)["version"] == 5
+
+    play(tmp_path, scenario)
+
+
+def test_lookup_names_ready_gateways_and_drops_one_that_stops(tmp_path):
+    one = worker("w1")
+
+    async def scenario(platform: Platform) -> None:
+        path = "/api/resolve?name=x&region=here&zone=a"
+        both = {settings.listen for _, settings in platform.gateways}
+
+        async def named(address: str) -> set[str]:
+            status, body = await call("GET", address, path)
+            found = msgspec.json.decode(body)
+            return set(found.get("addrs", ())) if status == 200 else set()
+
+        for lookup in platform.lookups:
+            with anyio.fail_after(10):
+                while await named(lookup) != both:
+                    await anyio.sleep(0.1)
+        platform.stops[0].set()
+        stopping = platform.gateways[0][1].listen
+        for lookup in platform.lookups:
+            with anyio.fail_after(10):
+                while stopping in await named(lookup):
+                    await anyio.sleep(0.05)
+        reply = await platform.ask("/stream/a", gateway=0)
+        assert reply.status == 200
+        assert reply.headers["connection"] == b"close"
+        await eventually(lambda: platform.done[0] == 1)
+
+    play(tmp_path, scenario, one, gateways=2)
+
+
+def test_usage_is_reported_once_per_window_with_one_token(tmp_path):
+    one = worker("p1", "app")
+
+    async def scenario(platform: Platform) -> None:
+        for _ in range(6):
+            await platform.ask("/read/a", method="GET", body=b"")
+        reports = platform.cloud.calls
+        await eventually(
+            lambda: (
+                sum(body["counts"].get("acme", 0) for _, _, _, body in reports)
+                >= 6
+            )
+        )
+        windows = [body["window"] for _, _, _, body in reports]
+        assert len(windows) == len(set(windows))
+        assert len({token for _, token, _, _ in reports}) == 1
+
+    play(tmp_path, scenario, one)
+
+
+def test_ready_address_tells_readiness(tmp_path):
+    async def scenario(platform: Platform) -> None:
+        address = platform.gateways[0][1].ready_listen
+        reply = await request("GET", address, "/api/ready", [], b"")
+        assert reply.status == 200
+
+    play(tmp_path, scenario)
