Leave stuck endpoints; a removed voter asks to come back

A failed write to a full disk is cut and repeated, not an exit. Attempts that may be repeated have a progress bound.

--- a/chervilshift/control/process.py
+++ b/chervilshift/control/process.py
@@ -124,7 +124,11 @@
             clock=self._clock,
         )
         while True:
-            if me.id not in self.node.raft.voter_ids:
+            if self.node.raft.may_be_outside(self._clock.monotonic()):
+                voters = (v.address for v in self.node.raft.log.voters)
+                leader.addresses = tuple(
+                    dict.fromkeys((*self._settings.control, *voters))
+                )
                 asked = await leader.call(Join(voter=me), JOIN_INTERVAL_S)
                 if isinstance(asked, Bad):
                     logging.info("join: %s", asked.failure())
--- a/chervilshift/core/fleet/retries.py
+++ b/chervilshift/core/fleet/retries.py
@@ -42,11 +42,15 @@
 
     def spend(self, gateways: int, now: float) -> bool:
         """Take one permit if there is one."""
+        if not self.available(gateways, now):
+            return False
+        self._permits -= 1
+        return True
+
+    def available(self, gateways: int, now: float) -> bool:
+        """Whether a permit could be taken now."""
         most = self._terms.extra / 2 / max(1, gateways)
         regained = most * (now - self._at) / self._terms.window_s
         self._permits = min(most, self._permits + regained)
         self._at = now
-        if self._permits < 1:
-            return False
-        self._permits -= 1
-        return True
+        return self._permits >= 1
--- a/chervilshift/core/raft/node.py
+++ b/chervilshift/core/raft/node.py
@@ -29,6 +29,7 @@
 )
 from chervilshift.core.raft.progress import Progress
 from chervilshift.core.raft.state import (
+    ASK_AFTER_S,
     CANDIDATE,
     ELECTION_MAX_S,
     FOLLOWER,
@@ -99,6 +100,17 @@
         """Whether this replica believes it leads."""
         return self.role == LEADER
 
+    def may_be_outside(self, now: float) -> bool:
+        """Whether this replica should ask to be replicated to.
+
+        One that was removed while it was cut off does not know: its log
+        still names it, but no leader is heard from any more.
+        """
+        if self.is_leader:
+            return False
+        silent_s = now - self._contact_at
+        return self.me.id not in self.voter_ids or silent_s > ASK_AFTER_S
+
     def has_lease(self, now: float) -> bool:
         """Whether no other leader can have been elected up to `now`."""
         return (
--- a/chervilshift/core/raft/state.py
+++ b/chervilshift/core/raft/state.py
@@ -19,6 +19,9 @@
 # A voter that is silent for longer than restarts and short cuts last is
 # taken for gone.
 REMOVE_AFTER_S = 10.0
+# A replica that hears from no leader for longer than an election takes asks
+# whether it was removed.
+ASK_AFTER_S = 2 * ELECTION_MAX_S
 # The smallest set that survives the loss of one voter.
 MIN_VOTERS = 3
 
--- a/chervilshift/gateway/dispatch.py
+++ b/chervilshift/gateway/dispatch.py
@@ -22,7 +22,7 @@
 from chervilshift.gateway.relay import Relay
 from chervilshift.gateway.state import GatewayState
 from chervilshift.gateway.sync import ControlSync
-from chervilshift.gateway.upstream import Reply, Upstream
+from chervilshift.gateway.upstream import Patience, Reply, Upstream
 from chervilshift.metrics import Metrics
 
 __all__ = ["Dispatcher"]
@@ -33,8 +33,13 @@
 CONNECT_TRIES = 3
 # A client that is refused for a moment's reason may come back after this.
 SOON_S = 0.25
-# Output tokens assumed where the client declares none.
-PLAIN_OUTPUT = 0
+# An attempt that may be repeated waits this part of the objective for its
+# reply, and never less than some multiple of what was predicted.
+FIRST_SHARE = 0.9
+FIRST_FACTOR = 4.0
+# A stream whose events pause for this multiple of the allowed gap is stuck;
+# clients leave at eight times the gap.
+GAP_FACTOR = 3.0
 PRIORITY_MAX = 9
 
 
@@ -308,6 +313,7 @@
                     self._headers(exchange, record.id, sent_at),
                     exchange.body,
                     exchange.call.id,
+                    self._patience(exchange, choice),
                 )
             except EndpointFailed as exc:
                 choice.endpoint.failed(self._clock.monotonic(), rest=False)
@@ -321,6 +327,25 @@
             else:
                 await self._pass_on(exchange, choice, up, reply, down, sent_at)
 
+    def _patience(self, exchange: Exchange, choice: Choice) -> Patience:
+        """Return how long to wait before another endpoint is tried.
+
+        Without another attempt to make, waiting is all that is left.
+        """
+        route = exchange.route
+        if not route.repeatable or exchange.sends >= route.attempts:
+            return Patience()
+        budget = self._state.budget(exchange.service)
+        now = self._clock.monotonic()
+        if not budget.available(self._state.gateways, now):
+            return Patience()
+        first_s = max(
+            FIRST_SHARE * route.objective_s, FIRST_FACTOR * choice.wait_s
+        )
+        if route.kind != STREAM:
+            return Patience(first_s=first_s, next_s=first_s)
+        return Patience(first_s=first_s, next_s=GAP_FACTOR * route.gap_s)
+
     def _headers(self, exchange: Exchange, endpoint_id: str, now: float):
         resumed = exchange.relay.last_id if exchange.relay else None
         if resumed is None:
--- a/chervilshift/gateway/events.py
+++ b/chervilshift/gateway/events.py
@@ -40,10 +40,3 @@
         if line.startswith(ID_FIELD)
     ]
     return int(ids[-1]) if ids and ids[-1].isdigit() else None
-
-
-def first_id(events: bytes) -> int | None:
-    """Return the id of the first event that has one."""
-    lines = (ln for ln in events.splitlines() if ln.startswith(ID_FIELD))
-    value = next(lines, b"")[len(ID_FIELD) :].strip()
-    return int(value) if value.isdigit() else None
--- a/chervilshift/gateway/upstream.py
+++ b/chervilshift/gateway/upstream.py
@@ -10,7 +10,7 @@
 from chervilshift.gateway.connections import Connection, Connections
 from chervilshift.gateway.dialect import Dialect, Headers, ReplyHead
 
-__all__ = ["Reply", "Upstream"]
+__all__ = ["Patience", "Reply", "Upstream"]
 
 NOT_RUN_STATUSES = (503, 429, 421, 400)
 # Longer than any reply of a plain service.
@@ -49,6 +49,22 @@
         await self._response.aclose()
 
 
+class Patience:
+    """How long an attempt may make no progress.
+
+    `first_s` counts up to the reply's head, `next_s` between chunks, both
+    in seconds; None waits as long as the request lasts.
+    """
+
+    __slots__ = ("first_s", "next_s")
+
+    def __init__(
+        self, *, first_s: float | None = None, next_s: float | None = None
+    ):
+        self.first_s = first_s
+        self.next_s = next_s
+
+
 class Upstream:
     """A connection in use by one attempt; use as a context manager.
 
@@ -114,9 +130,11 @@
         headers: Headers,
         body: bytes,
         request_id: bytes,
+        patience: Patience,
     ) -> Reply:
         """Send the request and return the reply's head."""
         host, _, port = address.rpartition(":")
+        timeouts = {"read": patience.first_s, "write": patience.first_s}
         request = httpcore.Request(
             method,
             httpcore.URL(
@@ -127,11 +145,14 @@
             ),
             headers=[*headers, *_length(method, body)],
             content=body,
+            extensions={"timeout": timeouts},
         )
         try:
             response = await self._conn.http.handle_async_request(request)
         except HTTP_ERRORS as exc:
             raise self._failed(_text(exc)) from exc
+        # The body is read under this from its first chunk on.
+        timeouts["read"] = patience.next_s
         head = self._dialect.reply_head(response.status, response.headers)
         self._reply = Reply(
             status=response.status,
--- a/tests/control/test_storage.py
+++ b/tests/control/test_storage.py
@@ -176,3 +176,52 @@
     first = Storage(folder=tmp_path / "a").format(name="c1", voters=())
     second = Storage(folder=tmp_path / "b").format(name="c1", voters=())
     assert first.incarnation != second.incarnation
+
+
+class FullDisk(Disk):
+    """Takes half of a write and then no more, until `full` is cleared."""
+
+    __slots__ = ("full",)
+
+    def __init__(self):
+        self.full = False
+
+    def write(self, fd: int, data: bytes) -> None:
+        if self.full:
+            super().write(fd, data[: len(data) // 2])
+            raise OSError(errno.ENOSPC, "no space left")
+        super().write(fd, data)
+
+
+def test_writing_goes_on_when_a_full_disk_has_room_again(tmp_path):
+    disk = FullDisk()
+    storage = fresh(tmp_path, disk)
+    storage.save(HardState(term=1), (entry(1),))
+    disk.full = True
+    assert isinstance(storage.save(HardState(term=1), (entry(2),)), Bad)
+    assert not isinstance(storage.reopen(), Bad)
+    assert isinstance(storage.save(HardState(term=1), (entry(2),)), Bad)
+    disk.full = False
+    storage.reopen().unwrap()
+    storage.save(HardState(term=1), (entry(2),)).unwrap()
+    storage.save(HardState(term=2), (entry(3, 2),)).unwrap()
+    recovered = reload(tmp_path).unwrap()
+    assert [e.index for e in recovered.entries] == [1, 2, 3]
+    assert recovered.cut_bytes == 0
+
+
+def test_snapshot_that_meets_a_full_disk_can_be_repeated(tmp_path):
+    disk = FullDisk()
+    storage = fresh(tmp_path, disk)
+    storage.save(HardState(term=1), (entry(1), entry(2))).unwrap()
+    snapshot = Snapshot(index=1, term=1, data=b"state")
+    disk.full = True
+    args = (snapshot, HardState(term=1), (entry(2),))
+    assert isinstance(storage.save_snapshot(*args), Bad)
+    assert [e.index for e in reload(tmp_path).unwrap().entries] == [1, 2]
+    disk.full = False
+    storage.reopen().unwrap()
+    storage.save_snapshot(*args).unwrap()
+    recovered = reload(tmp_path).unwrap()
+    assert recovered.snapshot.data == b"state"
+    assert [e.index for e in recovered.entries] == [2]
--- /dev/null
+++ b/tests/platform/test_decoders.py
@@ -0,0 +1,178 @@
+"""Decoding the platform's documents, announcements and headers."""
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from returns.result import Failure as Bad
+
+from chervilshift.errors import BadRequest, ConfigRefused
+from chervilshift.gateway.dialect import Attempt
+from chervilshift.platform.checkin import decode_checkin, decode_departure
+from chervilshift.platform.config import decode_config
+from chervilshift.platform.headers import PlatformDialect
+from tests.platform.standin import config
+
+
+def refused(**changes) -> str:
+    body = msgspec.json.encode(config(3) | changes)
+    decoded = decode_config(body)
+    assert isinstance(decoded, Bad)
+    assert isinstance(decoded.failure(), ConfigRefused)
+    return str(decoded.failure())
+
+
+def changed_route(**changes) -> list:
+    return [config(3)["routes"][0] | changes]
+
+
+def test_proper_document_is_decoded_with_units():
+    cfg = decode_config(msgspec.json.encode(config(3))).unwrap()
+    assert cfg.version == 3
+    assert cfg.routes[0].timeout_s == 3.0
+    assert cfg.routes[0].repeatable
+    assert not cfg.routes[1].repeatable
+    assert cfg.services["llm"].engine.slots == 8
+    assert cfg.limits.idle_timeout_s == 15.0
+
+
+@pytest.mark.parametrize(
+    ("changes", "said"),
+    [
+        ({"routes": changed_route(service="gone")}, "unknown service"),
+        ({"routes": changed_route(timeout_ms=0)}, "timeout_ms"),
+        (
+            {"routes": changed_route(split=[{"service": "llm", "weight": 0}])},
+            "add up to 0",
+        ),
+        ({"routes": changed_route() * 2}, "share"),
+        ({"version": 0}, "version"),
+        ({"version": "4"}, "version"),
+        (
+            {
+                "tenants": [
+                    {"name": "a", "api_keys": ["k"]},
+                    {"name": "b", "api_keys": ["k"]},
+                ]
+            },
+            "share a key",
+        ),
+    ],
+)
+def test_each_fault_is_refused_and_named(changes, said):
+    assert said in refused(**changes)
+
+
+def test_document_that_was_cut_short_is_refused():
+    body = msgspec.json.encode(config(3))
+    for end in range(0, len(body), 37):
+        assert isinstance(decode_config(body[:end]), Bad)
+
+
+@given(st.binary(max_size=200))
+def test_no_bytes_break_the_decoders(body):
+    decode_config(body)
+    decoded = decode_checkin("x", body)
+    if isinstance(decoded, Bad):
+        assert isinstance(decoded.failure(), BadRequest)
+
+
+def test_departure_names_the_boot_that_it_carries():
+    body = (
+        b'{"service":"s","addr":"1.2.3.4:5","zone":"a","state":"ready",'
+        b'"seq":4,"slots":2,"born":77}'
+    )
+    held = decode_checkin("x", body).unwrap()
+    assert decode_departure(held, b'{"born": 50}').born_ms == 50
+    assert decode_departure(held, b"").born_ms == 77
+    assert decode_departure(held, b"\xff").born_ms == 77
+
+
+def scope(*headers: tuple[bytes, bytes], path: bytes = b"/a/b") -> dict:
+    return {
+        "method": "POST",
+        "raw_path": path,
+        "query_string": b"q=1",
+        "headers": [
+            (b"host", b"shop.example:80"),
+            (b"request-id", b"r1"),
+            *headers,
+        ],
+    }
+
+
+def test_call_is_decoded_once():
+    call = (
+        PlatformDialect()
+        .decode(
+            scope(
+                (b"token-count", b"1460,80"),
+                (b"prompt-prefix", b"5c1e:800, 91bd:410,x:"),
+                (b"deadline-ms", b"1500"),
+                (b"last-event-id", b"12"),
+            )
+        )
+        .unwrap()
+    )
+    assert call.target == b"/a/b?q=1"
+    assert call.host == "shop.example"
+    assert (call.prompt_tokens, call.output_tokens) == (1460, 80)
+    assert [(p.id, p.tokens) for p in call.parts] == [
+        ("5c1e", 800),
+        ("91bd", 410),
+    ]
+    assert (call.deadline_s, call.last_event_id) == (1.5, 12)
+
+
+@pytest.mark.parametrize(
+    "headers",
+    [
+        ((b"content-length", b"3"), (b"transfer-encoding", b"chunked")),
+        ((b"host", b"other"),),
+        ((b"request-id", b"r2"),),
+        ((b"key", b"a"), (b"key", b"b")),
+    ],
+)
+def test_ambiguous_heads_are_refused(headers):
+    assert isinstance(PlatformDialect().decode(scope(*headers)), Bad)
+
+
+def test_attempt_carries_only_what_the_system_sets():
+    dialect = PlatformDialect()
+    call = dialect.decode(
+        scope(
+            (b"kv-backup", b"x"),
+            (b"pin-ms", b"1"),
+            (b"request-priority", b"0"),
+            (b"connection", b"x-a"),
+            (b"model", b"m"),
+        )
+    ).unwrap()
+    attempt = Attempt(
+        endpoint_id="w",
+        customer="",
+        left_s=0.25,
+        priority=4,
+        last_event_id=None,
+    )
+    sent = dict(dialect.attempt_headers(call, attempt))
+    assert sent[b"deadline-ms"] == b"250"
+    assert sent[b"request-priority"] == b"4"
+    assert sent[b"model"] == b"m"
+    assert not {b"kv-backup", b"pin-ms", b"connection", b"tenant"} & set(sent)
+
+
+def test_reply_head_tells_not_run_only_when_stated():
+    dialect = PlatformDialect()
+    assert dialect.reply_head(503, [(b"Not-Run", b"1")]).not_run
+    assert dialect.reply_head(421, []).not_run
+    assert not dialect.reply_head(503, []).not_run
+    head = dialect.reply_head(
+        200,
+        [
+            (b"Keep-Alive", b"timeout=5, max=9"),
+            (b"Connection", b"close"),
+            (b"Server-Stamp", b"s"),
+        ],
+    )
+    assert (head.idle_s, head.closes, head.signed) == (5.0, True, True)
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -337,3 +337,18 @@
         assert reply.status == 200
 
     play(tmp_path, scenario)
+
+
+def test_stuck_endpoint_is_left_where_the_request_may_be_repeated(tmp_path):
+    behaviours = iter(("hang", *["ok"] * 9))
+    workers = [worker("w1"), worker("w2")]
+    for one in workers:
+        one.behave = lambda number: next(behaviours)
+
+    async def scenario(platform: Platform) -> None:
+        reply = await platform.ask("/stream/a")
+        assert (reply.status, reply.whole) == (200, True)
+        assert ids(reply.body) == IDS
+        await eventually(lambda: sum(w.cancelled for w in workers) == 1)
+
+    play(tmp_path, scenario, *workers)
