Serve what is known to be committed right after a restart; reload on SIGHUP

Now it reloads the settings; a broken file changes nothing. After all processes were killed, gateways had to wait for an election before any configuration: the commit index is noted on disk. Gateways are recorded in the log, so that fallback shares of limits add up after a restart.

--- a/chervilshift/cmdline.py
+++ b/chervilshift/cmdline.py
@@ -40,6 +40,7 @@
     EntrySettings,
     GatewaySettings,
     RoutedControlSettings,
+    SettingsWatch,
     load,
 )
 from chervilshift.standins.launch import standin_run
@@ -184,7 +185,12 @@
             cfg.process, cfg.events_folder, stdout=True
         )
         process = platform_control(cfg, clock, events)
-        sys.exit(run_until_signal(process.run))
+        watch = SettingsWatch(
+            schema=RoutedControlSettings,
+            path=Path(_path(settings)),
+            apply=process.reload,
+        )
+        sys.exit(run_until_signal(process.run, watch.reload))
 
     def gateway(self, settings: str = "") -> None:
         """Run a gateway: what clients connect to.
@@ -199,7 +205,12 @@
             cfg.process, cfg.events_folder, metrics, stdout=True
         )
         process = platform_gateway(cfg, clock, events, metrics)
-        sys.exit(run_until_signal(process.run))
+        watch = SettingsWatch(
+            schema=GatewaySettings,
+            path=Path(_path(settings)),
+            apply=process.reload,
+        )
+        sys.exit(run_until_signal(process.run, watch.reload))
 
 
 class Commands:
--- a/chervilshift/control/fleet.py
+++ b/chervilshift/control/fleet.py
@@ -14,6 +14,7 @@
     AnnounceEndpoint,
     Command,
     CommandReply,
+    NoteGateways,
 )
 from chervilshift.core.fleet.limits import LimitLedger, LimitTerms
 from chervilshift.core.fleet.lookup import choose_gateways
@@ -26,7 +27,7 @@
     ServingConfig,
     with_state,
 )
-from chervilshift.core.fleet.presence import Presence
+from chervilshift.core.fleet.presence import FORGET_AFTER_S, Presence
 from chervilshift.core.fleet.sync import (
     GatewaySync,
     Heartbeat,
@@ -184,7 +185,7 @@
                 customers,
                 message.needed,
                 message.prefetch,
-                self.presence.silent_share(now),
+                self.presence.silent_share(fleet.gateways, now),
                 now,
             )
         return SyncReply(
@@ -193,7 +194,7 @@
             stale_s=self._node.stale_s(),
             version=fleet.version,
             revision=fleet.revision,
-            gateways=self.presence.known(),
+            gateways=len(self.presence.known(fleet.gateways)),
             controls=tuple(v.address for v in self._node.raft.log.voters),
             document=fleet.document if newer else None,
             endpoints=fleet.endpoints() if changed else None,
@@ -222,6 +223,7 @@
             await anyio.sleep(FORWARD_INTERVAL_S)
             if self._node.has_lease():
                 await self._expire()
+                await self._note_gateways()
                 continue
             self._led_since = None
             if not self._node.raft.is_leader:
@@ -277,6 +279,15 @@
         if isinstance(sent, Bad):
             logging.info("heartbeats not passed on: %s", sent.failure())
 
+    async def _note_gateways(self) -> None:
+        """Record new gateways, and drop those that were silent for long."""
+        recorded = self._node.machine.fleet.gateways
+        led_s = self._clock.monotonic() - self._led_since
+        kept = recorded if led_s < FORGET_AFTER_S else ()
+        known = self.presence.known(kept)
+        if known != recorded:
+            await self._node.submit(NoteGateways(ids=known))
+
     async def _expire(self) -> None:
         """Mark endpoints silent that no replica has heard from."""
         self._beats = {}
--- a/chervilshift/control/node.py
+++ b/chervilshift/control/node.py
@@ -47,6 +47,9 @@
 COMPACT_ENTRIES = 1000
 KEEP_ENTRIES = 200
 TIME_STEP_S = 5.0
+# What is committed is noted on disk this long after, if nothing else is
+# written: a restarted replica serves it without waiting for a leader.
+COMMIT_SAVE_S = 0.2
 # A full or failing disk is tried again this often.
 DISK_RETRY_S = 0.3
 MAX_PENDING = 2000
@@ -113,6 +116,8 @@
         self._config_changed = anyio.Event()
         self._time_at = clock.monotonic()
         self._shown = ("", 0)
+        self._saved_commit = 0
+        self._commit_saved_at = clock.monotonic()
 
     # For other tasks
 
@@ -230,7 +235,7 @@
         self.raft.tick(now)
         self._advance_time(now)
         ready = self.raft.take_ready()
-        if ready.must_save:
+        if ready.must_save or self._commit_is_unsaved(now):
             await self._save(ready)
         self.raft.saved(self.raft.log.last_index, self._clock.monotonic())
         for message in ready.messages:
@@ -273,8 +278,19 @@
             self._time_at = now
             self.raft.propose(msgspec.msgpack.encode(step), now)
 
+    def _commit_is_unsaved(self, now: float) -> bool:
+        """Whether what is committed was not noted on disk for a while."""
+        if self.raft.commit == self._saved_commit:
+            self._commit_saved_at = now
+        return now - self._commit_saved_at > COMMIT_SAVE_S
+
+    def _hard_state(self) -> HardState:
+        return HardState(
+            term=self.raft.term, vote=self.raft.vote, commit=self.raft.commit
+        )
+
     async def _save(self, ready: Ready) -> None:
-        hard_state = HardState(term=self.raft.term, vote=self.raft.vote)
+        hard_state = self._hard_state()
         if ready.snapshot is not None:
             await self._persist(
                 self._storage.save_snapshot,
@@ -286,6 +302,7 @@
             self._events.emit("snapshot_installed", index=ready.snapshot.index)
         else:
             await self._persist(self._storage.save, hard_state, ready.entries)
+        self._saved_commit = hard_state.commit
 
     async def _persist(self, write: Callable, *args: object) -> None:
         """Write on a thread; with open membership, until it succeeds.
@@ -355,7 +372,7 @@
             data=msgspec.msgpack.encode(self.machine.state()),
         )
         self.raft.log.compact(snapshot, KEEP_ENTRIES)
-        hard_state = HardState(term=self.raft.term, vote=self.raft.vote)
+        hard_state = self._hard_state()
         entries = self.raft.log.between(index + 1, self.raft.log.last_index)
         await self._persist(
             self._storage.save_snapshot, snapshot, hard_state, entries
--- a/chervilshift/control/routed.py
+++ b/chervilshift/control/routed.py
@@ -61,6 +61,11 @@
         self._adapter = adapter
         self.fleet: FleetService | None = None
 
+    def reload(self, settings: RoutedControlSettings) -> None:
+        """Take changed seeds; addresses change only with a restart."""
+        self._settings = settings
+        self._events.emit("reloaded", seeds=settings.seeds)
+
     def _server(self) -> ControlServer:
         self.fleet = FleetService(
             node=self.node,
--- a/chervilshift/core/commands.py
+++ b/chervilshift/core/commands.py
@@ -5,6 +5,8 @@
     AnnounceEndpoint,
     CommitUsage,
     EndpointKnown,
+    GatewaysNoted,
+    NoteGateways,
     ServingAccepted,
     UsageCommitted,
 )
@@ -146,6 +148,7 @@
     | AcceptServing
     | AnnounceEndpoint
     | CommitUsage
+    | NoteGateways
 )
 CommandReply = (
     Applied
@@ -157,4 +160,5 @@
     | ServingAccepted
     | EndpointKnown
     | UsageCommitted
+    | GatewaysNoted
 )
--- a/chervilshift/core/fleet/commands.py
+++ b/chervilshift/core/fleet/commands.py
@@ -8,6 +8,8 @@
     "AnnounceEndpoint",
     "CommitUsage",
     "EndpointKnown",
+    "GatewaysNoted",
+    "NoteGateways",
     "ServingAccepted",
     "UsageCommitted",
 ]
@@ -33,6 +35,18 @@
     counts: dict[str, int]
 
 
+class NoteGateways(Message):
+    """Record which gateways exist, so that shares of limits add up."""
+
+    ids: tuple[str, ...]
+
+
+class GatewaysNoted(Message):
+    """How many gateways are recorded."""
+
+    count: int
+
+
 class ServingAccepted(Message):
     """The version in force after the command."""
 
--- a/chervilshift/core/fleet/limits.py
+++ b/chervilshift/core/fleet/limits.py
@@ -173,13 +173,15 @@
         "_terms",
     )
 
-    def __init__(self, *, terms: LimitTerms, now: float):
+    def __init__(self, *, terms: LimitTerms):
         self._terms = terms
         self._room_at: dict[str, float] = {}
         self._accounts: dict[str, _Account] = {}
         self._customers: dict[str, Customer] = {}
         self._gateways = 1
-        self._led_at = now
+        # A restarted gateway was silent long enough to have its share set
+        # aside.
+        self._led_at = float("-inf")
 
     def configure(self, customers: Iterable[Customer]) -> None:
         """Take the customers of a new configuration."""
@@ -193,13 +195,11 @@
         self,
         grants: dict[str, float],
         waits: dict[str, float],
-        gateways: int,
         now: float,
     ) -> None:
         """Take a leader's reply."""
         self._led_at = now
         self._room_at = {name: now + wait for name, wait in waits.items()}
-        self._gateways = max(1, gateways)
         for name, amount in grants.items():
             self._account(name).balance += amount
 
@@ -211,7 +211,7 @@
         if account.balance >= amount:
             account.balance -= amount
             return True
-        if not self._fallen_back(now):
+        if not self.fallen_back(now):
             account.fallback.at = now
             account.fallback.level = 0.0
             return False
@@ -259,9 +259,14 @@
         )
         return {name: gap for name, gap in gaps if gap > 0}
 
-    def _fallen_back(self, now: float) -> bool:
+    def fallen_back(self, now: float) -> bool:
+        """Whether the fallback share is spent, for want of a leader."""
         return now - self._led_at > FALLBACK_AFTER_S
 
+    def know_gateways(self, count: int) -> None:
+        """Take how many gateways share the limits."""
+        self._gateways = max(1, count)
+
     def _cap(self, customer: Customer) -> float:
         return self._terms.prefetch_cap(customer, self._gateways)
 
--- a/chervilshift/core/fleet/presence.py
+++ b/chervilshift/core/fleet/presence.py
@@ -1,6 +1,7 @@
 """Which gateways a control process hears from, and their shared load."""
 
 from collections import Counter, defaultdict
+from collections.abc import Iterable
 from itertools import chain
 
 from chervilshift.core.fleet.limits import RESERVE_AFTER_S
@@ -61,18 +62,20 @@
             if seen.sync.gateway.ready and now - seen.at < LISTED_FOR_S
         )
 
-    def known(self) -> int:
-        """Return how many gateways may be running."""
-        return len(self._seen)
+    def known(self, recorded: Iterable[str] = ()) -> tuple[str, ...]:
+        """Return the gateways that may be running.
 
-    def silent_share(self, now: float) -> float:
+        `recorded` are those that the cluster knew before this process did.
+        """
+        return tuple(sorted({*self._seen, *recorded}))
+
+    def silent_share(self, recorded: Iterable[str], now: float) -> float:
         """Return the part of the known gateways that is out of touch."""
-        if not self._seen:
-            return 1.0
-        silent = sum(
-            now - seen.at > RESERVE_AFTER_S for seen in self._seen.values()
+        known = self.known(recorded)
+        heard = sum(
+            now - seen.at <= RESERVE_AFTER_S for seen in self._seen.values()
         )
-        return silent / len(self._seen)
+        return 1.0 - heard / len(known) if known else 1.0
 
     def loads(self, excluding: str, now: float) -> dict[str, EndpointLoad]:
         """Return the work of all other gateways by endpoint."""
--- a/chervilshift/core/fleet/state.py
+++ b/chervilshift/core/fleet/state.py
@@ -8,6 +8,8 @@
     AnnounceEndpoint,
     CommitUsage,
     EndpointKnown,
+    GatewaysNoted,
+    NoteGateways,
     ServingAccepted,
     UsageCommitted,
 )
@@ -36,6 +38,7 @@
     revision: int = 0
     endpoints: tuple[EndpointRecord, ...] = ()
     usage: dict[int, dict[str, int]] = {}
+    gateways: tuple[str, ...] = ()
 
 
 class FleetState:
@@ -44,7 +47,14 @@
     `revision` is the log position of the last change to the endpoints.
     """
 
-    __slots__ = ("_endpoints", "_usage", "document", "revision", "version")
+    __slots__ = (
+        "_endpoints",
+        "_usage",
+        "document",
+        "gateways",
+        "revision",
+        "version",
+    )
 
     def __init__(self, *, snapshot: FleetSnapshot | None = None):
         held = snapshot or FleetSnapshot()
@@ -53,6 +63,7 @@
         self.revision = held.revision
         self._endpoints = {record.id: record for record in held.endpoints}
         self._usage = dict(held.usage)
+        self.gateways = held.gateways
 
     def snapshot(self) -> FleetSnapshot:
         """Return all state."""
@@ -62,6 +73,7 @@
             revision=self.revision,
             endpoints=tuple(self._endpoints.values()),
             usage=self._usage,
+            gateways=self.gateways,
         )
 
     def endpoint(self, endpoint_id: str) -> EndpointRecord | None:
@@ -99,6 +111,11 @@
             del self._usage[window]
         return UsageCommitted(window=command.window, counts=counts)
 
+    @apply.register
+    def _(self, command: NoteGateways, index: int) -> GatewaysNoted:
+        self.gateways = command.ids
+        return GatewaysNoted(count=len(self.gateways))
+
     @apply.register
     def _(self, command: AnnounceEndpoint, index: int) -> EndpointKnown:
         news = command.endpoint
--- a/chervilshift/core/machine.py
+++ b/chervilshift/core/machine.py
@@ -26,6 +26,7 @@
     AcceptServing,
     AnnounceEndpoint,
     CommitUsage,
+    NoteGateways,
 )
 from chervilshift.core.fleet.state import FleetSnapshot, FleetState
 from chervilshift.core.ledger import Ledger, LedgerState
@@ -150,6 +151,7 @@
     @_apply.register(AcceptServing)
     @_apply.register(AnnounceEndpoint)
     @_apply.register(CommitUsage)
+    @_apply.register(NoteGateways)
     def _(self, command: Command, index: int) -> CommandReply:
         return self.fleet.apply(command, index)
 
--- a/chervilshift/core/raft/node.py
+++ b/chervilshift/core/raft/node.py
@@ -67,11 +67,13 @@
         self.vote = hard_state.vote
         self.role = FOLLOWER
         self.leader: str | None = None
-        self.commit = log.snapshot.index
+        self.commit = max(
+            log.snapshot.index, min(hard_state.commit, log.last_index)
+        )
         self.progress: dict[str, Progress] = {}
         self.transferring_to: str | None = None
         self._rng = rng
-        self._saved_hard_state = hard_state
+        self._saved_hard_state = HardState(term=self.term, vote=self.vote)
         self._saved_index = log.last_index
         self._install: Snapshot | None = None
         self._messages: list[RaftMessage] = []
--- a/chervilshift/core/raft/state.py
+++ b/chervilshift/core/raft/state.py
@@ -27,10 +27,15 @@
 
 
 class HardState(Message):
-    """What a replica must not forget: its term and its vote in it."""
+    """What a replica must not forget: its term and its vote in it.
+
+    `commit` may lag: what is known to be committed is served at once after
+    a restart, the rest once a leader has confirmed it.
+    """
 
     term: int = 0
     vote: str = ""
+    commit: int = 0
 
 
 class Ready:
--- a/chervilshift/gateway/dispatch.py
+++ b/chervilshift/gateway/dispatch.py
@@ -29,6 +29,9 @@
 
 # A request waits this part of its objective for its customer's limit.
 LIMIT_WAIT_SHARE = 0.5
+# Without a leader's answer for this long, the limit is looked at again: the
+# fallback share refills by itself.
+GRANT_WAIT_S = 0.15
 # Connections that were refused prove nothing ran; this many are tried.
 CONNECT_TRIES = 3
 # A client that is refused for a moment's reason may come back after this.
@@ -215,9 +218,9 @@
             while not exchange.charged:
                 now = self._clock.monotonic()
                 room_at = now + limits.room_in_s(customer.name, now)
-                if room_at >= until:
+                if now >= until or room_at >= until:
                     break
-                with anyio.move_on_after(until - now):
+                with anyio.move_on_after(min(until - now, GRANT_WAIT_S)):
                     await anyio.sleep(room_at - now)
                     await self._sync.refresh()
                 exchange.charged = limits.take(
--- a/chervilshift/gateway/process.py
+++ b/chervilshift/gateway/process.py
@@ -124,6 +124,11 @@
         self._clients.close()
         self._events.emit("stopped", role="gateway")
 
+    def reload(self, settings: GatewaySettings) -> None:
+        """Take changed seeds; addresses change only with a restart."""
+        self._sync.use_seeds(tuple(settings.control))
+        self._events.emit("reloaded", seeds=settings.seeds)
+
     async def _serve(
         self, app: Callable, address: str, *, task_status
     ) -> None:
--- a/chervilshift/gateway/state.py
+++ b/chervilshift/gateway/state.py
@@ -42,7 +42,7 @@
         self._retry_terms = retry_terms
         self._budgets: dict[str, RetryBudget] = {}
         self.placement = placement
-        self.limits = LimitAccount(terms=limit_terms, now=clock.monotonic())
+        self.limits = LimitAccount(terms=limit_terms)
         self.usage = UsageCounter(window_s=usage_window_s)
         self.table: RouteTable | None = None
         self.revision = 0
@@ -81,10 +81,11 @@
             self.revision = reply.revision
             self.placement.update(reply.endpoints)
         self.gateways = max(1, reply.gateways)
+        self.limits.know_gateways(self.gateways)
         if reply.led:
             now = self._clock.monotonic()
             self.placement.share(reply.loads)
-            self.limits.credit(reply.grants, reply.waits, self.gateways, now)
+            self.limits.credit(reply.grants, reply.waits, now)
 
     def _configure(self, document: bytes) -> None:
         decoded = self._decode(document)
--- a/chervilshift/gateway/sync.py
+++ b/chervilshift/gateway/sync.py
@@ -53,6 +53,11 @@
             self._name(self._seeds)
             await anyio.sleep_forever()
 
+    def use_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Ask these control processes besides those that replies name."""
+        self._seeds = frozenset(seeds)
+        self._name(self._seeds)
+
     async def refresh(self) -> None:
         """Ask at once and return when the leader has answered."""
         answered = self._answered
--- a/chervilshift/runner.py
+++ b/chervilshift/runner.py
@@ -20,6 +20,10 @@
 Run = Callable[..., Awaitable[None]]
 
 
+def _ignore() -> None:
+    """Go on: this process has nothing to reload."""
+
+
 def open_events(
     process: str,
     folder: Path | None,
@@ -49,20 +53,20 @@
     return clock, log
 
 
-def run_until_signal(run: Run) -> int:
-    """Run `run(stop)`; the first signal sets `stop`, later ones do nothing.
+def run_until_signal(run: Run, reload: Callable[[], None] = _ignore) -> int:
+    """Run `run(stop)`; a first SIGTERM or SIGINT sets `stop`.
 
-    Returns the exit code.
+    SIGHUP calls `reload`. Returns the exit code.
     """
-    return anyio.run(_run, run, backend_options={"use_uvloop": True})
+    return anyio.run(_run, run, reload, backend_options={"use_uvloop": True})
 
 
-async def _run(run: Run) -> int:
+async def _run(run: Run, reload: Callable[[], None]) -> int:
     stop = anyio.Event()
     code = 0
     try:
         async with anyio.create_task_group() as tg:
-            tg.start_soon(_watch_signals, stop)
+            tg.start_soon(_watch_signals, stop, reload)
             await run(stop)
             tg.cancel_scope.cancel()
     except* Failure as group:
@@ -73,11 +77,16 @@
     return code
 
 
-async def _watch_signals(stop: anyio.Event) -> None:
-    wanted = (signal.SIGTERM, signal.SIGINT)
+async def _watch_signals(
+    stop: anyio.Event, reload: Callable[[], None]
+) -> None:
+    wanted = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
     with anyio.open_signal_receiver(*wanted) as signals:
-        async for _ in signals:
-            stop.set()
+        async for number in signals:
+            if number == signal.SIGHUP:
+                reload()
+            else:
+                stop.set()
 
 
 def _leaves(group: BaseExceptionGroup) -> list[Failure]:
--- a/chervilshift/settings.py
+++ b/chervilshift/settings.py
@@ -1,9 +1,11 @@
 """Settings of one process: addresses, failure domain, folders, keys."""
 
 import ssl
+from collections.abc import Callable
 from pathlib import Path
 from typing import Annotated
 
+from absl import logging
 from pydantic import BaseModel, ConfigDict, Field
 from returns.result import Failure as Bad
 from returns.result import Result, Success
@@ -20,6 +22,7 @@
     "GatewaySettings",
     "RoutedControlSettings",
     "RoutedSettings",
+    "SettingsWatch",
     "Tls",
     "load",
 ]
@@ -177,6 +180,31 @@
     return Success(checked.unwrap())
 
 
+class SettingsWatch:
+    """Applies a changed settings file; a broken one changes nothing."""
+
+    __slots__ = ("_apply", "_path", "_schema")
+
+    def __init__(
+        self,
+        *,
+        schema: type[ProcessSettings],
+        path: Path,
+        apply: Callable[[ProcessSettings], None],
+    ):
+        self._schema = schema
+        self._path = path
+        self._apply = apply
+
+    def reload(self) -> None:
+        """Read the file again and apply what it says."""
+        loaded = load(self._schema, self._path)
+        if isinstance(loaded, Bad):
+            logging.error("settings kept: %s", loaded.failure())
+            return
+        self._apply(loaded.unwrap())
+
+
 def _refused(faults: list) -> Result[ProcessSettings, SettingsRefused]:
     text = "\n".join(str(fault) for fault in faults)
     return Bad(SettingsRefused(faults=text))
--- a/tests/core/fleet/test_limits.py
+++ b/tests/core/fleet/test_limits.py
@@ -40,9 +40,16 @@
 
 
 class Gateway:
-    def __init__(self, who: Customer, rng: random.Random, load: float):
-        self.account = LimitAccount(terms=terms(), now=0.0)
+    def __init__(
+        self,
+        who: Customer,
+        rng: random.Random,
+        load: float,
+        gateways: int,
+    ):
+        self.account = LimitAccount(terms=terms())
         self.account.configure((who,))
+        self.account.know_gateways(gateways)
         self.rng = rng
         self.load = load
         self.cut = False
@@ -68,7 +75,9 @@
     rng = random.Random(seed)
     who = customer(rate)
     nodes = [
-        Gateway(who, random.Random(seed + n), load_x * rate / gateways)
+        Gateway(
+            who, random.Random(seed + n), load_x * rate / gateways, gateways
+        )
         for n in range(gateways)
     ]
     ledger = LimitLedger(terms=terms())
@@ -90,7 +99,7 @@
                     now,
                 )
                 waits = ledger.waits((who,))
-                node.account.credit(grants, waits, gateways, now)
+                node.account.credit(grants, waits, now)
                 amount = node.retry(who, now)
                 used.append((now, amount))
                 total += amount
