--- a/chervilshift/gateway/dispatch.py
+++ b/chervilshift/gateway/dispatch.py
@@ -62,7 +62,11 @@
         "counted",
         "customer",
         "ends_at",
+        "events_at",
+        "endpoints",
         "failures",
+        "first_at",
+        "gap_s",
         "maybe_ran",
         "relay",
         "route",
@@ -102,6 +106,10 @@
         self.connects = 0
         self.tried: set[str] = set()
         self.failures: list[str] = []
+        self.endpoints: list[str] = []
+        self.first_at: float | None = None
+        self.gap_s = 0.0
+        self.events_at = 0.0
         self.relay: Relay | None = None
 
     @property
@@ -109,6 +117,20 @@
         """The request's identity, for logs."""
         return self.call.id.decode("latin-1")
 
+    def saw_events(self, now: float) -> None:
+        """Note that events of the stream came."""
+        if self.first_at is None:
+            self.first_at = now
+        else:
+            self.gap_s = max(self.gap_s, now - self.events_at)
+        self.events_at = now
+
+    def is_late(self, now: float) -> bool:
+        """Whether the answer missed its objective or paused too long."""
+        first_at = now if self.first_at is None else self.first_at
+        late = first_at - self.arrived_at > self.route.objective_s
+        return late or (self.route.gap_s and self.gap_s > self.route.gap_s)
+
     @property
     def priority(self) -> int:
         """The urgency, 0 first; the customer's goes before the route's."""
@@ -306,6 +328,13 @@
         async with up:
             sent_at = self._clock.monotonic()
             exchange.sends += 1
+            load = choice.endpoint
+            exchange.endpoints.append(
+                f"{load.id} active {load.active}+{load.others.active} "
+                f"unread {load.prefill_tokens}+{load.others.prefill_tokens} "
+                f"wait {choice.wait_s:.3f} after "
+                f"{sent_at - exchange.arrived_at:.3f}"
+            )
             before = exchange.maybe_ran
             exchange.maybe_ran = True
             try:
@@ -427,17 +456,18 @@
             reply.status, self._dialect.reply_headers(reply.headers)
         )
         async for chunk in up.iterate(reply):
-            if first and await relay.feed(chunk):
+            if not await relay.feed(chunk):
+                continue
+            now = self._clock.monotonic()
+            exchange.saw_events(now)
+            if first:
                 first = False
                 begun()
-                now = self._clock.monotonic()
                 choice.endpoint.remember(exchange.work)
                 choice.endpoint.observe_first(choice.wait_s, now - sent_at)
                 choice.endpoint.succeeded(now)
                 self._metrics.observe("first_event", now - exchange.arrived_at)
                 self._begun(exchange)
-            elif not first:
-                await relay.feed(chunk)
         await relay.finish()
         self._finish(exchange, "whole")
 
@@ -487,10 +517,13 @@
         self, exchange: Exchange, outcome: str, reason: str = ""
     ) -> None:
         self._metrics.count(f"requests_{outcome.lower()}")
-        took_s = self._clock.monotonic() - exchange.arrived_at
-        late = took_s > exchange.route.objective_s
+        now = self._clock.monotonic()
+        late = exchange.is_late(now)
         if not reason and not exchange.failures and not late:
             return
+        first_s = None
+        if exchange.first_at is not None:
+            first_s = round(exchange.first_at - exchange.arrived_at, 3)
         self._events.emit(
             "request",
             request=exchange.id,
@@ -498,9 +531,13 @@
             service=exchange.service,
             outcome=outcome,
             reason=reason,
+            late=bool(late),
             attempts=exchange.sends,
+            endpoints=exchange.endpoints,
             failures=exchange.failures,
-            took_s=round(took_s, 3),
+            first_s=first_s,
+            gap_s=round(exchange.gap_s, 3),
+            took_s=round(now - exchange.arrived_at, 3),
             version=self._state.version,
         )
 
--- a/chervilshift/gateway/ingress.py
+++ b/chervilshift/gateway/ingress.py
@@ -24,7 +24,10 @@
 
 # A client refused here may come back to another gateway at once.
 ELSEWHERE_S = 0.05
-# Without a configuration, the first is on its way.
+# A started gateway has its configuration within a sync or two; a request
+# that comes earlier waits this long for it, in seconds.
+STARTING_WAIT_S = 0.8
+# Without a configuration by then, control is away for longer.
 STARTING_S = 0.5
 
 
@@ -78,6 +81,8 @@
             down.closing = True
             raise decoded.failure()
         call = decoded.unwrap()
+        if self._state.table is None:
+            await self._state.wait_configured(STARTING_WAIT_S)
         table = self._state.table
         if table is None:
             raise NotReady(reason="no configuration yet")
--- a/chervilshift/gateway/state.py
+++ b/chervilshift/gateway/state.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+import anyio
 from absl import logging
 from returns.result import Failure as Bad
 from returns.result import Result
@@ -45,6 +46,7 @@
         self.limits = LimitAccount(terms=limit_terms)
         self.usage = UsageCounter(window_s=usage_window_s)
         self.table: RouteTable | None = None
+        self._configured = anyio.Event()
         self.revision = 0
         self.gateways = 1
 
@@ -53,6 +55,11 @@
         """The version of the configuration in force here, or 0."""
         return self.table.cfg.version if self.table else 0
 
+    async def wait_configured(self, timeout_s: float) -> None:
+        """Return when there is a configuration, or after `timeout_s`."""
+        with anyio.move_on_after(timeout_s):
+            await self._configured.wait()
+
     def budget(self, service: str) -> RetryBudget:
         """Return a service's retry budget."""
         if service not in self._budgets:
@@ -94,5 +101,6 @@
             return
         cfg = decoded.unwrap()
         self.table = RouteTable(cfg=cfg)
+        self._configured.set()
         self.limits.configure(cfg.customers)
         self._events.emit("config", version=cfg.version)
--- a/tests/core/test_open_membership.py
+++ b/tests/core/test_open_membership.py
@@ -5,8 +5,9 @@
 
 import pytest
 
+from chervilshift.core.raft.log import RaftLog
 from chervilshift.core.raft.node import Raft
-from chervilshift.core.raft.state import REMOVE_AFTER_S
+from chervilshift.core.raft.state import REMOVE_AFTER_S, HardState
 from tests.core.raft_world import Replica, World, voter
 
 
@@ -127,3 +128,29 @@
     assert index in world.committed
     newest = world.leader()
     assert dict(map(tuple, newest.applied)) == world.committed
+
+
+def test_restarted_replica_serves_what_it_knew_to_be_committed():
+    world = open_world()
+    for _ in range(5):
+        world.propose()
+        world.run(0.3)
+    one = world.replicas["a~initial"]
+    commit = one.raft.commit
+    state = HardState(term=one.raft.term, vote="", commit=commit)
+    again = Raft(
+        me=one.me,
+        log=RaftLog(snapshot=one.snapshot, entries=one.entries),
+        hard_state=state,
+        rng=Random(1),
+        now=world.now,
+    )
+    assert again.commit == commit
+    torn = Raft(
+        me=one.me,
+        log=RaftLog(snapshot=one.snapshot, entries=one.entries[:-1]),
+        hard_state=HardState(term=state.term, commit=commit + 9),
+        rng=Random(1),
+        now=world.now,
+    )
+    assert torn.commit == torn.log.last_index
