Place by interference; size the fleet by the prompts to be read

A prompt now costs the streams beside it, a long stream avoids engines that read much, and reclaimable endpoints are ordered so that engines read 0.22 of the time.

--- a/chervilshift/control/duties.py
+++ b/chervilshift/control/duties.py
@@ -4,6 +4,7 @@
 one's lease and its calls under way have run out before its first call.
 """
 
+from collections import defaultdict
 from typing import Protocol
 
 import anyio
@@ -16,7 +17,13 @@
 from chervilshift.core.commands import CommitUsage
 from chervilshift.core.fleet.model import ServingConfig
 from chervilshift.core.fleet.presence import Presence
-from chervilshift.core.fleet.scaling import Fleet, Order, plan_orders
+from chervilshift.core.fleet.scaling import (
+    Fleet,
+    Order,
+    SizeHold,
+    needed_size,
+    plan_orders,
+)
 from chervilshift.core.fleet.usage import window_of
 from chervilshift.errors import Failure
 from chervilshift.events import EventLog
@@ -98,6 +105,7 @@
         self._next_window: int | None = None
         self._placed: dict[tuple[str, str, bool], _Placed] = {}
         self._refused: dict[str, float] = {}
+        self._sizes: defaultdict[str, SizeHold] = defaultdict(SizeHold)
 
     async def run(self) -> None:
         """Perform the duties until cancelled, while this replica leads."""
@@ -183,13 +191,16 @@
             fleet = Fleet(
                 endpoints=endpoints,
                 active=active,
+                reading=self._presence.reading(spec.name, now),
                 refused=frozenset(
                     domain
                     for domain, at in self._refused.items()
                     if now - at < REFUSED_FOR_S
                 ),
             )
-            for order in plan_orders(spec, fleet):
+            needed = needed_size(spec, fleet)
+            size = self._sizes[spec.name].hold(needed, now)
+            for order in plan_orders(spec, fleet, size):
                 held = fleet.count(order.failure_domain, spot=order.spot)
                 await self._place(order, held, spec.scaling.boot_s)
 
--- a/chervilshift/core/admission.py
+++ b/chervilshift/core/admission.py
@@ -1,9 +1,8 @@
 """Refuses early what would wait for too long, each customer in its share."""
 
-import math
-
 from chervilshift.core.jobs import Job
 from chervilshift.core.queues import FairQueue
+from chervilshift.core.rates import FadingRate
 
 __all__ = ["Admission"]
 
@@ -12,27 +11,6 @@
 MIN_QUEUED_PER_CUSTOMER = 2
 
 
-class _Rate:
-    """Events a second, over a window that fades."""
-
-    __slots__ = ("_at", "_weight")
-
-    def __init__(self):
-        self._weight = 0.0
-        self._at = 0.0
-
-    def add(self, now: float) -> None:
-        self._weight = self._faded(now) + 1.0
-        self._at = now
-
-    def value(self, now: float) -> float:
-        return self._faded(now) / RATE_WINDOW_S
-
-    def _faded(self, now: float) -> float:
-        age_s = max(0.0, now - self._at)
-        return self._weight * math.exp(-age_s / RATE_WINDOW_S)
-
-
 class Admission:
     """Bounds the queue of short work by how fast it empties.
 
@@ -44,7 +22,7 @@
 
     def __init__(self, *, wait_s: float):
         self.wait_s = wait_s
-        self._placed = _Rate()
+        self._placed = FadingRate(window_s=RATE_WINDOW_S)
 
     def placed(self, job: Job, now: float) -> None:
         """Note that a job went from the queue to an endpoint."""
--- a/chervilshift/core/fleet/placement.py
+++ b/chervilshift/core/fleet/placement.py
@@ -1,9 +1,11 @@
-"""Chooses the endpoint for an attempt by what it would cost the caller.
+"""Chooses the endpoint for an attempt by what it would cost the callers.
 
 A gateway counts its own work at once and other gateways' work as control
-last told it. For model engines the cost is the predicted first token:
-distance, prompt tokens that have to be read before it, and crowding; for
-plain services it is the predicted wait for a free slot.
+last told it. For model engines the cost is the predicted first token
+(distance, prompt tokens to be read before it, crowding) and interference: a
+prompt delays the tokens of the streams that run beside it, so long prompts
+keep away from long streams and the other way round. For plain services it
+is the predicted wait for a free slot.
 """
 
 import hashlib
@@ -26,6 +28,17 @@
 CROWDING_S = 0.0005
 # Typical plain call until an endpoint's own calls were seen, in seconds.
 CALL_S = 0.06
+# What it costs to delay one running stream by a second, as seconds of a
+# prompt's own wait: a fraction of such delays makes a stream late.
+HARM_WEIGHT = 0.1
+# What a second of streaming costs beside an engine that reads all the time.
+EXPOSURE_WEIGHT = 0.25
+# An engine's time for one output token at a usual batch, in seconds.
+TOKEN_S = 0.006
+# A backlog of this many seconds counts as reading all the time.
+READING_FULL_S = 0.1
+# Weight of the newest sample in an engine's share of time spent reading.
+READING_WEIGHT = 0.15
 # One way between regions and back, with the transfer of a prompt.
 REMOTE_S = 0.1
 # An engine that is not the prompt's home has to win by this much.
@@ -47,15 +60,21 @@
     """What an attempt asks of an endpoint.
 
     `parts` are (id, tokens) of the prompt in order; `tokens` is the whole
-    prompt. Plain calls have neither.
+    prompt and `output_tokens` the most that may be produced. Plain calls
+    have none of these.
     """
 
-    __slots__ = ("parts", "tokens")
+    __slots__ = ("output_tokens", "parts", "tokens")
 
     def __init__(
-        self, *, tokens: int = 0, parts: tuple[tuple[str, int], ...] = ()
+        self,
+        *,
+        tokens: int = 0,
+        output_tokens: int = 0,
+        parts: tuple[tuple[str, int], ...] = (),
     ):
         self.tokens = tokens
+        self.output_tokens = output_tokens
         self.parts = parts
 
     @property
@@ -76,6 +95,7 @@
         "failures",
         "others",
         "prefill_tokens",
+        "reading",
         "record",
         "remote",
         "replied_at",
@@ -89,6 +109,7 @@
         self.active = 0
         self.prefill_tokens = 0
         self.others = EndpointLoad()
+        self.reading = 0.0
         self.slowness = 1.0
         self.call_s = CALL_S
         self.failure_rate = 0.0
@@ -112,6 +133,13 @@
         """Return all gateways' requests there, as far as known."""
         return self.active + self.others.active
 
+    def take_others(self, load: EndpointLoad) -> None:
+        """Take other gateways' work, and sample how much is being read."""
+        self.others = load
+        queued = self.prefill_tokens + load.prefill_tokens
+        busy = min(1.0, queued / PREFILL_TOKENS_PER_S / READING_FULL_S)
+        self.reading += READING_WEIGHT * (busy - self.reading)
+
     def usable(self, now: float) -> bool:
         """Whether new work may be sent there."""
         if self.record.state == SILENT:
@@ -164,18 +192,25 @@
 
 
 class Choice:
-    """An endpoint and the predicted wait there, in seconds.
+    """An endpoint, the predicted wait there and what choosing it costs.
 
-    `unread_tokens` is the part of the prompt it is expected to read.
+    `wait_s` is until the reply begins; `cost_s` adds what other requests
+    lose. `unread_tokens` is the part of the prompt it is expected to read.
     """
 
-    __slots__ = ("endpoint", "unread_tokens", "wait_s")
+    __slots__ = ("cost_s", "endpoint", "unread_tokens", "wait_s")
 
     def __init__(
-        self, *, endpoint: Endpoint, wait_s: float, unread_tokens: int
+        self,
+        *,
+        endpoint: Endpoint,
+        wait_s: float,
+        cost_s: float,
+        unread_tokens: int,
     ):
         self.endpoint = endpoint
         self.wait_s = wait_s
+        self.cost_s = cost_s
         self.unread_tokens = unread_tokens
 
 
@@ -206,7 +241,7 @@
         """Take the work of other gateways."""
         idle = EndpointLoad()
         for endpoint in self._endpoints.values():
-            endpoint.others = loads.get(endpoint.id, idle)
+            endpoint.take_others(loads.get(endpoint.id, idle))
 
     def loads(self) -> dict[str, EndpointLoad]:
         """Return this gateway's own work by endpoint."""
@@ -257,7 +292,7 @@
                 _engine_choice(e, spec.engine.slots, work, home=e is home)
                 for e in candidates
             ]
-        return min(choices, key=lambda choice: choice.wait_s)
+        return min(choices, key=lambda choice: choice.cost_s)
 
     def _home(self, candidates: list[Endpoint], work: Work) -> Endpoint:
         """Return where a prompt is kept, the same at every gateway."""
@@ -280,19 +315,30 @@
     unread = endpoint.uncached(work, home=home)
     queued = endpoint.prefill_tokens + endpoint.others.prefill_tokens
     active = endpoint.total_active()
-    wait_s = (unread + queued) / PREFILL_TOKENS_PER_S + active * CROWDING_S
+    read_s = unread / PREFILL_TOKENS_PER_S
+    wait_s = read_s + queued / PREFILL_TOKENS_PER_S + active * CROWDING_S
     if active >= slots:
         wait_s += (active - slots + 1) / slots
     wait_s *= endpoint.slowness
-    wait_s += FAILURE_COST_S * endpoint.failure_rate
     wait_s += REMOTE_S if endpoint.remote else 0.0
-    wait_s += 0.0 if home else AWAY_S
-    return Choice(endpoint=endpoint, wait_s=wait_s, unread_tokens=unread)
+    harm_s = HARM_WEIGHT * active * read_s
+    exposed_s = work.output_tokens * TOKEN_S * endpoint.reading
+    cost_s = wait_s + harm_s + EXPOSURE_WEIGHT * exposed_s
+    cost_s += FAILURE_COST_S * endpoint.failure_rate
+    cost_s += 0.0 if home else AWAY_S
+    return Choice(
+        endpoint=endpoint,
+        wait_s=wait_s,
+        cost_s=cost_s,
+        unread_tokens=unread,
+    )
 
 
 def _plain_choice(endpoint: Endpoint) -> Choice:
     crowd = endpoint.total_active() / endpoint.record.slots
     wait_s = endpoint.call_s * (1 + max(0.0, crowd - 0.5) * 2)
-    wait_s += FAILURE_COST_S * endpoint.failure_rate
     wait_s += REMOTE_S if endpoint.remote else 0.0
-    return Choice(endpoint=endpoint, wait_s=wait_s, unread_tokens=0)
+    cost_s = wait_s + FAILURE_COST_S * endpoint.failure_rate
+    return Choice(
+        endpoint=endpoint, wait_s=wait_s, cost_s=cost_s, unread_tokens=0
+    )
--- a/chervilshift/core/fleet/presence.py
+++ b/chervilshift/core/fleet/presence.py
@@ -94,6 +94,14 @@
             for endpoint_id, count in active.items()
         }
 
+    def reading(self, service: str, now: float) -> float:
+        """Return the prompt tokens a second that a service has to read."""
+        return sum(
+            seen.sync.reading.get(service, 0.0)
+            for seen in self._seen.values()
+            if now - seen.at <= LOAD_FOR_S
+        )
+
     def usage(self, window: int) -> dict[str, int]:
         """Return the requests begun in a window, by customer."""
         parts = [s.sync.usage.get(window, {}) for s in self._seen.values()]
--- a/chervilshift/core/fleet/scaling.py
+++ b/chervilshift/core/fleet/scaling.py
@@ -6,7 +6,7 @@
 rest with reclaimable ones.
 """
 
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Iterable
 from itertools import product
 from math import ceil
@@ -15,16 +15,23 @@
     DRAINING,
     READY,
     EndpointRecord,
+    Scaling,
     ServiceSpec,
 )
+from chervilshift.core.fleet.placement import PREFILL_TOKENS_PER_S
 
-__all__ = ["Fleet", "Order", "plan_orders"]
+__all__ = ["Fleet", "Order", "SizeHold", "needed_size", "plan_orders"]
 
 # On-demand endpoints per failure domain whatever the load: one survives
 # where all reclaimable ones of every domain are taken back at once.
 ON_DEMAND_FLOOR = 1
 # Reclaimable endpoints per failure domain at light load.
-SPOT_FLOOR = 2
+SPOT_FLOOR = 1
+# Part of its time that an engine may spend reading prompts: beyond it the
+# streams beside them pause too often.
+READING_SHARE = 0.22
+# A size that was needed is kept this long: several boots.
+HOLD_S = 15.0
 # Running requests per slot above which the fleet grows.
 BUSY_SHARE = 0.45
 
@@ -51,21 +58,23 @@
 class Fleet:
     """A service's endpoints and load as the planner sees them.
 
-    `refused` names the failure domains that have no reclaimable endpoint
-    to give at the moment.
+    `reading` is the prompt tokens a second to be read. `refused` names the
+    failure domains that have no reclaimable endpoint to give at the moment.
     """
 
-    __slots__ = ("active", "endpoints", "refused")
+    __slots__ = ("active", "endpoints", "reading", "refused")
 
     def __init__(
         self,
         *,
         endpoints: Iterable[EndpointRecord],
         active: int,
+        reading: float = 0.0,
         refused: frozenset[str] = frozenset(),
     ):
         self.endpoints = tuple(endpoints)
         self.active = active
+        self.reading = reading
         self.refused = refused
 
     def count(self, failure_domain: str, *, spot: bool) -> int:
@@ -86,42 +95,64 @@
         )
 
 
-def plan_orders(spec: ServiceSpec, fleet: Fleet) -> tuple[Order, ...]:
-    """Return the orders that a service's fleet should consist of."""
-    scaling = spec.scaling
-    domains = sorted(set(scaling.prices) | set(fleet.domains()))
+class SizeHold:
+    """The largest size that was needed within the last `HOLD_S` seconds."""
+
+    __slots__ = ("_sizes",)
+
+    def __init__(self):
+        self._sizes: deque[tuple[float, int]] = deque()
+
+    def hold(self, size: int, now: float) -> int:
+        """Take a needed size; return the size to keep."""
+        while self._sizes and self._sizes[-1][1] <= size:
+            self._sizes.pop()
+        self._sizes.append((now, size))
+        while now - self._sizes[0][0] > HOLD_S:
+            self._sizes.popleft()
+        return self._sizes[0][1]
+
+
+def needed_size(spec: ServiceSpec, fleet: Fleet) -> int:
+    """Return how many endpoints the load of the moment asks for."""
+    slots = spec.engine.slots if spec.engine else 1
+    by_slots = fleet.active / (BUSY_SHARE * slots)
+    by_reading = fleet.reading / (READING_SHARE * PREFILL_TOKENS_PER_S)
+    return ceil(max(by_slots, by_reading))
+
+
+def plan_orders(
+    spec: ServiceSpec, fleet: Fleet, size: int
+) -> tuple[Order, ...]:
+    """Return the orders that make up a fleet of `size` endpoints."""
+    domains = sorted(set(spec.scaling.prices) | set(fleet.domains()))
     if not domains:
         return ()
-    slots = spec.engine.slots if spec.engine else 1
-    busy = ceil(fleet.active / (BUSY_SHARE * slots))
-    floor = (ON_DEMAND_FLOOR + SPOT_FLOOR) * len(domains)
-    extra = ceil(max(0, busy - floor) / len(domains))
+    reclaimable = ceil(size / len(domains)) - ON_DEMAND_FLOOR
+    spot = max(SPOT_FLOOR, reclaimable)
     return tuple(
         Order(
             service=spec.name,
             failure_domain=domain,
-            spot=spot,
-            count=_bounded(spec, fleet, domain, extra, spot=spot),
+            spot=is_spot,
+            count=_bounded(spec.scaling, fleet, domain, spot, is_spot=is_spot),
         )
-        for domain, spot in product(domains, (False, True))
+        for domain, is_spot in product(domains, (False, True))
     )
 
 
 def _bounded(
-    spec: ServiceSpec, fleet: Fleet, domain: str, extra: int, *, spot: bool
+    scaling: Scaling, fleet: Fleet, domain: str, spot: int, *, is_spot: bool
 ) -> int:
-    scaling = spec.scaling
-    reclaimable = scaling.spot_price < 1
-    wanted_spot = SPOT_FLOOR + extra if reclaimable else 0
-    missing = 0
-    if not reclaimable:
-        missing = SPOT_FLOOR + extra
+    stand_ins = 0
+    if scaling.spot_price >= 1:
+        stand_ins, spot = spot, 0
     elif domain in fleet.refused:
         # Nothing reclaimable to be had: one on-demand endpoint stands in.
-        missing = 1
+        stand_ins = 1
     on_demand = min(
-        scaling.maximum, max(scaling.minimum, ON_DEMAND_FLOOR + missing)
+        scaling.maximum, max(scaling.minimum, ON_DEMAND_FLOOR + stand_ins)
     )
-    if not spot:
+    if not is_spot:
         return on_demand
-    return max(0, min(wanted_spot, scaling.maximum - on_demand))
+    return max(0, min(spot, scaling.maximum - on_demand))
--- a/chervilshift/core/fleet/sync.py
+++ b/chervilshift/core/fleet/sync.py
@@ -42,8 +42,9 @@
 
     `loads` and `usage` are the gateway's own and complete: endpoints by id,
     and requests begun per window and customer since the process started.
-    `wants` asks for tokens of customers' limits; a want with `needed` true
-    has a request waiting for it.
+    `reading` is the prompt tokens a second that were sent to be read, by
+    service. `needed` are tokens of customers' limits that requests wait
+    for, `prefetch` what may be held ahead of requests.
     """
 
     gateway: GatewayInfo
@@ -51,6 +52,7 @@
     revision: int
     loads: dict[str, EndpointLoad] = {}
     usage: dict[int, dict[str, int]] = {}
+    reading: dict[str, float] = {}
     needed: dict[str, float] = {}
     prefetch: dict[str, float] = {}
 
--- a/chervilshift/gateway/dispatch.py
+++ b/chervilshift/gateway/dispatch.py
@@ -96,6 +96,7 @@
         self.ends_at = arrived_at + waits_s
         self.work = Work(
             tokens=call.prompt_tokens or 0,
+            output_tokens=call.output_tokens or 0,
             parts=tuple((p.id, p.tokens) for p in call.parts),
         )
         self.amount = _amount(call, customer)
@@ -301,6 +302,7 @@
         endpoint = choice.endpoint
         endpoint.active += 1
         endpoint.prefill_tokens += choice.unread_tokens
+        self._state.note_reading(exchange.service, choice.unread_tokens)
         unread = [choice.unread_tokens]
 
         def begun() -> None:
--- a/chervilshift/gateway/state.py
+++ b/chervilshift/gateway/state.py
@@ -1,5 +1,6 @@
 """What a gateway knows: configuration, endpoints, limits, budgets."""
 
+from collections import defaultdict
 from collections.abc import Callable
 
 import anyio
@@ -15,11 +16,15 @@
 from chervilshift.core.fleet.routes import RouteTable
 from chervilshift.core.fleet.sync import GatewayInfo, GatewaySync, SyncReply
 from chervilshift.core.fleet.usage import UsageCounter
+from chervilshift.core.rates import FadingRate
 from chervilshift.errors import Failure
 from chervilshift.events import EventLog
 
 __all__ = ["GatewayState"]
 
+# Long enough to smooth clumps, short enough to grow before a boot is over.
+READING_WINDOW_S = 4.0
+
 
 class GatewayState:
     """Held by the tasks of one gateway; changed by control's replies."""
@@ -44,6 +49,9 @@
         self._budgets: dict[str, RetryBudget] = {}
         self.placement = placement
         self.limits = LimitAccount(terms=limit_terms)
+        self._reading: defaultdict[str, FadingRate] = defaultdict(
+            lambda: FadingRate(window_s=READING_WINDOW_S)
+        )
         self.usage = UsageCounter(window_s=usage_window_s)
         self.table: RouteTable | None = None
         self._configured = anyio.Event()
@@ -68,14 +76,23 @@
             )
         return self._budgets[service]
 
+    def note_reading(self, service: str, tokens: int) -> None:
+        """Note prompt tokens that an endpoint was sent to read."""
+        self._reading[service].add(self._clock.monotonic(), tokens)
+
     def request(self) -> GatewaySync:
         """Return the gateway's news."""
+        now = self._clock.monotonic()
         return GatewaySync(
             gateway=self._info(),
             version=self.version,
             revision=self.revision,
             loads=self.placement.loads(),
             usage=self.usage.counts(),
+            reading={
+                service: rate.value(now)
+                for service, rate in self._reading.items()
+            },
             needed=self.limits.needed(),
             prefetch=self.limits.prefetch(),
         )
--- a/tests/core/fleet/test_placement.py
+++ b/tests/core/fleet/test_placement.py
@@ -18,6 +18,11 @@
     max_connections=100,
     engine=EngineSpec(slots=8, kv_tokens=100_000),
 )
+ENGINES_WIDE = ServiceSpec(
+    name="llm",
+    max_connections=100,
+    engine=EngineSpec(slots=128, kv_tokens=600_000),
+)
 PLAIN = ServiceSpec(name="app", max_connections=100)
 
 
@@ -123,3 +128,25 @@
     held.endpoints()[0].active = 4
     held.update((record("e1", born_ms=9),))
     assert held.endpoints()[0].active == 0
+
+
+def test_long_prompt_keeps_away_from_running_streams():
+    held = placement(record("e1"), record("e2"))
+    home = held.choose(ENGINES, prompt("t", "x"), 0.0).endpoint
+    home.active = 7
+    held.share({home.id: EndpointLoad(active=60)})
+    chosen = held.choose(ENGINES_WIDE, prompt("t", "x"), 0.0)
+    assert chosen.endpoint is not home
+
+
+def test_long_stream_keeps_away_from_an_engine_that_reads_prompts():
+    held = placement(record("e1"), record("e2"))
+    short = Work(tokens=500, parts=(("s", 100), ("own", 400)))
+    long = Work(tokens=500, parts=short.parts, output_tokens=400)
+    home = held.choose(ENGINES, short, 0.0).endpoint
+    busy = {home.id: EndpointLoad(active=2, prefill_tokens=20_000)}
+    for _ in range(20):
+        held.share(busy)
+    held.share({})
+    assert held.choose(ENGINES, short, 0.0).endpoint is home
+    assert held.choose(ENGINES, long, 0.0).endpoint is not home
--- a/tests/core/fleet/test_scaling.py
+++ b/tests/core/fleet/test_scaling.py
@@ -6,7 +6,13 @@
     Scaling,
     ServiceSpec,
 )
-from chervilshift.core.fleet.scaling import Fleet, plan_orders
+from chervilshift.core.fleet.scaling import (
+    HOLD_S,
+    Fleet,
+    SizeHold,
+    needed_size,
+    plan_orders,
+)
 
 DOMAINS = {"a": 0.85, "b": 1.0, "far": 1.2}
 
@@ -44,7 +50,8 @@
 
 
 def counts(fleet: Fleet, **changes) -> dict[tuple[str, bool], int]:
-    orders = plan_orders(spec(**changes), fleet)
+    made = spec(**changes)
+    orders = plan_orders(made, fleet, needed_size(made, fleet))
     return {(o.failure_domain, o.spot): o.count for o in orders}
 
 
@@ -76,7 +83,7 @@
 def test_without_a_lower_price_nothing_reclaimable_is_ordered():
     planned = counts(Fleet(endpoints=(), active=0), spot_price=1.0)
     assert not any(planned[domain, True] for domain in DOMAINS)
-    assert all(planned[domain, False] >= 2 for domain in DOMAINS)
+    assert all(planned[domain, False] == 2 for domain in DOMAINS)
 
 
 def test_only_ready_endpoints_of_a_kind_are_counted():
@@ -85,3 +92,18 @@
     assert fleet.count("a", spot=True) == 2
     assert fleet.count("a", spot=False) == 1
     assert set(fleet.domains()) == {"a"}
+
+
+def test_prompts_to_be_read_grow_the_fleet():
+    calm = Fleet(endpoints=(), active=10, reading=20_000)
+    busy = Fleet(endpoints=(), active=10, reading=300_000)
+    assert counts(busy)["a", True] > counts(calm)["a", True] + 2
+
+
+def test_size_is_held_through_a_lull_and_given_up_afterwards():
+    held = SizeHold()
+    assert held.hold(9, 0.0) == 9
+    assert held.hold(4, 1.0) == 9
+    assert held.hold(12, 2.0) == 12
+    assert held.hold(3, HOLD_S) == 12
+    assert held.hold(3, HOLD_S + 2.1) == 3
