Limits through an election; harm beyond two chunks; bounded logs

Now gateways keep their shares until the leader grants. A test over four elections found that forgotten debts add up: a new leader starts in debt. Log lines are bounded and never wait (tests/test_sink).

--- a/chervilshift/control/fleet.py
+++ b/chervilshift/control/fleet.py
@@ -199,6 +199,7 @@
             document=fleet.document if newer else None,
             endpoints=fleet.endpoints() if changed else None,
             loads=self.presence.loads(message.gateway.id, now),
+            granting=led and self._limits.grants(now),
             grants=grants,
             waits=self._limits.waits(customers) if led else {},
         )
--- a/chervilshift/core/fleet/limits.py
+++ b/chervilshift/core/fleet/limits.py
@@ -14,9 +14,9 @@
 __all__ = ["LimitAccount", "LimitLedger", "LimitTerms"]
 
 # A gateway without a leader's reply for this long spends its fallback share.
-FALLBACK_AFTER_S = 1.2
+FALLBACK_AFTER_S = 0.8
 # The leader sets a silent gateway's share aside earlier than it can be used.
-RESERVE_AFTER_S = 0.8
+RESERVE_AFTER_S = 0.55
 # Below 1, so that shares set aside late stay inside the tolerance.
 FALLBACK_SHARE = 0.9
 # Prefetched tokens may use up this part of the tolerated overshoot.
@@ -83,6 +83,16 @@
         self._buckets = {}
         self._led_since = None
 
+    def grants(self, now: float) -> bool:
+        """Whether this leader grants yet.
+
+        At first, gateways that lost the last leader spend their fallback
+        shares, and some may not have heard of this one.
+        """
+        if self._led_since is None:
+            self._led_since = now
+        return now - self._led_since > FALLBACK_AFTER_S
+
     def grant(
         self,
         customers: Iterable[Customer],
@@ -96,11 +106,8 @@
         `silent_share` is the part of the known gateways, 0 to 1, that may
         be spending their fallback shares.
         """
-        if self._led_since is None:
-            self._led_since = now
-        if now - self._led_since < FALLBACK_AFTER_S:
-            # Gateways that lost the last leader may not have noticed yet.
-            silent_share = 1.0
+        if not self.grants(now):
+            return {}
         limited = (c for c in customers if c.rate_per_s > 0)
         grants = {
             customer.name: self._take(
@@ -135,8 +142,9 @@
         silent_share: float,
         now: float,
     ) -> float:
+        # The last leader may have left the bucket in debt.
         bucket = self._buckets.setdefault(
-            customer.name, _Bucket(level=0.0, at=now)
+            customer.name, _Bucket(level=-self._debt, at=now)
         )
         reserved = silent_share * FALLBACK_SHARE
         rate = customer.rate_per_s * max(0.0, 1.0 - reserved)
--- a/chervilshift/core/fleet/placement.py
+++ b/chervilshift/core/fleet/placement.py
@@ -28,9 +28,12 @@
 CROWDING_S = 0.0005
 # Typical plain call until an endpoint's own calls were seen, in seconds.
 CALL_S = 0.06
-# What it costs to delay one running stream by a second, as seconds of a
-# prompt's own wait: a fraction of such delays makes a stream late.
-HARM_WEIGHT = 0.1
+# Prompt tokens that an engine reads between a stream's events without making
+# them late: engines read in chunks, and a few chunks fit one allowed pause.
+HARMLESS_TOKENS = 8_000
+# What it costs to delay one running stream by a second beyond that, as
+# seconds of a prompt's own wait.
+HARM_WEIGHT = 0.5
 # What a second of streaming costs beside an engine that reads all the time.
 EXPOSURE_WEIGHT = 0.25
 # An engine's time for one output token at a usual batch, in seconds.
@@ -321,7 +324,8 @@
         wait_s += (active - slots + 1) / slots
     wait_s *= endpoint.slowness
     wait_s += REMOTE_S if endpoint.remote else 0.0
-    harm_s = HARM_WEIGHT * active * read_s
+    excess = max(0, min(unread, unread + queued - HARMLESS_TOKENS))
+    harm_s = HARM_WEIGHT * active * excess / PREFILL_TOKENS_PER_S
     exposed_s = work.output_tokens * TOKEN_S * endpoint.reading
     cost_s = wait_s + harm_s + EXPOSURE_WEIGHT * exposed_s
     cost_s += FAILURE_COST_S * endpoint.failure_rate
--- a/chervilshift/core/fleet/sync.py
+++ b/chervilshift/core/fleet/sync.py
@@ -62,6 +62,7 @@
 
     `document` and `endpoints` are absent when the gateway has them.
     `grants` is given only by the leader; `led` tells whether it is one.
+    While `granting` is false, gateways go on under their fallback shares.
     `waits` names customers whose limit is spent, with the seconds until it
     has room again.
     """
@@ -76,6 +77,7 @@
     document: bytes | None = None
     endpoints: tuple[EndpointRecord, ...] | None = None
     loads: dict[str, EndpointLoad] = {}
+    granting: bool = False
     grants: dict[str, float] = {}
     waits: dict[str, float] = {}
 
--- a/chervilshift/events.py
+++ b/chervilshift/events.py
@@ -11,6 +11,7 @@
 from typing import TextIO
 
 from chervilshift.clock import Clock
+from chervilshift.sink import LineSink
 
 __all__ = ["EventLog", "HybridClock", "read_events"]
 
@@ -46,7 +47,7 @@
     Without a stream the events are only counted, not written.
     """
 
-    __slots__ = ("_hlc", "_on_event", "_process", "_stream")
+    __slots__ = ("_hlc", "_on_event", "_process", "_sink", "_stream")
 
     def __init__(
         self,
@@ -54,11 +55,13 @@
         process: str,
         hlc: HybridClock,
         stream: TextIO | None = None,
+        sink: LineSink | None = None,
         on_event: Callable[[str], None] | None = None,
     ):
         self._process = process
         self._hlc = hlc
         self._stream = stream
+        self._sink = sink
         self._on_event = on_event
 
     @property
@@ -66,11 +69,25 @@
         """The clock that stamps the events."""
         return self._hlc
 
-    def emit(self, event: str, **fields: object) -> None:
-        """Write one event with its fields."""
+    def emit(
+        self, event: str, *, urgent: bool = False, **fields: object
+    ) -> None:
+        """Write one event with its fields.
+
+        `urgent` events explain a failure and are the last to be dropped.
+        """
         if self._on_event is not None:
             self._on_event(event)
-        if self._stream is None:
+        if self._sink is not None:
+            dropped = self._sink.take_dropped()
+            if dropped:
+                self._put("dropped", {"counts": dropped}, urgent=True)
+        self._put(event, fields, urgent=urgent)
+
+    def _put(
+        self, event: str, fields: dict[str, object], *, urgent: bool
+    ) -> None:
+        if self._stream is None and self._sink is None:
             return
         record = {
             "hlc": self._hlc.tick(),
@@ -78,8 +95,12 @@
             "event": event,
             **fields,
         }
-        self._stream.write(json.dumps(record, default=str) + "\n")
-        self._stream.flush()
+        line = json.dumps(record, default=str)
+        if self._sink is not None:
+            self._sink.write(event, line.encode(), urgent=urgent)
+        else:
+            self._stream.write(line + "\n")
+            self._stream.flush()
 
 
 def _parse(path: Path) -> Iterator[dict]:
--- a/chervilshift/gateway/dialect.py
+++ b/chervilshift/gateway/dialect.py
@@ -144,6 +144,9 @@
     def decode(self, scope: dict) -> Result[Call, Failure]:
         """Decode a request's head from an ASGI scope."""
 
+    def request_id(self, scope: dict) -> str:
+        """Return a request's identity as its head has it, for logs."""
+
     def attempt_headers(self, call: Call, attempt: Attempt) -> Headers:
         """Return the headers of an attempt."""
 
--- a/chervilshift/gateway/dispatch.py
+++ b/chervilshift/gateway/dispatch.py
@@ -528,6 +528,7 @@
             first_s = round(exchange.first_at - exchange.arrived_at, 3)
         self._events.emit(
             "request",
+            urgent=bool(reason),
             request=exchange.id,
             route=exchange.route.name,
             service=exchange.service,
--- a/chervilshift/gateway/ingress.py
+++ b/chervilshift/gateway/ingress.py
@@ -15,6 +15,7 @@
     Unauthorized,
     Unserved,
 )
+from chervilshift.events import EventLog
 from chervilshift.gateway.dialect import Call, Dialect
 from chervilshift.gateway.dispatch import Dispatcher
 from chervilshift.gateway.downstream import ClientGone, Downstream
@@ -45,7 +46,9 @@
         dispatcher: Dispatcher,
         dialect: Dialect,
         clock: Clock,
+        events: EventLog,
     ):
+        self._events = events
         self._state = state
         self._dispatcher = dispatcher
         self._dialect = dialect
@@ -65,6 +68,7 @@
         except ClientGone:
             return
         except Failure as exc:
+            self._log_refusal(scope, exc)
             await down.refuse(exc, _retry_after_s(exc))
         except Exception:
             # A fault of ours: what ran is unknown, so nothing is promised.
@@ -74,6 +78,18 @@
         finally:
             self.under_way -= 1
 
+    def _log_refusal(self, scope: dict, exc: Failure) -> None:
+        """Tell why a request got no further than its head."""
+        self._events.emit(
+            "refused",
+            urgent=True,
+            request=self._dialect.request_id(scope),
+            reason=exc.name,
+            text=str(exc),
+            path=scope["path"],
+            version=self._state.version,
+        )
+
     async def _serve(self, scope: dict, down: Downstream) -> None:
         arrived_at = self._clock.monotonic()
         decoded = self._dialect.decode(scope)
--- a/chervilshift/gateway/process.py
+++ b/chervilshift/gateway/process.py
@@ -102,6 +102,7 @@
             dispatcher=dispatcher,
             dialect=protocol.dialect,
             clock=clock,
+            events=events,
         )
 
     async def run(
--- a/chervilshift/gateway/state.py
+++ b/chervilshift/gateway/state.py
@@ -109,7 +109,8 @@
         if reply.led:
             now = self._clock.monotonic()
             self.placement.share(reply.loads)
-            self.limits.credit(reply.grants, reply.waits, now)
+            if reply.granting:
+                self.limits.credit(reply.grants, reply.waits, now)
 
     def _configure(self, document: bytes) -> None:
         decoded = self._decode(document)
--- a/chervilshift/platform/headers.py
+++ b/chervilshift/platform/headers.py
@@ -101,6 +101,11 @@
         )
         return Success(call)
 
+    def request_id(self, scope: dict) -> str:
+        """Return a request's identity, or an empty text."""
+        named = (v for k, v in scope["headers"] if k == REQUEST_ID)
+        return next(named, b"").decode("latin-1")
+
     def attempt_headers(self, call: Call, attempt: Attempt) -> Headers:
         """Return the call's headers with what the system sets itself."""
         own = [
--- a/chervilshift/runner.py
+++ b/chervilshift/runner.py
@@ -12,6 +12,7 @@
 from chervilshift.errors import Failure
 from chervilshift.events import EventLog, HybridClock
 from chervilshift.metrics import Metrics
+from chervilshift.sink import LineSink
 
 __all__ = ["open_events", "run_until_signal"]
 
@@ -37,7 +38,7 @@
     standard output.
     """
     clock = SystemClock()
-    stream = sys.stdout if stdout else None
+    stream = sink = None
     if folder is not None:
         folder.mkdir(parents=True, exist_ok=True)
         path = folder / f"events-{process}.jsonl"
@@ -49,7 +50,11 @@
             metrics.count(f"events_{event}")
 
     hlc = HybridClock(clock=clock)
-    log = EventLog(process=process, hlc=hlc, stream=stream, on_event=on_event)
+    if stdout and stream is None:
+        sink = LineSink(fd=sys.stdout.fileno(), now=clock.monotonic)
+    log = EventLog(
+        process=process, hlc=hlc, stream=stream, sink=sink, on_event=on_event
+    )
     return clock, log
 
 
