--- a/chervilshift/cmdline.py
+++ b/chervilshift/cmdline.py
@@ -10,6 +10,8 @@
 import time
 import uuid
 from collections.abc import Callable
+from contextlib import ExitStack
+from itertools import chain
 from pathlib import Path
 
 import fire
@@ -26,6 +28,7 @@
 from chervilshift.entry.process import EntryProcess
 from chervilshift.errors import Failure
 from chervilshift.events import read_events
+from chervilshift.explain import explain, parse_lines
 from chervilshift.metrics import Metrics
 from chervilshift.operator import OperatorClient
 from chervilshift.platform.launch import (
@@ -333,6 +336,22 @@
         for event in read_events(Path(folder), **wanted):
             print(json.dumps(event))
 
+    def explain(self, request: str, *files: str) -> None:
+        """Print the story of one request from the processes' logs.
+
+        Args:
+            request: the request's id.
+            files: files of event lines; without any, standard input.
+        """
+        with ExitStack() as stack:
+            streams = [
+                stack.enter_context(open(name, encoding="utf-8"))
+                for name in files
+            ]
+            lines = chain.from_iterable(streams or (sys.stdin,))
+            for line in explain(str(request), parse_lines(lines)):
+                print(line)
+
     def replay(self, trace: str) -> None:
         """Replay a recorded trace through the core and check its outcomes.
 
--- a/chervilshift/control/routed.py
+++ b/chervilshift/control/routed.py
@@ -17,6 +17,7 @@
 from chervilshift.core.raft.messages import Voter
 from chervilshift.events import EventLog
 from chervilshift.httpserver import serve_app
+from chervilshift.metrics import Metrics
 from chervilshift.settings import RoutedControlSettings
 
 __all__ = ["Adapter", "RoutedControl"]
@@ -89,6 +90,10 @@
             clock=self._clock,
             events=self._events,
         )
+        if self._settings.metrics_listen:
+            await tg.start(
+                self._serve, self._metrics(), self._settings.metrics_listen
+            )
         tg.start_soon(self.fleet.run)
         tg.start_soon(duties.run)
         for app, address in (
@@ -97,6 +102,26 @@
         ):
             await tg.start(self._serve, app(self.fleet), address)
 
+    def _metrics(self) -> Metrics:
+        """Return this replica's gauges."""
+        node, presence = self.node, self.fleet.presence
+        metrics = Metrics()
+        metrics.gauge("leads", lambda: node.raft.is_leader)
+        metrics.gauge("lease_held", node.has_lease)
+        metrics.gauge("term", lambda: node.raft.term)
+        metrics.gauge("log_commit", lambda: node.raft.commit)
+        metrics.gauge("stale_seconds", node.stale_s)
+        metrics.gauge("voters", lambda: len(node.raft.voter_ids))
+        metrics.gauge("config_version", lambda: node.machine.fleet.version)
+        metrics.gauge(
+            "endpoints_known", lambda: len(node.machine.fleet.endpoints())
+        )
+        metrics.gauge(
+            "gateways_listed",
+            lambda: len(presence.listed(self._clock.monotonic())),
+        )
+        return metrics
+
     async def _serve(self, app: Callable, address: str, *, task_status):
         host, port = split_address(address)
         await serve_app(
--- a/chervilshift/gateway/dispatch.py
+++ b/chervilshift/gateway/dispatch.py
@@ -319,6 +319,8 @@
         self, exchange: Exchange, choice: Choice, down: Downstream, begun
     ) -> None:
         record = choice.endpoint.record
+        asked_at = self._clock.monotonic()
+        self._metrics.observe("placed", asked_at - exchange.arrived_at)
         try:
             up = await Upstream.connect(
                 record.id, record.address, self._conns, self._dialect
@@ -329,6 +331,7 @@
             raise
         async with up:
             sent_at = self._clock.monotonic()
+            self._metrics.observe("connect", sent_at - asked_at)
             exchange.sends += 1
             load = choice.endpoint
             exchange.endpoints.append(
@@ -521,6 +524,10 @@
         self._metrics.count(f"requests_{outcome.lower()}")
         now = self._clock.monotonic()
         late = exchange.is_late(now)
+        if exchange.gap_s:
+            self._metrics.observe("longest_gap", exchange.gap_s)
+        if late:
+            self._metrics.count("requests_late")
         if not reason and not exchange.failures and not late:
             return
         first_s = None
--- a/chervilshift/gateway/process.py
+++ b/chervilshift/gateway/process.py
@@ -74,6 +74,7 @@
         self._protocol = protocol
         self._clock = clock
         self._events = events
+        self._metrics = metrics
         self._incarnation = token_hex(INCARNATION_BYTES)
         self._http: HttpServer | None = None
         self._clients = Clients(
@@ -104,6 +105,7 @@
             clock=clock,
             events=events,
         )
+        self._show_gauges(metrics)
 
     async def run(
         self, stop: anyio.Event, *, task_status=anyio.TASK_STATUS_IGNORED
@@ -116,6 +118,10 @@
             )
             ready = self._protocol.ready_app(self._is_ready)
             await tg.start(self._serve, ready, self._settings.ready_listen)
+            if self._settings.metrics_listen:
+                await tg.start(
+                    self._serve, self._metrics, self._settings.metrics_listen
+                )
             tg.start_soon(self._maintain)
             self._events.emit("started", role="gateway")
             task_status.started()
@@ -159,6 +165,26 @@
             events=self._events,
         )
 
+    def _show_gauges(self, metrics: Metrics) -> None:
+        state = self.state
+        placement = state.placement
+        metrics.gauge("config_version", lambda: state.version)
+        metrics.gauge("ready", self._is_ready)
+        metrics.gauge("gateways_known", lambda: state.gateways)
+        metrics.gauge("requests_under_way", lambda: self.ingress.under_way)
+        metrics.gauge("endpoints_known", lambda: len(placement.endpoints()))
+        metrics.gauge(
+            "endpoints_resting",
+            lambda: sum(
+                e.rests_until > self._clock.monotonic()
+                for e in placement.endpoints()
+            ),
+        )
+        metrics.gauge(
+            "limits_fallen_back",
+            lambda: state.limits.fallen_back(self._clock.monotonic()),
+        )
+
     def _info(self) -> GatewayInfo:
         return GatewayInfo(
             id=self._settings.process,
--- a/chervilshift/metrics.py
+++ b/chervilshift/metrics.py
@@ -1,6 +1,7 @@
 """Counters and latency histograms of one process."""
 
 from collections import Counter
+from collections.abc import Callable
 
 from hdrh.histogram import HdrHistogram
 
@@ -14,10 +15,11 @@
 class Metrics:
     """Holds counters and histograms by name; `render` shows them as text."""
 
-    __slots__ = ("_counters", "_histograms")
+    __slots__ = ("_counters", "_gauges", "_histograms")
 
     def __init__(self):
         self._counters: Counter[str] = Counter()
+        self._gauges: dict[str, Callable[[], float]] = {}
         self._histograms: dict[str, HdrHistogram] = {}
 
     def count(self, name: str, amount: int = 1) -> None:
@@ -28,6 +30,10 @@
         """Return the counter `name`."""
         return self._counters[name]
 
+    def gauge(self, name: str, read: Callable[[], float]) -> None:
+        """Show what `read` returns as the gauge `name`."""
+        self._gauges[name] = read
+
     def observe(self, name: str, seconds: float) -> None:
         """Record a duration in the histogram `name`."""
         histogram = self._histograms.get(name)
@@ -42,6 +48,10 @@
             f"chervilshift_{name}_total {value}"
             for name, value in sorted(self._counters.items())
         ]
+        lines += [
+            f"chervilshift_{name} {read():g}"
+            for name, read in sorted(self._gauges.items())
+        ]
         for name, histogram in sorted(self._histograms.items()):
             lines += [
                 f'chervilshift_{name}_seconds{{quantile="{pct / 100:g}"}} '
@@ -51,3 +61,17 @@
             total = histogram.get_total_count()
             lines.append(f"chervilshift_{name}_seconds_count {total}")
         return "\n".join(lines) + "\n"
+
+    async def __call__(
+        self, scope: dict, receive: Callable, send: Callable
+    ) -> None:
+        """Serve the metrics as an ASGI application."""
+        body = self.render().encode()
+        await send(
+            {
+                "type": "http.response.start",
+                "status": 200,
+                "headers": [(b"content-type", b"text/plain; version=0.0.4")],
+            }
+        )
+        await send({"type": "http.response.body", "body": body})
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -330,6 +330,22 @@
     play(tmp_path, scenario, one)
 
 
+def test_metrics_tell_outcomes_and_beliefs(tmp_path):
+    one = worker("p1", "app")
+
+    async def scenario(platform: Platform) -> None:
+        await platform.ask("/read/a", method="GET", body=b"")
+        shown = platform.gateways[0][0]._metrics.render()
+        assert "chervilshift_requests_200_total 1" in shown
+        assert "chervilshift_config_version 1" in shown
+        assert "chervilshift_endpoints_known 1" in shown
+        assert "chervilshift_connect_seconds_count 1" in shown
+        control = platform.controls[0]._metrics().render()
+        assert "chervilshift_voters 3" in control
+
+    play(tmp_path, scenario, one)
+
+
 def test_ready_address_tells_readiness(tmp_path):
     async def scenario(platform: Platform) -> None:
         address = platform.gateways[0][1].ready_listen
