--- a/chervilshift/core/fleet/scaling.py
+++ b/chervilshift/core/fleet/scaling.py
@@ -12,7 +12,6 @@
 from math import ceil
 
 from chervilshift.core.fleet.model import (
-    DRAINING,
     READY,
     EndpointRecord,
     Scaling,
@@ -87,11 +86,9 @@
         )
 
     def domains(self) -> Counter[str]:
-        """Return the failure domains that have endpoints."""
+        """Return the endpoints that take work, by failure domain."""
         return Counter(
-            e.failure_domain
-            for e in self.endpoints
-            if e.state in (READY, DRAINING)
+            e.failure_domain for e in self.endpoints if e.state == READY
         )
 
 
@@ -114,7 +111,12 @@
 
 
 def needed_size(spec: ServiceSpec, fleet: Fleet) -> int:
-    """Return how many endpoints the load of the moment asks for."""
+    """Return how many endpoints the load of the moment asks for.
+
+    Before any load, what is there is what somebody thought right.
+    """
+    if not fleet.active and not fleet.reading:
+        return sum(fleet.domains().values())
     slots = spec.engine.slots if spec.engine else 1
     by_slots = fleet.active / (BUSY_SHARE * slots)
     by_reading = fleet.reading / (READING_SHARE * PREFILL_TOKENS_PER_S)
--- a/tests/core/fleet/test_scaling.py
+++ b/tests/core/fleet/test_scaling.py
@@ -107,3 +107,14 @@
     assert held.hold(12, 2.0) == 12
     assert held.hold(3, HOLD_S) == 12
     assert held.hold(3, HOLD_S + 2.1) == 3
+
+
+def test_fleet_as_found_is_kept_in_size_until_there_is_load():
+    found = [
+        one for domain in DOMAINS for one in endpoints(domain, 3, spot=False)
+    ]
+    idle = counts(Fleet(endpoints=found, active=0))
+    assert all(idle[d, False] + idle[d, True] == 3 for d in DOMAINS)
+    assert all(idle[domain, True] == 2 for domain in DOMAINS)
+    light = counts(Fleet(endpoints=found, active=1, reading=100.0))
+    assert sum(light.values()) < 9
