--- a/chervilshift/errors.py
+++ b/chervilshift/errors.py
@@ -323,7 +323,10 @@
     """The customer's limit is spent."""
 
     status, not_run = 429, True
-    template = "limit of customer {customer} is spent"
+    template = (
+        "limit of customer {customer} is spent: {needs:.0f} needed, "
+        "room in {room_s:.2f} s"
+    )
     remedy = "send less, or raise the customer's limit"
 
 
--- a/chervilshift/gateway/dispatch.py
+++ b/chervilshift/gateway/dispatch.py
@@ -195,12 +195,13 @@
 
     async def _serve(self, exchange: Exchange, down: Downstream) -> None:
         if not await self._admit(exchange):
-            await self._refuse(
-                exchange,
-                down,
-                OverLimit(customer=exchange.customer.name),
-                self._limit_wait_s(exchange),
+            room_s = self._limit_wait_s(exchange)
+            failure = OverLimit(
+                customer=exchange.customer.name,
+                needs=exchange.amount,
+                room_s=room_s,
             )
+            await self._refuse(exchange, down, failure, room_s)
             return
         self._state.budget(exchange.service).earn()
         while True:
