--- a/chervilshift/control/duties.py
+++ b/chervilshift/control/duties.py
@@ -5,6 +5,7 @@
 """
 
 from collections import defaultdict
+from collections.abc import Callable
 from typing import Protocol
 
 import anyio
@@ -87,7 +88,8 @@
         node: Node,
         presence: Presence,
         cloud: Cloud,
-        serving,
+        serving: Callable[[], ServingConfig | None],
+        wall_s: Callable[[], float],
         usage_window_s: float,
         lease_s: float,
         clock: Clock,
@@ -97,6 +99,7 @@
         self._presence = presence
         self._cloud = cloud
         self._serving = serving
+        self._wall_s = wall_s
         self._window_s = usage_window_s
         self._lease_s = lease_s
         self._clock = clock
@@ -134,8 +137,7 @@
         return now - self._led_since > self._lease_s + CALL_MARGIN_S
 
     async def _report_due(self) -> None:
-        wall_s = self._clock.utcnow().timestamp()
-        settled = window_of(wall_s - SETTLE_S, self._window_s)
+        settled = window_of(self._wall_s() - SETTLE_S, self._window_s)
         if self._next_window is None:
             newest = self._node.machine.fleet.newest_usage()
             started = settled - REPEAT_WINDOWS
--- a/chervilshift/control/fleet.py
+++ b/chervilshift/control/fleet.py
@@ -36,6 +36,7 @@
     ServingDocument,
     SyncReply,
 )
+from chervilshift.core.fleet.walltime import WallTime
 from chervilshift.errors import Failure, NotLeader, NotReady
 from chervilshift.events import EventLog
 from chervilshift.wire.leader import LeaderClient
@@ -81,6 +82,7 @@
         self._clock = clock
         self._events = events
         self.presence = Presence()
+        self._wall = WallTime()
         self._limits = LimitLedger(terms=limit_terms)
         self._leader = LeaderClient(addresses=(), clients=clients, clock=clock)
         self._beats: dict[str, Heartbeat] = {}
@@ -167,12 +169,19 @@
             self._cfg = decoded.unwrap()
         return self._cfg
 
+    def wall_s(self) -> float:
+        """Return the Unix time that most hosts agree on."""
+        wall_s = self._clock.utcnow().timestamp()
+        return self._wall.correct(wall_s, self._clock.monotonic())
+
     # For the system's own processes
 
     def sync(self, message: GatewaySync) -> SyncReply:
         """Answer a gateway."""
         now = self._clock.monotonic()
+        wall_s = self._clock.utcnow().timestamp()
         self.presence.observe(message, now)
+        self._wall.observe(message.gateway.id, message.wall_s, wall_s, now)
         fleet = self._node.machine.fleet
         led = self._node.has_lease()
         newer = fleet.version > message.version
@@ -199,6 +208,7 @@
             document=fleet.document if newer else None,
             endpoints=fleet.endpoints() if changed else None,
             loads=self.presence.loads(message.gateway.id, now),
+            wall_s=wall_s,
             granting=led and self._limits.grants(now),
             grants=grants,
             waits=self._limits.waits(customers) if led else {},
--- a/chervilshift/control/routed.py
+++ b/chervilshift/control/routed.py
@@ -85,6 +85,7 @@
             presence=self.fleet.presence,
             cloud=self._adapter.cloud,
             serving=self.fleet.serving,
+            wall_s=self.fleet.wall_s,
             usage_window_s=self._settings.usage_window_s,
             lease_s=self._settings.duty_lease_ms / 1000,
             clock=self._clock,
--- a/chervilshift/core/fleet/sync.py
+++ b/chervilshift/core/fleet/sync.py
@@ -44,7 +44,8 @@
     and requests begun per window and customer since the process started.
     `reading` is the prompt tokens a second that were sent to be read, by
     service. `needed` are tokens of customers' limits that requests wait
-    for, `prefetch` what may be held ahead of requests.
+    for, `prefetch` what may be held ahead of requests. `wall_s` is the
+    gateway's Unix time.
     """
 
     gateway: GatewayInfo
@@ -53,6 +54,7 @@
     loads: dict[str, EndpointLoad] = {}
     usage: dict[int, dict[str, int]] = {}
     reading: dict[str, float] = {}
+    wall_s: float = 0.0
     needed: dict[str, float] = {}
     prefetch: dict[str, float] = {}
 
@@ -77,6 +79,7 @@
     document: bytes | None = None
     endpoints: tuple[EndpointRecord, ...] | None = None
     loads: dict[str, EndpointLoad] = {}
+    wall_s: float = 0.0
     granting: bool = False
     grants: dict[str, float] = {}
     waits: dict[str, float] = {}
--- a/chervilshift/gateway/dispatch.py
+++ b/chervilshift/gateway/dispatch.py
@@ -482,8 +482,7 @@
         if exchange.customer is None or exchange.counted:
             return
         exchange.counted = True
-        wall_s = self._clock.utcnow().timestamp()
-        self._state.usage.begun(exchange.customer.name, wall_s)
+        self._state.begun(exchange.customer.name)
 
     # Ends
 
--- a/chervilshift/gateway/state.py
+++ b/chervilshift/gateway/state.py
@@ -16,6 +16,7 @@
 from chervilshift.core.fleet.routes import RouteTable
 from chervilshift.core.fleet.sync import GatewayInfo, GatewaySync, SyncReply
 from chervilshift.core.fleet.usage import UsageCounter
+from chervilshift.core.fleet.walltime import WallTime
 from chervilshift.core.rates import FadingRate
 from chervilshift.errors import Failure
 from chervilshift.events import EventLog
@@ -52,6 +53,7 @@
         self._reading: defaultdict[str, FadingRate] = defaultdict(
             lambda: FadingRate(window_s=READING_WINDOW_S)
         )
+        self._wall = WallTime()
         self.usage = UsageCounter(window_s=usage_window_s)
         self.table: RouteTable | None = None
         self._configured = anyio.Event()
@@ -89,6 +91,7 @@
             revision=self.revision,
             loads=self.placement.loads(),
             usage=self.usage.counts(),
+            wall_s=self._clock.utcnow().timestamp(),
             reading={
                 service: rate.value(now)
                 for service, rate in self._reading.items()
@@ -97,8 +100,20 @@
             prefetch=self.limits.prefetch(),
         )
 
-    def absorb(self, reply: SyncReply) -> None:
-        """Take control's news; older versions change nothing."""
+    def begun(self, customer: str) -> None:
+        """Count a request that an endpoint began to run."""
+        wall_s = self._clock.utcnow().timestamp()
+        now = self._clock.monotonic()
+        self.usage.begun(customer, self._wall.correct(wall_s, now))
+
+    def absorb(self, peer: str, reply: SyncReply) -> None:
+        """Take the news of a control process at the address `peer`.
+
+        Older versions change nothing.
+        """
+        wall_s = self._clock.utcnow().timestamp()
+        now = self._clock.monotonic()
+        self._wall.observe(peer, reply.wall_s, wall_s, now)
         if reply.document is not None and reply.version > self.version:
             self._configure(reply.document)
         if reply.endpoints is not None and reply.revision > self.revision:
@@ -107,7 +122,6 @@
         self.gateways = max(1, reply.gateways)
         self.limits.know_gateways(self.gateways)
         if reply.led:
-            now = self._clock.monotonic()
             self.placement.share(reply.loads)
             if reply.granting:
                 self.limits.credit(reply.grants, reply.waits, now)
--- a/chervilshift/gateway/sync.py
+++ b/chervilshift/gateway/sync.py
@@ -97,7 +97,7 @@
                 await anyio.sleep(RETRY_INTERVAL_S)
                 continue
             news: SyncReply = reply.unwrap()
-            self._state.absorb(news)
+            self._state.absorb(address, news)
             self._name(chain(news.controls))
             if news.led:
                 await self._rest_leader()
