--- a/chervilshift/control/duties.py
+++ b/chervilshift/control/duties.py
@@ -5,7 +5,7 @@
 """
 
 from collections import defaultdict
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Protocol
 
 import anyio
@@ -116,11 +116,17 @@
             tg.start_soon(self._loop, self._report_due)
             tg.start_soon(self._loop, self._order_due)
 
-    async def _loop(self, step) -> None:
+    async def step(self) -> None:
+        """Do once what is due."""
+        for duty in (self._report_due, self._order_due):
+            if self._may_act():
+                await duty()
+
+    async def _loop(self, duty: Callable[[], Awaitable[None]]) -> None:
         while True:
             await anyio.sleep(INTERVAL_S)
             if self._may_act():
-                await step()
+                await duty()
 
     def _may_act(self) -> bool:
         """Whether this replica leads and its predecessor's time is over."""
--- a/chervilshift/runner.py
+++ b/chervilshift/runner.py
@@ -1,5 +1,6 @@
 """Runs one process until a signal stops it in good order."""
 
+import gc
 import signal
 import sys
 from collections.abc import Awaitable, Callable
@@ -17,6 +18,9 @@
 __all__ = ["open_events", "run_until_signal"]
 
 EXIT_FAILURE = 1
+# Allocations between collections; requests leave few cycles behind, and the
+# default collects several times a second under load.
+GC_ALLOCATIONS = 20_000
 
 Run = Callable[..., Awaitable[None]]
 
@@ -69,6 +73,9 @@
 async def _run(run: Run, reload: Callable[[], None]) -> int:
     stop = anyio.Event()
     code = 0
+    # Modules live as long as the process: no collection looks at them again.
+    gc.freeze()
+    gc.set_threshold(GC_ALLOCATIONS)
     try:
         async with anyio.create_task_group() as tg:
             tg.start_soon(_watch_signals, stop, reload)
--- /dev/null
+++ b/tests/control/test_duties.py
@@ -0,0 +1,212 @@
+"""Duties of the leader: the old lease is waited out, reports are repeated."""
+
+import anyio
+from returns.result import Failure as Bad
+from returns.result import Success
+
+from chervilshift.clock import ManualClock
+from chervilshift.control.duties import CALL_MARGIN_S, DutyTask
+from chervilshift.core.commands import CommitUsage
+from chervilshift.core.fleet.model import (
+    EngineSpec,
+    Scaling,
+    ServiceSpec,
+    ServingConfig,
+    ServingLimits,
+)
+from chervilshift.core.fleet.presence import Presence
+from chervilshift.core.fleet.state import FleetState
+from chervilshift.core.fleet.sync import GatewayInfo, GatewaySync
+from chervilshift.errors import CloudRefused
+from chervilshift.events import EventLog, HybridClock
+
+LEASE_S = 3.0
+WINDOW_S = 5.0
+START = 1_000_000.0
+
+
+class FakeRaft:
+    def __init__(self):
+        self.is_leader = True
+        self.term = 4
+
+
+class FakeNode:
+    """A replica that commits at once, and can lose its lease."""
+
+    def __init__(self, fleet: FleetState | None = None):
+        self.raft = FakeRaft()
+        self.lease = True
+        self.machine = self
+        self.fleet = fleet or FleetState()
+        self.index = 0
+        self.on_commit = lambda: None
+
+    def has_lease(self) -> bool:
+        return self.lease and self.raft.is_leader
+
+    async def submit(self, command):
+        self.index += 1
+        reply = self.fleet.apply(command, self.index)
+        self.on_commit()
+        return Success(reply)
+
+
+class FakeCloud:
+    def __init__(self):
+        self.usage: list[tuple[int, dict, int]] = []
+        self.orders: list[tuple[str, int, bool, int]] = []
+        self.refuses_spot = False
+        self.down = False
+
+    async def report_usage(self, window, counts, token):
+        if self.down:
+            return Bad(CloudRefused(path="/usage", reason="down"))
+        self.usage.append((window, dict(counts), token))
+        return Success(None)
+
+    async def order(self, service, failure_domain, count, *, spot, token):
+        if spot and self.refuses_spot:
+            return Bad(CloudRefused(path="/scale", reason="409"))
+        self.orders.append((failure_domain, count, spot, token))
+        return Success(None)
+
+
+class World:
+    """One replica's duties under a manual clock."""
+
+    def __init__(self, fleet: FleetState | None = None, cfg=None):
+        self.clock = ManualClock()
+        self.node = FakeNode(fleet)
+        self.cloud = FakeCloud()
+        self.presence = Presence()
+        self.task = DutyTask(
+            node=self.node,
+            presence=self.presence,
+            cloud=self.cloud,
+            serving=lambda: cfg,
+            wall_s=lambda: START + self.clock.monotonic(),
+            usage_window_s=WINDOW_S,
+            lease_s=LEASE_S,
+            clock=self.clock,
+            events=EventLog(process="t", hlc=HybridClock(clock=self.clock)),
+        )
+
+    def run(self, seconds: float, step: float = 0.25) -> None:
+        async def steps() -> None:
+            for _ in range(int(seconds / step)):
+                self.clock.advance(step)
+                await self.task.step()
+
+        anyio.run(steps)
+
+    def count(self, amount: int) -> None:
+        info = GatewayInfo(
+            id="g",
+            incarnation="1",
+            address="g:1",
+            failure_domain="a",
+            region="r",
+            ready=True,
+        )
+        window = int((START + self.clock.monotonic()) // WINDOW_S)
+        self.presence.observe(
+            GatewaySync(
+                gateway=info,
+                version=1,
+                revision=1,
+                usage={window: {"acme": amount}},
+            ),
+            self.clock.monotonic(),
+        )
+
+
+def test_new_leader_waits_out_the_old_lease_and_a_call():
+    world = World()
+    world.run(LEASE_S + CALL_MARGIN_S - 0.3)
+    assert not world.cloud.usage
+    world.run(10.0)
+    assert world.cloud.usage
+
+
+def test_each_window_is_reported_once_with_the_term_as_token():
+    world = World()
+    for _ in range(10):
+        world.count(7)
+        world.run(WINDOW_S)
+    windows = [window for window, _, _ in world.cloud.usage]
+    assert windows == sorted(set(windows))
+    assert {token for _, _, token in world.cloud.usage} == {4}
+    assert all(
+        counts in ({"acme": 7}, {}) for _, counts, _ in world.cloud.usage
+    )
+
+
+def test_successor_repeats_the_committed_counts():
+    fleet = FleetState()
+    window = int(START // WINDOW_S)
+    fleet.apply(CommitUsage(window=window, counts={"acme": 3}), 1)
+    world = World(fleet)
+    world.count(99)
+    world.run(12.0)
+    reports = {w: counts for w, counts, _ in world.cloud.usage}
+    assert reports[window] == {"acme": 3}
+
+
+def test_report_that_the_cloud_did_not_take_is_repeated_unchanged():
+    world = World()
+    world.cloud.down = True
+    world.count(5)
+    world.run(14.0)
+    world.count(50)
+    world.cloud.down = False
+    world.run(3.0)
+    first = world.cloud.usage[0]
+    committed = world.node.fleet.committed_usage(first[0])
+    assert first[1] == committed
+
+
+def test_lease_lost_between_commit_and_call_sends_nothing():
+    world = World()
+
+    def lose() -> None:
+        world.node.lease = False
+
+    world.node.on_commit = lose
+    world.run(20.0)
+    assert not world.cloud.usage
+
+
+def scaled() -> ServingConfig:
+    spec = ServiceSpec(
+        name="llm",
+        max_connections=9,
+        engine=EngineSpec(slots=8, kv_tokens=1),
+        scaling=Scaling(
+            minimum=1,
+            maximum=6,
+            boot_s=4.0,
+            spot_price=0.2,
+            prices={"a": 1.0},
+        ),
+    )
+    return ServingConfig(
+        version=1,
+        routes=(),
+        services={"llm": spec},
+        limits=ServingLimits(),
+    )
+
+
+def test_refused_spot_order_brings_an_on_demand_stand_in():
+    world = World(cfg=scaled())
+    world.cloud.refuses_spot = True
+    world.run(LEASE_S + CALL_MARGIN_S + 3.0)
+    on_demand = [count for _, count, spot, _ in world.cloud.orders if not spot]
+    assert on_demand[-1] == 2
+
+
+def test_order_is_not_repeated_while_the_endpoints_boot():
+    world = World(cfg=scaled())
+    world.run(LEASE_S + CALL_MARGIN_S + 4.0)
+    assert len(world.cloud.orders) == len(set(world.cloud.orders))
