--- a/chervilshift/control/routed.py
+++ b/chervilshift/control/routed.py
@@ -10,7 +10,6 @@
 from chervilshift.control.process import (
     INITIAL_INCARNATION,
     ControlProcess,
-    split_address,
 )
 from chervilshift.control.server import ControlServer
 from chervilshift.control.storage import Identity
@@ -93,7 +92,10 @@
         )
         if self._settings.metrics_listen:
             await tg.start(
-                self._serve, self._metrics(), self._settings.metrics_listen
+                serve_app,
+                self._metrics(),
+                self._settings.metrics_listen,
+                IDLE_TIMEOUT_S,
             )
         tg.start_soon(self.fleet.run)
         tg.start_soon(duties.run)
@@ -101,7 +103,7 @@
             (self._adapter.control_app, self._settings.api_listen),
             (self._adapter.directory_app, self._settings.directory_listen),
         ):
-            await tg.start(self._serve, app(self.fleet), address)
+            await tg.start(serve_app, app(self.fleet), address, IDLE_TIMEOUT_S)
 
     def _metrics(self) -> Metrics:
         """Return this replica's gauges."""
@@ -123,16 +125,6 @@
         )
         return metrics
 
-    async def _serve(self, app: Callable, address: str, *, task_status):
-        host, port = split_address(address)
-        await serve_app(
-            app,
-            host,
-            port,
-            idle_timeout_s=IDLE_TIMEOUT_S,
-            task_status=task_status,
-        )
-
     def _identity(self) -> Identity:
         """Return the identity; the first voters know each other from seeds.
 
--- a/chervilshift/gateway/dispatch.py
+++ b/chervilshift/gateway/dispatch.py
@@ -6,7 +6,7 @@
 
 from chervilshift.clock import Clock
 from chervilshift.core.fleet.model import STREAM, Customer, Route
-from chervilshift.core.fleet.placement import Choice, Work
+from chervilshift.core.fleet.placement import Choice
 from chervilshift.core.fleet.routes import pick_target
 from chervilshift.errors import (
     EndpointFailed,
@@ -16,9 +16,11 @@
     UpstreamTimeout,
 )
 from chervilshift.events import EventLog
+from chervilshift.gateway.admission import SOON_S, LimitGate
 from chervilshift.gateway.connections import Connections
 from chervilshift.gateway.dialect import Attempt, Call, Dialect
 from chervilshift.gateway.downstream import Downstream
+from chervilshift.gateway.exchange import Exchange
 from chervilshift.gateway.relay import Relay
 from chervilshift.gateway.state import GatewayState
 from chervilshift.gateway.sync import ControlSync
@@ -27,15 +29,8 @@
 
 __all__ = ["Dispatcher"]
 
-# A request waits this part of its objective for its customer's limit.
-LIMIT_WAIT_SHARE = 0.5
-# Without a leader's answer for this long, the limit is looked at again: the
-# fallback share refills by itself.
-GRANT_WAIT_S = 0.15
 # Connections that were refused prove nothing ran; this many are tried.
 CONNECT_TRIES = 3
-# A client that is refused for a moment's reason may come back after this.
-SOON_S = 0.25
 # An attempt that may be repeated waits this part of the objective for its
 # reply, and never less than some multiple of what was predicted.
 FIRST_SHARE = 0.9
@@ -43,101 +38,6 @@
 # A stream whose events pause for this multiple of the allowed gap is stuck;
 # clients leave at eight times the gap.
 GAP_FACTOR = 3.0
-PRIORITY_MAX = 9
-
-
-class Exchange:
-    """One request under way and what is known of its attempts.
-
-    `maybe_ran` is true once an endpoint may have run it.
-    """
-
-    __slots__ = (
-        "amount",
-        "arrived_at",
-        "body",
-        "call",
-        "charged",
-        "connects",
-        "counted",
-        "customer",
-        "ends_at",
-        "events_at",
-        "endpoints",
-        "failures",
-        "first_at",
-        "gap_s",
-        "maybe_ran",
-        "relay",
-        "route",
-        "sends",
-        "service",
-        "tried",
-        "work",
-    )
-
-    def __init__(
-        self,
-        *,
-        call: Call,
-        route: Route,
-        customer: Customer | None,
-        body: bytes,
-        arrived_at: float,
-        service: str,
-    ):
-        self.call = call
-        self.route = route
-        self.customer = customer
-        self.body = body
-        self.arrived_at = arrived_at
-        self.service = service
-        waits_s = min(call.deadline_s or route.timeout_s, route.timeout_s)
-        self.ends_at = arrived_at + waits_s
-        self.work = Work(
-            tokens=call.prompt_tokens or 0,
-            output_tokens=call.output_tokens or 0,
-            parts=tuple((p.id, p.tokens) for p in call.parts),
-        )
-        self.amount = _amount(call, customer)
-        self.charged = False
-        self.counted = False
-        self.maybe_ran = False
-        self.sends = 0
-        self.connects = 0
-        self.tried: set[str] = set()
-        self.failures: list[str] = []
-        self.endpoints: list[str] = []
-        self.first_at: float | None = None
-        self.gap_s = 0.0
-        self.events_at = 0.0
-        self.relay: Relay | None = None
-
-    @property
-    def id(self) -> str:
-        """The request's identity, for logs."""
-        return self.call.id.decode("latin-1")
-
-    def saw_events(self, now: float) -> None:
-        """Note that events of the stream came."""
-        if self.first_at is None:
-            self.first_at = now
-        else:
-            self.gap_s = max(self.gap_s, now - self.events_at)
-        self.events_at = now
-
-    def is_late(self, now: float) -> bool:
-        """Whether the answer missed its objective or paused too long."""
-        first_at = now if self.first_at is None else self.first_at
-        late = first_at - self.arrived_at > self.route.objective_s
-        return late or (self.route.gap_s and self.gap_s > self.route.gap_s)
-
-    @property
-    def priority(self) -> int:
-        """The urgency, 0 first; the customer's goes before the route's."""
-        own = self.customer.priority if self.customer else None
-        chosen = self.route.priority if own is None else own
-        return max(0, min(PRIORITY_MAX, chosen))
 
 
 class Dispatcher:
@@ -156,7 +56,7 @@
         rng: Random,
     ):
         self._state = state
-        self._sync = sync
+        self._limits = LimitGate(state=state, sync=sync, clock=clock)
         self._conns = conns
         self._dialect = dialect
         self._clock = clock
@@ -190,12 +90,11 @@
             if scope.cancelled_caught:
                 await self._time_out(exchange, down)
         finally:
-            if exchange.charged and not exchange.maybe_ran:
-                self._state.limits.give_back(customer, exchange.amount)
+            self._limits.settle(exchange)
 
     async def _serve(self, exchange: Exchange, down: Downstream) -> None:
-        if not await self._admit(exchange):
-            room_s = self._limit_wait_s(exchange)
+        if not await self._limits.admit(exchange):
+            room_s = self._limits.room_in_s(exchange)
             failure = OverLimit(
                 customer=exchange.customer.name,
                 needs=exchange.amount,
@@ -221,45 +120,6 @@
                     await self._give_up(exchange, down, str(exc))
                     return
 
-    # Admission
-
-    async def _admit(self, exchange: Exchange) -> bool:
-        """Charge the customer's limit, waiting a little for a grant."""
-        customer = exchange.customer
-        if customer is None:
-            return True
-        limits = self._state.limits
-        exchange.charged = limits.take(
-            customer, exchange.amount, self._clock.monotonic()
-        )
-        if exchange.charged:
-            return True
-        until = self._clock.monotonic() + (
-            LIMIT_WAIT_SHARE * exchange.route.objective_s
-        )
-        limits.wait_for(customer.name, exchange.amount)
-        try:
-            while not exchange.charged:
-                now = self._clock.monotonic()
-                room_at = now + limits.room_in_s(customer.name, now)
-                if now >= until or room_at >= until:
-                    break
-                with anyio.move_on_after(min(until - now, GRANT_WAIT_S)):
-                    await anyio.sleep(room_at - now)
-                    await self._sync.refresh()
-                exchange.charged = limits.take(
-                    customer, exchange.amount, self._clock.monotonic()
-                )
-        finally:
-            limits.stop_waiting(customer.name, exchange.amount)
-        return exchange.charged
-
-    def _limit_wait_s(self, exchange: Exchange) -> float:
-        """Return when the limit will have room again."""
-        now = self._clock.monotonic()
-        name = exchange.customer.name
-        return max(SOON_S, self._state.limits.room_in_s(name, now))
-
     # Attempts
 
     def _choose(self, exchange: Exchange) -> Choice | None:
@@ -550,12 +410,3 @@
             took_s=round(now - exchange.arrived_at, 3),
             version=self._state.version,
         )
-
-
-def _amount(call: Call, customer: Customer | None) -> float:
-    """Return what a request costs of its customer's limit."""
-    if customer is None or not customer.by_tokens:
-        return 1.0
-    if call.prompt_tokens is None:
-        return customer.plain_tokens
-    return float(call.prompt_tokens + (call.output_tokens or 0))
--- a/chervilshift/gateway/process.py
+++ b/chervilshift/gateway/process.py
@@ -8,7 +8,6 @@
 from returns.result import Result
 
 from chervilshift.clock import Clock
-from chervilshift.control.process import split_address
 from chervilshift.core.fleet.model import ServingConfig
 from chervilshift.core.fleet.placement import Placement
 from chervilshift.core.fleet.retries import RetryTerms
@@ -32,6 +31,7 @@
 PRUNE_S = 0.5
 # Until a configuration says how long clients may stay idle.
 IDLE_TIMEOUT_S = 15.0
+# For probes of readiness and metrics, a few seconds apart.
 READY_IDLE_S = 5.0
 INCARNATION_BYTES = 8
 # Clients keep a lookup's answer for three times its second at most.
@@ -114,13 +114,21 @@
         async with anyio.create_task_group() as tg:
             tg.start_soon(self._sync.run)
             self._http = await tg.start(
-                self._serve, self.ingress, self._settings.listen
+                serve_app,
+                self.ingress,
+                self._settings.listen,
+                IDLE_TIMEOUT_S,
             )
             ready = self._protocol.ready_app(self._is_ready)
-            await tg.start(self._serve, ready, self._settings.ready_listen)
+            await tg.start(
+                serve_app, ready, self._settings.ready_listen, READY_IDLE_S
+            )
             if self._settings.metrics_listen:
                 await tg.start(
-                    self._serve, self._metrics, self._settings.metrics_listen
+                    serve_app,
+                    self._metrics,
+                    self._settings.metrics_listen,
+                    READY_IDLE_S,
                 )
             tg.start_soon(self._maintain)
             self._events.emit("started", role="gateway")
@@ -136,18 +144,6 @@
         self._sync.use_seeds(tuple(settings.control))
         self._events.emit("reloaded", seeds=settings.seeds)
 
-    async def _serve(
-        self, app: Callable, address: str, *, task_status
-    ) -> None:
-        host, port = split_address(address)
-        await serve_app(
-            app,
-            host,
-            port,
-            idle_timeout_s=IDLE_TIMEOUT_S,
-            task_status=task_status,
-        )
-
     def _make_state(self) -> GatewayState:
         cfg = self._settings
         return GatewayState(
--- a/chervilshift/httpserver.py
+++ b/chervilshift/httpserver.py
@@ -34,21 +34,21 @@
 
 async def serve_app(
     app: object,
-    host: str,
-    port: int,
-    *,
+    address: str,
     idle_timeout_s: float,
-    header_bytes: int | None = None,
+    *,
     task_status=anyio.TASK_STATUS_IGNORED,
 ) -> None:
-    """Serve an ASGI application until cancelled.
+    """Serve an ASGI application at HOST:PORT until cancelled.
 
-    Reports the running `HttpServer` to the starter.
+    Connections may stay idle for `idle_timeout_s`. Reports the running
+    `HttpServer` to the starter.
     """
+    host, _, port = address.rpartition(":")
     cfg = uvicorn.Config(
         app,
         host=host,
-        port=port,
+        port=int(port),
         log_config=None,
         access_log=False,
         lifespan="off",
@@ -59,10 +59,9 @@
         date_header=False,
         timeout_keep_alive=idle_timeout_s,
         timeout_graceful_shutdown=CLOSE_TIMEOUT_S,
-        h11_max_incomplete_event_size=header_bytes,
     )
     server = HttpServer(cfg)
-    sock = listen_on(host, port)
+    sock = listen_on(host, int(port))
     async with anyio.create_task_group() as tg:
         tg.start_soon(server.serve, [sock])
         while not server.started:
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -26,6 +26,7 @@
 HOST = "shop.example"
 KEY = "customer-key"
 WAIT_S = 20.0
+IDLE_S = 10.0
 COMMON = {
     "host": "h",
     "region": "here",
@@ -192,7 +193,7 @@
         port = rpc.rpartition(":")[2]
         hosts = [f"127.0.0.{n}" for n in range(11, 14)]
         cloud = free_address()
-        await self._tg.start(_serve, self.cloud, cloud)
+        await self._tg.start(serve_app, self.cloud, cloud, IDLE_S)
         api_port = free_address().rpartition(":")[2]
         seeds = [f"{host}:{api_port}" for host in hosts]
         for number, host in enumerate(hosts):
@@ -262,7 +263,7 @@
 
     async def add(self, endpoint: Endpoint) -> None:
         """Start an endpoint and announce it until it is acknowledged."""
-        await self._tg.start(_serve, endpoint, endpoint.address)
+        await self._tg.start(serve_app, endpoint, endpoint.address, IDLE_S)
         await self.say(endpoint, "ready")
         placed = [g.state.placement for g, _ in self.gateways]
         await eventually(
@@ -413,10 +414,3 @@
 
 async def _write(send, data: bytes) -> None:
     await send({"type": "http.response.body", "body": data, "more_body": True})
-
-
-async def _serve(app, address: str, *, task_status) -> None:
-    host, _, port = address.rpartition(":")
-    await serve_app(
-        app, host, int(port), idle_timeout_s=10.0, task_status=task_status
-    )
