--- a/chervilshift/core/fleet/model.py
+++ b/chervilshift/core/fleet/model.py
@@ -8,7 +8,11 @@
 from chervilshift.core.message import Message
 
 __all__ = [
+    "DRAINING",
+    "GONE",
+    "READY",
     "SAFE",
+    "SILENT",
     "STREAM",
     "UNSAFE",
     "Customer",
@@ -20,6 +24,7 @@
     "ServingLimits",
     "ServiceSpec",
     "Target",
+    "with_state",
 ]
 
 SAFE = "safe"
--- a/chervilshift/core/fleet/routes.py
+++ b/chervilshift/core/fleet/routes.py
@@ -10,7 +10,7 @@
     Target,
 )
 
-__all__ = ["RouteTable"]
+__all__ = ["RouteTable", "pick_target"]
 
 
 class RouteTable:
--- a/chervilshift/gateway/dialect.py
+++ b/chervilshift/gateway/dialect.py
@@ -10,7 +10,14 @@
 
 from chervilshift.errors import Failure
 
-__all__ = ["Attempt", "Call", "Dialect", "PromptPart", "ReplyHead"]
+__all__ = [
+    "Attempt",
+    "Call",
+    "Dialect",
+    "Headers",
+    "PromptPart",
+    "ReplyHead",
+]
 
 Headers = list[tuple[bytes, bytes]]
 
--- a/chervilshift/gateway/dispatch.py
+++ b/chervilshift/gateway/dispatch.py
@@ -1,5 +1,6 @@
 """Serves one request: admission, attempts at endpoints, and its answer."""
 
+from collections.abc import Callable
 from random import Random
 
 import anyio
@@ -18,7 +19,7 @@
 from chervilshift.events import EventLog
 from chervilshift.gateway.admission import SOON_S, LimitGate
 from chervilshift.gateway.connections import Connections
-from chervilshift.gateway.dialect import Attempt, Call, Dialect
+from chervilshift.gateway.dialect import Attempt, Call, Dialect, Headers
 from chervilshift.gateway.downstream import Downstream
 from chervilshift.gateway.exchange import Exchange
 from chervilshift.gateway.relay import Relay
@@ -29,6 +30,9 @@
 
 __all__ = ["Dispatcher"]
 
+# Tells that an endpoint has begun a request: its prompt is read.
+Begun = Callable[[], None]
+
 # Connections that were refused prove nothing ran; this many are tried.
 CONNECT_TRIES = 3
 # An attempt that may be repeated waits this part of the objective for its
@@ -177,7 +181,11 @@
             begun()
 
     async def _send(
-        self, exchange: Exchange, choice: Choice, down: Downstream, begun
+        self,
+        exchange: Exchange,
+        choice: Choice,
+        down: Downstream,
+        begun: Begun,
     ) -> None:
         record = choice.endpoint.record
         asked_at = self._clock.monotonic()
@@ -244,7 +252,9 @@
             return Patience(first_s=first_s, next_s=first_s)
         return Patience(first_s=first_s, next_s=GAP_FACTOR * route.gap_s)
 
-    def _headers(self, exchange: Exchange, endpoint_id: str, now: float):
+    def _headers(
+        self, exchange: Exchange, endpoint_id: str, now: float
+    ) -> Headers:
         resumed = exchange.relay.last_id if exchange.relay else None
         if resumed is None:
             resumed = exchange.call.last_event_id
@@ -310,7 +320,7 @@
         up: Upstream,
         reply: Reply,
         down: Downstream,
-        begun,
+        begun: Begun,
         sent_at: float,
     ) -> None:
         """Relay a stream's events, spliced behind those already relayed."""
--- a/chervilshift/httpserver.py
+++ b/chervilshift/httpserver.py
@@ -61,9 +61,14 @@
         timeout_graceful_shutdown=CLOSE_TIMEOUT_S,
     )
     server = HttpServer(cfg)
-    sock = listen_on(host, int(port))
-    async with anyio.create_task_group() as tg:
-        tg.start_soon(server.serve, [sock])
-        while not server.started:
-            await anyio.sleep(POLL_S)
-        task_status.started(server)
+    with listen_on(host, int(port)) as sock:
+        try:
+            async with anyio.create_task_group() as tg:
+                tg.start_soon(server.serve, [sock])
+                while not server.started:
+                    await anyio.sleep(POLL_S)
+                task_status.started(server)
+        finally:
+            # uvicorn leaves its listeners open when it is cancelled.
+            for listener in getattr(server, "servers", ()):
+                listener.close()
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -180,6 +180,8 @@
         self.gateway_count = gateways
         self.cloud = Cloud()
         self.controls: list = []
+        self.control_settings: list[RoutedControlSettings] = []
+        self.control_ends: list[tuple[anyio.Event, anyio.Event]] = []
         self.gateways: list = []
         self.stops: list[anyio.Event] = []
         self.done: Counter[int] = Counter()
@@ -214,12 +216,50 @@
                 duty_lease_ms=300,
                 **COMMON,
             )
-            control = platform_control(settings, self._clock, self._events())
-            self.controls.append(control)
-            self._tg.start_soon(control.run, anyio.Event())
+            self.control_settings.append(settings)
+            self._start_control(settings)
         for number in range(self.gateway_count):
             await self._start_gateway(number, seeds, port)
 
+    def _start_control(self, settings: RoutedControlSettings) -> None:
+        control = platform_control(settings, self._clock, self._events())
+        stop, ended = anyio.Event(), anyio.Event()
+        self.controls.append(control)
+        self.control_ends.append((stop, ended))
+
+        async def run() -> None:
+            await control.run(stop)
+            ended.set()
+
+        self._tg.start_soon(run)
+
+    async def stop_control(self, number: int) -> None:
+        """Stop one control process and wait for its end."""
+        stop, ended = self.control_ends[number]
+        stop.set()
+        await ended.wait()
+
+    async def restart_controls(self) -> None:
+        """Stop all control processes, then start them on their disks."""
+        async with anyio.create_task_group() as tg:
+            for number in range(len(self.controls)):
+                tg.start_soon(self.stop_control, number)
+        self.controls, self.control_ends = [], []
+        for settings in self.control_settings:
+            again = settings.model_copy(update={"bootstrap": False})
+            self._start_control(again)
+
+    def leader(self) -> int | None:
+        """Return the number of the control process that leads."""
+        leading = (
+            number
+            for number, control in enumerate(self.controls)
+            if control.node is not None
+            and control.node.raft is not None
+            and control.node.has_lease()
+        )
+        return next(leading, None)
+
     async def _start_gateway(self, number, seeds, port) -> None:
         stop = anyio.Event()
         settings = GatewaySettings(
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -368,3 +368,54 @@
         await eventually(lambda: sum(w.cancelled for w in workers) == 1)
 
     play(tmp_path, scenario, *workers)
+
+
+def test_requests_are_served_while_the_leader_is_replaced(tmp_path):
+    one = worker("p1", "app")
+
+    async def scenario(platform: Platform) -> None:
+        leading = platform.leader()
+        statuses = []
+
+        async def keep_asking() -> None:
+            while True:
+                reply = await platform.ask("/read/a", method="GET", body=b"")
+                statuses.append(reply.status)
+
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(keep_asking)
+            await platform.stop_control(leading)
+            await eventually(lambda: platform.leader() not in (None, leading))
+            count = len(statuses)
+            await eventually(lambda: len(statuses) > count + 5)
+            tg.cancel_scope.cancel()
+        assert set(statuses) == {200}
+        assert await platform.configure(2) == 200
+
+    play(tmp_path, scenario, one)
+
+
+def test_restart_of_all_control_keeps_configuration_and_endpoints(tmp_path):
+    one = worker("p1", "app")
+
+    async def scenario(platform: Platform) -> None:
+        assert await platform.configure(7) == 200
+        await platform.restart_controls()
+        # Known to be committed: there before any leader has confirmed it.
+        await eventually(
+            lambda: all(
+                c.fleet is not None and c.fleet.serving() is not None
+                for c in platform.controls
+            )
+        )
+        assert {c.fleet.serving().version for c in platform.controls} <= {1, 7}
+        await eventually(lambda: platform.leader() is not None)
+        status, body = await call("GET", platform.api[0], "/api/config")
+        assert status == 200
+        assert msgspec.json.decode(body)["version"] == 7
+        held = platform.controls[0].fleet.held_endpoint("p1")
+        assert held.state == "ready"
+        reply = await platform.ask("/read/a", method="GET", body=b"")
+        assert reply.status == 200
+
+    play(tmp_path, scenario, one)
