--- a/chervilshift/core/fleet/model.py
+++ b/chervilshift/core/fleet/model.py
@@ -156,10 +156,6 @@
     spot: bool = False
     leaves_s: float | None = None
 
-    def replaced_by(self, other: "EndpointRecord") -> bool:
-        """Whether `other` is newer news of the same endpoint."""
-        return (other.born_ms, other.seq) > (self.born_ms, self.seq)
-
 
 def with_state(record: EndpointRecord, state: str) -> EndpointRecord:
     """Return the record in another state."""
