One way to split an address; an attempt's work as a block; less said twice

From reading the whole change; behaviour stays as it was. - The length of a reply was kept by the adapter and then dropped by both who use its headers: the adapter drops it. - A gateway parsed an endpoint's address for every request; now once for each connection. split_address stands in one module and is called. - The closure over a one-element list that told when a prompt was read is a block (Placed); two raises of the same failure in one place are one. - A departure that names no boot is resolved once, before it is compared. - Chains, a default dict and a doubled test set-up that added nothing.

--- a/chervilshift/control/process.py
+++ b/chervilshift/control/process.py
@@ -7,6 +7,7 @@
 from anyio.abc import TaskGroup
 from returns.result import Failure as Bad
 
+from chervilshift.addresses import split_address
 from chervilshift.clock import Clock
 from chervilshift.control.node import Node
 from chervilshift.control.orders import OrderTask
@@ -20,7 +21,7 @@
 from chervilshift.wire.messages import GetControlStatus, Join
 from chervilshift.wire.rpc import Clients, RpcServer
 
-__all__ = ["ControlProcess", "format_cluster", "split_address"]
+__all__ = ["ControlProcess", "format_cluster"]
 
 JOIN_INTERVAL_S = 1.0
 HAND_OVER_S = 3.0
@@ -166,9 +167,3 @@
         for voter in settings.voters
     )
     return storage.format(name=settings.process, voters=voters)
-
-
-def split_address(address: str) -> tuple[str, int]:
-    """Split HOST:PORT."""
-    host, _, port = address.rpartition(":")
-    return host.strip("[]"), int(port)
--- a/chervilshift/core/fleet/limits.py
+++ b/chervilshift/core/fleet/limits.py
@@ -7,7 +7,6 @@
 """
 
 from collections.abc import Iterable
-from itertools import chain
 
 from chervilshift.core.fleet.model import Customer
 
@@ -259,11 +258,10 @@
 
     def prefetch(self) -> dict[str, float]:
         """Return what would fill the balances up to what may be held."""
-        names = chain(self._customers)
         gaps = (
-            (name, self._cap(self._customers[name]) - self._balance(name))
-            for name in names
-            if self._customers[name].rate_per_s > 0
+            (name, self._cap(customer) - self._balance(name))
+            for name, customer in self._customers.items()
+            if customer.rate_per_s > 0
         )
         return {name: gap for name, gap in gaps if gap > 0}
 
--- a/chervilshift/core/fleet/placement.py
+++ b/chervilshift/core/fleet/placement.py
@@ -20,7 +20,7 @@
 )
 from chervilshift.core.fleet.sync import EndpointLoad
 
-__all__ = ["Choice", "Endpoint", "Placement", "Work"]
+__all__ = ["Choice", "Endpoint", "Placed", "Placement", "Work"]
 
 # Prompt tokens a second that a current engine reads; learned per endpoint.
 PREFILL_TOKENS_PER_S = 80_000.0
@@ -217,6 +217,36 @@
         self.unread_tokens = unread_tokens
 
 
+class Placed:
+    """An attempt's work, counted at its endpoint while the block lasts."""
+
+    __slots__ = ("_unread", "choice")
+
+    def __init__(self, *, choice: Choice):
+        self.choice = choice
+        self._unread = 0
+
+    @property
+    def endpoint(self) -> Endpoint:
+        """Where the attempt goes."""
+        return self.choice.endpoint
+
+    def __enter__(self) -> "Placed":
+        self._unread = self.choice.unread_tokens
+        self.endpoint.active += 1
+        self.endpoint.prefill_tokens += self._unread
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        self.begun()
+        self.endpoint.active -= 1
+
+    def begun(self) -> None:
+        """Note that the prompt is read."""
+        self.endpoint.prefill_tokens -= self._unread
+        self._unread = 0
+
+
 class Placement:
     """All endpoints by service, and the choice among them.
 
--- a/chervilshift/core/fleet/presence.py
+++ b/chervilshift/core/fleet/presence.py
@@ -1,8 +1,7 @@
 """Which gateways a control process hears from, and their shared load."""
 
-from collections import Counter, defaultdict
+from collections import Counter
 from collections.abc import Iterable
-from itertools import chain
 
 from chervilshift.core.fleet.limits import RESERVE_AFTER_S
 from chervilshift.core.fleet.sync import (
@@ -104,13 +103,9 @@
 
     def usage(self, window: int) -> dict[str, int]:
         """Return the requests begun in a window, by customer."""
-        parts = [s.sync.usage.get(window, {}) for s in self._seen.values()]
-        total: defaultdict[str, int] = defaultdict(int)
-        ended = self._ended.get(window, {})
-        for name, count in chain(
-            ended.items(), *(part.items() for part in parts)
-        ):
-            total[name] += count
+        total = Counter(self._ended.get(window, {}))
+        for seen in self._seen.values():
+            total.update(seen.sync.usage.get(window, {}))
         return dict(total)
 
     def _keep_usage(self, sync: GatewaySync) -> None:
--- a/chervilshift/core/fleet/state.py
+++ b/chervilshift/core/fleet/state.py
@@ -120,10 +120,11 @@
     def _(self, command: AnnounceEndpoint, index: int) -> EndpointKnown:
         news = command.endpoint
         held = self._endpoints.get(news.id)
-        if held is not None and not self._accepts(held, news):
-            return EndpointKnown(state=held.state)
         if held is not None and news.state == GONE and not news.born_ms:
+            # It does not say which boot has left: the one that is known.
             news = with_state(held, GONE)
+        if held is not None and not self._accepts(held, news):
+            return EndpointKnown(state=held.state)
         rival = self._rival(news)
         if rival is not None and rival.born_ms > news.born_ms:
             # A late announcement of a boot that another has replaced.
@@ -137,8 +138,7 @@
         return EndpointKnown(state=news.state)
 
     def _accepts(self, held: EndpointRecord, news: EndpointRecord) -> bool:
-        unnamed_boot = news.state == GONE and not news.born_ms
-        if news.born_ms != held.born_ms and not unnamed_boot:
+        if news.born_ms != held.born_ms:
             return news.born_ms > held.born_ms
         if held.state == GONE:
             return False
--- a/chervilshift/entry/process.py
+++ b/chervilshift/entry/process.py
@@ -6,8 +6,8 @@
 import uvicorn
 from absl import logging
 
+from chervilshift.addresses import split_address
 from chervilshift.clock import Clock
-from chervilshift.control.process import split_address
 from chervilshift.core.registry import LEASE_S, EntryInfo
 from chervilshift.endpoints.engine import EngineClient
 from chervilshift.endpoints.service import ServiceClient
--- a/chervilshift/errors.py
+++ b/chervilshift/errors.py
@@ -154,6 +154,11 @@
     template = "endpoint {endpoint} failed: {reason}"
     remedy = "retry if the work is idempotent"
 
+    @property
+    def sent(self) -> bool:
+        """Whether the request may have reached the endpoint."""
+        return bool(self.fields.get("sent", True))
+
 
 class StreamLost(Failure):
     """A stream could not be completed at any endpoint."""
--- a/chervilshift/gateway/connections.py
+++ b/chervilshift/gateway/connections.py
@@ -5,6 +5,7 @@
 
 import httpcore
 
+from chervilshift.addresses import split_address
 from chervilshift.clock import Clock
 
 __all__ = ["Connection", "Connections"]
@@ -31,12 +32,24 @@
 class Connection:
     """One connection to an endpoint; `reused` after its first request."""
 
-    __slots__ = ("endpoint_id", "expires_at", "http", "idle_s", "reused")
+    __slots__ = (
+        "endpoint_id",
+        "expires_at",
+        "http",
+        "idle_s",
+        "origin",
+        "reused",
+    )
 
     def __init__(
-        self, *, endpoint_id: str, http: httpcore.AsyncHTTP11Connection
+        self,
+        *,
+        endpoint_id: str,
+        origin: httpcore.Origin,
+        http: httpcore.AsyncHTTP11Connection,
     ):
         self.endpoint_id = endpoint_id
+        self.origin = origin
         self.http = http
         self.reused = False
         self.idle_s = IDLE_S
@@ -71,21 +84,22 @@
                 conn.reused = True
                 return conn
             await self.discard(conn)
-        host, _, port = address.rpartition(":")
+        host, port = split_address(address)
         self._open[endpoint_id] += 1
         try:
             stream = await self._backend.connect_tcp(
                 host,
-                int(port),
+                port,
                 timeout=CONNECT_TIMEOUT_S,
                 socket_options=SOCKET_OPTIONS,
             )
         except BaseException:
             self._open[endpoint_id] -= 1
             raise
-        origin = httpcore.Origin(b"http", host.encode(), int(port))
+        origin = httpcore.Origin(b"http", host.encode(), port)
         return Connection(
             endpoint_id=endpoint_id,
+            origin=origin,
             http=httpcore.AsyncHTTP11Connection(origin=origin, stream=stream),
         )
 
--- a/chervilshift/gateway/dialect.py
+++ b/chervilshift/gateway/dialect.py
@@ -161,4 +161,7 @@
         """Decode an endpoint's reply head."""
 
     def reply_headers(self, headers: Headers) -> Headers:
-        """Return the headers of a reply that the client gets."""
+        """Return the headers of a reply that the client gets.
+
+        They don't state a length; that is the sender's.
+        """
--- a/chervilshift/gateway/dispatch.py
+++ b/chervilshift/gateway/dispatch.py
@@ -1,16 +1,16 @@
 """Serves one request: admission, attempts at endpoints, and its answer."""
 
-from collections.abc import Callable
 from random import Random
 
 import anyio
 
 from chervilshift.clock import Clock
 from chervilshift.core.fleet.model import STREAM, Customer, Route
-from chervilshift.core.fleet.placement import Choice
+from chervilshift.core.fleet.placement import Choice, Placed
 from chervilshift.core.fleet.routes import pick_target
 from chervilshift.errors import (
     EndpointFailed,
+    Failure,
     OverLimit,
     Unserved,
     UpstreamFailed,
@@ -30,9 +30,6 @@
 
 __all__ = ["Dispatcher"]
 
-# Tells that an endpoint has begun a request: its prompt is read.
-Begun = Callable[[], None]
-
 # Connections that were refused prove nothing ran; this many are tried.
 CONNECT_TRIES = 3
 # An attempt that may be repeated waits this part of the objective for its
@@ -146,8 +143,7 @@
         )
 
     def _may_retry(self, exchange: Exchange, exc: EndpointFailed) -> bool:
-        sent = exc.fields.get("sent", True)
-        if not sent and not exchange.sends:
+        if not exc.sent and not exchange.sends:
             return exchange.connects < CONNECT_TRIES
         if exchange.sends >= exchange.route.attempts:
             return False
@@ -164,30 +160,15 @@
     async def _attempt(
         self, exchange: Exchange, choice: Choice, down: Downstream
     ) -> None:
-        endpoint = choice.endpoint
-        endpoint.active += 1
-        endpoint.prefill_tokens += choice.unread_tokens
         self._state.note_reading(exchange.service, choice.unread_tokens)
-        unread = [choice.unread_tokens]
-
-        def begun() -> None:
-            endpoint.prefill_tokens -= unread[0]
-            unread[0] = 0
-
-        try:
-            await self._send(exchange, choice, down, begun)
-        finally:
-            endpoint.active -= 1
-            begun()
+        with Placed(choice=choice) as placed:
+            await self._send(exchange, placed, down)
 
     async def _send(
-        self,
-        exchange: Exchange,
-        choice: Choice,
-        down: Downstream,
-        begun: Begun,
+        self, exchange: Exchange, placed: Placed, down: Downstream
     ) -> None:
-        record = choice.endpoint.record
+        endpoint = placed.endpoint
+        record = endpoint.record
         asked_at = self._clock.monotonic()
         self._metrics.observe("placed", asked_at - exchange.arrived_at)
         try:
@@ -196,42 +177,35 @@
             )
         except EndpointFailed:
             exchange.connects += 1
-            choice.endpoint.failed(self._clock.monotonic(), rest=True)
+            endpoint.failed(self._clock.monotonic(), rest=True)
             raise
         async with up:
             sent_at = self._clock.monotonic()
             self._metrics.observe("connect", sent_at - asked_at)
             exchange.sends += 1
-            load = choice.endpoint
             exchange.endpoints.append(
-                f"{load.id} active {load.active}+{load.others.active} "
-                f"unread {load.prefill_tokens}+{load.others.prefill_tokens} "
-                f"wait {choice.wait_s:.3f} after "
-                f"{sent_at - exchange.arrived_at:.3f}"
+                _inputs(placed.choice, sent_at - exchange.arrived_at)
             )
             before = exchange.maybe_ran
             exchange.maybe_ran = True
             try:
                 reply = await up.send(
                     exchange.call.method,
-                    record.address,
                     exchange.call.target,
                     self._headers(exchange, record.id, sent_at),
                     exchange.body,
                     exchange.call.id,
-                    self._patience(exchange, choice),
+                    self._patience(exchange, placed.choice),
                 )
             except EndpointFailed as exc:
-                choice.endpoint.failed(self._clock.monotonic(), rest=False)
-                if not exc.fields.get("sent", True):
+                endpoint.failed(self._clock.monotonic(), rest=False)
+                if not exc.sent:
                     exchange.maybe_ran = before
                 raise
             if exchange.route.kind == STREAM and reply.ok:
-                await self._relay(
-                    exchange, choice, up, reply, down, begun, sent_at
-                )
+                await self._relay(exchange, placed, up, reply, down, sent_at)
             else:
-                await self._pass_on(exchange, choice, up, reply, down, sent_at)
+                await self._pass_on(exchange, placed, up, reply, down, sent_at)
 
     def _patience(self, exchange: Exchange, choice: Choice) -> Patience:
         """Return how long to wait before another endpoint is tried.
@@ -270,7 +244,7 @@
     async def _pass_on(
         self,
         exchange: Exchange,
-        choice: Choice,
+        placed: Placed,
         up: Upstream,
         reply: Reply,
         down: Downstream,
@@ -281,33 +255,22 @@
         now = self._clock.monotonic()
         self._begun(exchange)
         failed = reply.status >= 500
+        if not failed:
+            placed.endpoint.succeeded(now)
+            placed.endpoint.observe_call(now - sent_at)
         again = (
             failed
             and exchange.route.repeatable
             and exchange.sends < exchange.route.attempts
-            and down.started is False
         )
-        if again:
-            raise EndpointFailed(
-                endpoint=choice.endpoint.id,
-                reason=f"status {reply.status}",
-                sent=True,
-            )
-        if not failed:
-            choice.endpoint.succeeded(now)
-            choice.endpoint.observe_call(now - sent_at)
-        if exchange.relay is not None and exchange.relay.started:
-            # A failure can't be spliced into a stream that has begun.
+        # A reply can't be spliced into a stream that has begun.
+        if again or down.started:
             raise EndpointFailed(
-                endpoint=choice.endpoint.id,
+                endpoint=placed.endpoint.id,
                 reason=f"status {reply.status}",
                 sent=True,
             )
-        headers = [
-            (name, value)
-            for name, value in self._dialect.reply_headers(reply.headers)
-            if name != b"content-length"
-        ]
+        headers = self._dialect.reply_headers(reply.headers)
         headers.append((b"content-length", str(len(body)).encode()))
         await down.start(reply.status, headers)
         await down.finish(body)
@@ -316,17 +279,17 @@
     async def _relay(
         self,
         exchange: Exchange,
-        choice: Choice,
+        placed: Placed,
         up: Upstream,
         reply: Reply,
         down: Downstream,
-        begun: Begun,
         sent_at: float,
     ) -> None:
         """Relay a stream's events, spliced behind those already relayed."""
         if exchange.relay is None:
             exchange.relay = Relay(down=down)
         relay = exchange.relay
+        endpoint = placed.endpoint
         first = True
         relay.take_head(
             reply.status, self._dialect.reply_headers(reply.headers)
@@ -338,10 +301,10 @@
             exchange.saw_events(now)
             if first:
                 first = False
-                begun()
-                choice.endpoint.remember(exchange.work)
-                choice.endpoint.observe_first(choice.wait_s, now - sent_at)
-                choice.endpoint.succeeded(now)
+                placed.begun()
+                endpoint.remember(exchange.work)
+                endpoint.observe_first(placed.choice.wait_s, now - sent_at)
+                endpoint.succeeded(now)
                 self._metrics.observe("first_event", now - exchange.arrived_at)
                 self._begun(exchange)
         await relay.finish()
@@ -379,7 +342,7 @@
         self,
         exchange: Exchange,
         down: Downstream,
-        failure,
+        failure: Failure,
         retry_after_s: float,
     ) -> None:
         self._finish(exchange, failure.name, str(failure))
@@ -420,3 +383,13 @@
             took_s=round(now - exchange.arrived_at, 3),
             version=self._state.version,
         )
+
+
+def _inputs(choice: Choice, after_s: float) -> str:
+    """Return what an attempt's choice went by, for logs."""
+    endpoint, others = choice.endpoint, choice.endpoint.others
+    return (
+        f"{endpoint.id} active {endpoint.active}+{others.active} "
+        f"unread {endpoint.prefill_tokens}+{others.prefill_tokens} "
+        f"wait {choice.wait_s:.3f} after {after_s:.3f}"
+    )
--- a/chervilshift/gateway/relay.py
+++ b/chervilshift/gateway/relay.py
@@ -30,9 +30,7 @@
         """Take an attempt's head; a part of an event before it is dropped."""
         self._splitter = EventSplitter()
         if not self.started:
-            # Attempts may differ in length; the stream is sent in chunks.
-            kept = [(k, v) for k, v in headers if k != b"content-length"]
-            self._head = (status, kept)
+            self._head = (status, headers)
 
     async def feed(self, chunk: bytes) -> bool:
         """Relay what is whole; returns whether that was anything."""
--- a/chervilshift/gateway/sync.py
+++ b/chervilshift/gateway/sync.py
@@ -1,6 +1,6 @@
 """Keeps a gateway in step with the control processes it knows."""
 
-from itertools import chain
+from collections.abc import Iterable
 
 import anyio
 from absl import logging
@@ -75,7 +75,7 @@
             for address in tuple(self._named_at):
                 tg.start_soon(tell, address)
 
-    def _name(self, addresses) -> None:
+    def _name(self, addresses: Iterable[str]) -> None:
         now = self._clock.monotonic()
         for address in addresses:
             if address not in self._named_at:
@@ -98,7 +98,7 @@
                 continue
             news: SyncReply = reply.unwrap()
             self._state.absorb(address, news)
-            self._name(chain(news.controls))
+            self._name(news.controls)
             if news.led:
                 await self._rest_leader()
             else:
--- a/chervilshift/gateway/upstream.py
+++ b/chervilshift/gateway/upstream.py
@@ -125,7 +125,6 @@
     async def send(
         self,
         method: str,
-        address: str,
         target: bytes,
         headers: Headers,
         body: bytes,
@@ -133,14 +132,14 @@
         patience: Patience,
     ) -> Reply:
         """Send the request and return the reply's head."""
-        host, _, port = address.rpartition(":")
+        origin = self._conn.origin
         timeouts = {"read": patience.first_s, "write": patience.first_s}
         request = httpcore.Request(
             method,
             httpcore.URL(
-                scheme=b"http",
-                host=host.encode(),
-                port=int(port),
+                scheme=origin.scheme,
+                host=origin.host,
+                port=origin.port,
                 target=target,
             ),
             headers=[*headers, *_length(method, body)],
--- a/chervilshift/httpserver.py
+++ b/chervilshift/httpserver.py
@@ -6,6 +6,8 @@
 import anyio
 import uvicorn
 
+from chervilshift.addresses import split_address
+
 __all__ = ["HttpServer", "listen_on", "serve_app"]
 
 BACKLOG = 2048
@@ -44,11 +46,11 @@
     Connections may stay idle for `idle_timeout_s`. Reports the running
     `HttpServer` to the starter.
     """
-    host, _, port = address.rpartition(":")
+    host, port = split_address(address)
     cfg = uvicorn.Config(
         app,
         host=host,
-        port=int(port),
+        port=port,
         log_config=None,
         access_log=False,
         lifespan="off",
@@ -61,7 +63,7 @@
         timeout_graceful_shutdown=CLOSE_TIMEOUT_S,
     )
     server = HttpServer(cfg)
-    with listen_on(host, int(port)) as sock:
+    with listen_on(host, port) as sock:
         try:
             async with anyio.create_task_group() as tg:
                 tg.start_soon(server.serve, [sock])
--- a/chervilshift/platform/headers.py
+++ b/chervilshift/platform/headers.py
@@ -62,7 +62,6 @@
     )
 )
 DROPPED = CONNECTION_ONLY | RESERVED
-REPLY_DROPPED = CONNECTION_ONLY - {b"content-length"}
 
 
 class PlatformDialect:
@@ -133,11 +132,15 @@
         )
 
     def reply_headers(self, headers: Headers) -> Headers:
-        """Return an endpoint's headers without those of its connection."""
+        """Return an endpoint's headers without those of its connection.
+
+        The length is among these: streams are sent in chunks, and a whole
+        reply gets its length where it is sent.
+        """
         return [
             (name.lower(), value)
             for name, value in headers
-            if name.lower() not in REPLY_DROPPED
+            if name.lower() not in CONNECTION_ONLY
         ]
 
 
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -1,6 +1,7 @@
 """The whole path through real sockets: what callers get and what ran."""
 
 from collections.abc import Awaitable, Callable
+from itertools import chain, repeat
 
 import anyio
 import msgspec
@@ -53,6 +54,15 @@
     )
 
 
+def two_workers(first: str) -> list[Endpoint]:
+    """Return two endpoints; the first request at either meets `first`."""
+    behaviours = chain((first,), repeat("ok"))
+    workers = [worker("w1"), worker("w2")]
+    for one in workers:
+        one.behave = lambda number: next(behaviours)
+    return workers
+
+
 def ids(body: bytes) -> list[bytes]:
     lines = body.splitlines()
     return [ln[4:] for ln in lines if ln.startswith(b"id: ")]
@@ -91,10 +101,7 @@
 
 
 def test_resumable_stream_goes_on_at_another_endpoint(tmp_path):
-    behaviours = iter(("cut", *["ok"] * 9))
-    workers = [worker("w1"), worker("w2")]
-    for one in workers:
-        one.behave = lambda number: next(behaviours)
+    workers = two_workers("cut")
 
     async def scenario(platform: Platform) -> None:
         reply = await platform.ask("/stream/a")
@@ -356,10 +363,7 @@
 
 
 def test_stuck_endpoint_is_left_where_the_request_may_be_repeated(tmp_path):
-    behaviours = iter(("hang", *["ok"] * 9))
-    workers = [worker("w1"), worker("w2")]
-    for one in workers:
-        one.behave = lambda number: next(behaviours)
+    workers = two_workers("hang")
 
     async def scenario(platform: Platform) -> None:
         reply = await platform.ask("/stream/a")
