Endpoints' health: failures, slowness and silence that fade

Cause: replies with a status of 500 were never counted against an endpoint, a slow endpoint's estimate stood for ever once it was avoided, its slowness settled at the square root of the truth (the prediction it was compared with held it already), and an endpoint that went dark kept getting requests until each had failed by itself. Ruled out: weights of the present terms alone; a failure that is not counted has no weight. Estimates return to normal with a half-life; silence with work in hand counts as wait; what all endpoints of a service do is typical, what one does beyond it is its slowness.

--- a/chervilshift/core/fleet/placement.py
+++ b/chervilshift/core/fleet/placement.py
@@ -9,9 +9,10 @@
 """
 
 import hashlib
-from collections import OrderedDict
+from collections import OrderedDict, defaultdict
 from collections.abc import Iterable
 
+from chervilshift.core.fleet.health import Health
 from chervilshift.core.fleet.model import (
     READY,
     SILENT,
@@ -26,7 +27,7 @@
 PREFILL_TOKENS_PER_S = 80_000.0
 # What one running request adds to another's first token, in seconds.
 CROWDING_S = 0.0005
-# Typical plain call until an endpoint's own calls were seen, in seconds.
+# Typical plain call until a service's own calls were seen, in seconds.
 CALL_S = 0.06
 # Prompt tokens that an engine reads between a stream's events without making
 # them late: engines read in chunks, and a few chunks fit one allowed pause.
@@ -48,15 +49,12 @@
 AWAY_S = 0.03
 # Prompt parts remembered per endpoint; about what its memory holds.
 PARTS_KEPT = 400
-# Weight of the newest observation in running means.
-EWMA_WEIGHT = 0.2
-SLOWNESS_MIN, SLOWNESS_MAX = 0.5, 10.0
-# After a failure an endpoint rests; the rest doubles with each in a row.
-REST_S, REST_MAX_S = 0.5, 4.0
 # A failed call costs a caller about one more call.
 FAILURE_COST_S = 0.3
-# Silent to control, but still used where a reply came this recently.
-TRUSTED_FOR_S = 3.0
+# Weight of the newest reply in what is typical of a service; small, since
+# all of its endpoints and requests give samples.
+TYPICAL_WEIGHT = 0.05
+TYPICAL_MIN, TYPICAL_MAX = 0.25, 4.0
 
 
 class Work:
@@ -93,17 +91,12 @@
     __slots__ = (
         "_parts",
         "active",
-        "call_s",
-        "failure_rate",
-        "failures",
+        "health",
         "others",
         "prefill_tokens",
         "reading",
         "record",
         "remote",
-        "replied_at",
-        "rests_until",
-        "slowness",
     )
 
     def __init__(self, *, record: EndpointRecord, remote: bool):
@@ -113,12 +106,7 @@
         self.prefill_tokens = 0
         self.others = EndpointLoad()
         self.reading = 0.0
-        self.slowness = 1.0
-        self.call_s = CALL_S
-        self.failure_rate = 0.0
-        self.failures = 0
-        self.rests_until = float("-inf")
-        self.replied_at = float("-inf")
+        self.health = Health()
         self._parts: OrderedDict[str, None] = OrderedDict()
 
     @property
@@ -146,7 +134,7 @@
     def usable(self, now: float) -> bool:
         """Whether new work may be sent there."""
         if self.record.state == SILENT:
-            return now - self.replied_at < TRUSTED_FOR_S
+            return self.health.trusted(now)
         return self.record.state == READY
 
     def uncached(self, work: Work, *, home: bool) -> int:
@@ -168,50 +156,29 @@
         while len(self._parts) > PARTS_KEPT:
             self._parts.popitem(last=False)
 
-    def succeeded(self, now: float) -> None:
-        """Note a good reply."""
-        self.replied_at = now
-        self.failures = 0
-        self.rests_until = float("-inf")
-        self.failure_rate *= 1 - EWMA_WEIGHT
-
-    def failed(self, now: float, *, rest: bool) -> None:
-        """Note a failure; with `rest` nothing is sent for a while."""
-        self.failure_rate += EWMA_WEIGHT * (1 - self.failure_rate)
-        if rest:
-            rest_s = min(REST_MAX_S, REST_S * 2**self.failures)
-            self.rests_until = now + rest_s
-            self.failures += 1
-
-    def observe_first(self, predicted_s: float, actual_s: float) -> None:
-        """Learn how much slower first tokens come than predicted."""
-        ratio = actual_s / max(predicted_s, 0.01)
-        ratio = min(SLOWNESS_MAX, max(SLOWNESS_MIN, ratio))
-        self.slowness += EWMA_WEIGHT * (ratio - self.slowness)
-
-    def observe_call(self, actual_s: float) -> None:
-        """Learn how long plain calls take."""
-        self.call_s += EWMA_WEIGHT * (actual_s - self.call_s)
-
 
 class Choice:
     """An endpoint, the predicted wait there and what choosing it costs.
 
-    `wait_s` is until the reply begins; `cost_s` adds what other requests
-    lose. `unread_tokens` is the part of the prompt it is expected to read.
+    `usual_s` is until the reply would begin at a healthy endpoint, before
+    correction by what is typical; `wait_s` is the prediction for this one.
+    `cost_s` adds what other requests lose. `unread_tokens` is the part of
+    the prompt it is expected to read.
     """
 
-    __slots__ = ("cost_s", "endpoint", "unread_tokens", "wait_s")
+    __slots__ = ("cost_s", "endpoint", "unread_tokens", "usual_s", "wait_s")
 
     def __init__(
         self,
         *,
         endpoint: Endpoint,
+        usual_s: float,
         wait_s: float,
         cost_s: float,
         unread_tokens: int,
     ):
         self.endpoint = endpoint
+        self.usual_s = usual_s
         self.wait_s = wait_s
         self.cost_s = cost_s
         self.unread_tokens = unread_tokens
@@ -220,10 +187,11 @@
 class Placed:
     """An attempt's work, counted at its endpoint while the block lasts."""
 
-    __slots__ = ("_unread", "choice")
+    __slots__ = ("_began_at", "_unread", "choice")
 
-    def __init__(self, *, choice: Choice):
+    def __init__(self, *, choice: Choice, now: float):
         self.choice = choice
+        self._began_at = now
         self._unread = 0
 
     @property
@@ -235,11 +203,13 @@
         self._unread = self.choice.unread_tokens
         self.endpoint.active += 1
         self.endpoint.prefill_tokens += self._unread
+        self.endpoint.health.began(self._began_at)
         return self
 
     def __exit__(self, *exc_info: object) -> None:
         self.begun()
         self.endpoint.active -= 1
+        self.endpoint.health.ended()
 
     def begun(self) -> None:
         """Note that the prompt is read."""
@@ -253,12 +223,13 @@
     `regions` maps failure domains to regions; `region` is the gateway's.
     """
 
-    __slots__ = ("_endpoints", "_region", "_regions")
+    __slots__ = ("_endpoints", "_region", "_regions", "_typical")
 
     def __init__(self, *, region: str, regions: dict[str, str]):
         self._region = region
         self._regions = regions
         self._endpoints: dict[str, Endpoint] = {}
+        self._typical: defaultdict[str, float] = defaultdict(lambda: 1.0)
 
     def update(self, records: Iterable[EndpointRecord]) -> None:
         """Take the endpoints that control knows."""
@@ -313,20 +284,37 @@
             for endpoint in self.of_service(spec.name)
             if endpoint.usable(now) and endpoint.id not in excluding
         ]
-        rested = [e for e in usable if now >= e.rests_until]
+        rested = [e for e in usable if not e.health.rests(now)]
         candidates = rested or usable
         if not candidates:
             return None
+        typical = self._typical[spec.name]
         if spec.engine is None:
-            choices = [_plain_choice(e) for e in candidates]
+            choices = [_plain_choice(e, typical, now) for e in candidates]
         else:
             home = self._home(candidates, work)
+            slots = spec.engine.slots
             choices = [
-                _engine_choice(e, spec.engine.slots, work, home=e is home)
+                _engine_choice(e, slots, work, typical, now, home=e is home)
                 for e in candidates
             ]
         return min(choices, key=lambda choice: choice.cost_s)
 
+    def observe(self, choice: Choice, actual_s: float, now: float) -> None:
+        """Learn from the seconds after which a reply began.
+
+        What all endpoints of a service do is typical; what one does beyond
+        that is its slowness.
+        """
+        record, health = choice.endpoint.record, choice.endpoint.health
+        typical = self._typical[record.service]
+        health.observe(choice.usual_s * typical, actual_s, now)
+        ratio = actual_s / max(choice.usual_s, 0.01)
+        typical += TYPICAL_WEIGHT * (ratio - typical)
+        self._typical[record.service] = min(
+            TYPICAL_MAX, max(TYPICAL_MIN, typical)
+        )
+
     def _home(self, candidates: list[Endpoint], work: Work) -> Endpoint:
         """Return where a prompt is kept, the same at every gateway."""
         near = [e for e in candidates if not e.remote] or candidates
@@ -343,36 +331,52 @@
 
 
 def _engine_choice(
-    endpoint: Endpoint, slots: int, work: Work, *, home: bool
+    endpoint: Endpoint,
+    slots: int,
+    work: Work,
+    typical: float,
+    now: float,
+    *,
+    home: bool,
 ) -> Choice:
     unread = endpoint.uncached(work, home=home)
     queued = endpoint.prefill_tokens + endpoint.others.prefill_tokens
     active = endpoint.total_active()
-    read_s = unread / PREFILL_TOKENS_PER_S
-    wait_s = read_s + queued / PREFILL_TOKENS_PER_S + active * CROWDING_S
+    usual_s = (unread + queued) / PREFILL_TOKENS_PER_S + active * CROWDING_S
     if active >= slots:
-        wait_s += (active - slots + 1) / slots
-    wait_s *= endpoint.slowness
-    wait_s += REMOTE_S if endpoint.remote else 0.0
+        usual_s += (active - slots + 1) / slots
+    wait_s = _predict(endpoint, usual_s * typical, now)
     excess = max(0, min(unread, unread + queued - HARMLESS_TOKENS))
     harm_s = HARM_WEIGHT * active * excess / PREFILL_TOKENS_PER_S
     exposed_s = work.output_tokens * TOKEN_S * endpoint.reading
     cost_s = wait_s + harm_s + EXPOSURE_WEIGHT * exposed_s
-    cost_s += FAILURE_COST_S * endpoint.failure_rate
+    cost_s += FAILURE_COST_S * endpoint.health.failure_rate(now)
     cost_s += 0.0 if home else AWAY_S
     return Choice(
         endpoint=endpoint,
+        usual_s=usual_s,
         wait_s=wait_s,
         cost_s=cost_s,
         unread_tokens=unread,
     )
 
 
-def _plain_choice(endpoint: Endpoint) -> Choice:
+def _plain_choice(endpoint: Endpoint, typical: float, now: float) -> Choice:
     crowd = endpoint.total_active() / endpoint.record.slots
-    wait_s = endpoint.call_s * (1 + max(0.0, crowd - 0.5) * 2)
-    wait_s += REMOTE_S if endpoint.remote else 0.0
-    cost_s = wait_s + FAILURE_COST_S * endpoint.failure_rate
+    usual_s = CALL_S * (1 + max(0.0, crowd - 0.5) * 2)
+    wait_s = _predict(endpoint, usual_s * typical, now)
+    cost_s = wait_s + FAILURE_COST_S * endpoint.health.failure_rate(now)
     return Choice(
-        endpoint=endpoint, wait_s=wait_s, cost_s=cost_s, unread_tokens=0
+        endpoint=endpoint,
+        usual_s=usual_s,
+        wait_s=wait_s,
+        cost_s=cost_s,
+        unread_tokens=0,
     )
+
+
+def _predict(endpoint: Endpoint, usual_s: float, now: float) -> float:
+    """Return the wait at this endpoint, by how it has been doing."""
+    health = endpoint.health
+    wait_s = usual_s * health.slowness(now) + health.quiet_s(now)
+    return wait_s + (REMOTE_S if endpoint.remote else 0.0)
--- a/chervilshift/gateway/dispatch.py
+++ b/chervilshift/gateway/dispatch.py
@@ -161,7 +161,8 @@
         self, exchange: Exchange, choice: Choice, down: Downstream
     ) -> None:
         self._state.note_reading(exchange.service, choice.unread_tokens)
-        with Placed(choice=choice) as placed:
+        now = self._clock.monotonic()
+        with Placed(choice=choice, now=now) as placed:
             await self._send(exchange, placed, down)
 
     async def _send(
@@ -177,7 +178,7 @@
             )
         except EndpointFailed:
             exchange.connects += 1
-            endpoint.failed(self._clock.monotonic(), rest=True)
+            endpoint.health.unreachable(self._clock.monotonic())
             raise
         async with up:
             sent_at = self._clock.monotonic()
@@ -198,7 +199,7 @@
                     self._patience(exchange, placed.choice),
                 )
             except EndpointFailed as exc:
-                endpoint.failed(self._clock.monotonic(), rest=False)
+                endpoint.health.failed(self._clock.monotonic())
                 if not exc.sent:
                     exchange.maybe_ran = before
                 raise
@@ -255,9 +256,11 @@
         now = self._clock.monotonic()
         self._begun(exchange)
         failed = reply.status >= 500
-        if not failed:
-            placed.endpoint.succeeded(now)
-            placed.endpoint.observe_call(now - sent_at)
+        if failed:
+            placed.endpoint.health.failed(now)
+        else:
+            placed.endpoint.health.succeeded(now)
+            self._state.placement.observe(placed.choice, now - sent_at, now)
         again = (
             failed
             and exchange.route.repeatable
@@ -295,16 +298,19 @@
             reply.status, self._dialect.reply_headers(reply.headers)
         )
         async for chunk in up.iterate(reply):
+            now = self._clock.monotonic()
+            endpoint.health.heard(now)
             if not await relay.feed(chunk):
                 continue
-            now = self._clock.monotonic()
             exchange.saw_events(now)
             if first:
                 first = False
                 placed.begun()
                 endpoint.remember(exchange.work)
-                endpoint.observe_first(placed.choice.wait_s, now - sent_at)
-                endpoint.succeeded(now)
+                endpoint.health.succeeded(now)
+                self._state.placement.observe(
+                    placed.choice, now - sent_at, now
+                )
                 self._metrics.observe("first_event", now - exchange.arrived_at)
                 self._begun(exchange)
         await relay.finish()
--- a/chervilshift/gateway/process.py
+++ b/chervilshift/gateway/process.py
@@ -172,7 +172,7 @@
         metrics.gauge(
             "endpoints_resting",
             lambda: sum(
-                e.rests_until > self._clock.monotonic()
+                e.health.rests(self._clock.monotonic())
                 for e in placement.endpoints()
             ),
         )
--- a/tests/core/fleet/test_placement.py
+++ b/tests/core/fleet/test_placement.py
@@ -9,7 +9,7 @@
     EngineSpec,
     ServiceSpec,
 )
-from chervilshift.core.fleet.placement import Placement, Work
+from chervilshift.core.fleet.placement import Placed, Placement, Work
 from chervilshift.core.fleet.sync import EndpointLoad
 
 REGIONS = {"a": "here", "b": "here", "far": "there"}
@@ -99,23 +99,77 @@
 def test_unreachable_endpoint_rests_and_is_used_when_none_is_left():
     held = placement(record("e1"), record("e2"))
     home = held.choose(ENGINES, prompt("t", "x"), 0.0).endpoint
-    home.failed(0.0, rest=True)
+    home.health.unreachable(0.0)
     other = held.choose(ENGINES, prompt("t", "x"), 0.1).endpoint
     assert other is not home
-    other.failed(0.1, rest=True)
+    other.health.unreachable(0.1)
     assert held.choose(ENGINES, prompt("t", "x"), 0.2) is not None
-    home.succeeded(1.0)
-    assert home.failure_rate < 0.5
+    home.health.succeeded(1.0)
+    assert home.health.failure_rate(1.0) < 0.5
 
 
 def test_slow_endpoint_is_avoided_once_seen():
     held = placement(record("e1"), record("e2"))
     home = held.choose(ENGINES, prompt("t", "x"), 0.0).endpoint
     for _ in range(20):
-        home.observe_first(0.05, 0.4)
+        choice = held.choose(ENGINES, prompt("t", "x"), 0.0)
+        slow = choice.endpoint is home
+        held.observe(choice, choice.usual_s * (8 if slow else 1), 0.0)
     assert held.choose(ENGINES, prompt("t", "x"), 0.0).endpoint is not home
 
 
+def test_slow_endpoint_is_tried_again_some_seconds_later():
+    held = placement(record("e1"), record("e2"))
+    home = held.choose(ENGINES, prompt("t", "x"), 0.0).endpoint
+    for _ in range(20):
+        home.health.observe(0.05, 0.4, 0.0)
+    assert held.choose(ENGINES, prompt("t", "x"), 0.5).endpoint is not home
+    assert held.choose(ENGINES, prompt("t", "x"), 20.0).endpoint is home
+
+
+def test_what_all_endpoints_do_is_typical_and_slows_none():
+    held = placement(record("p1", service="app"), record("p2", service="app"))
+    for turn in range(200):
+        choice = held.choose(PLAIN, Work(), turn / 10)
+        held.observe(choice, 0.12, turn / 10)
+    choice = held.choose(PLAIN, Work(), 20.0)
+    assert 0.9 < choice.endpoint.health.slowness(20.0) < 1.1
+    assert 0.1 < choice.wait_s < 0.14
+
+
+def test_endpoint_that_fails_calls_gets_fewer():
+    held = placement(record("p1", service="app"), record("p2", service="app"))
+    bad = next(e for e in held.of_service("app") if e.id == "p1")
+    for _ in range(5):
+        bad.health.failed(0.0)
+    assert held.choose(PLAIN, Work(), 0.1).endpoint is not bad
+    # An avoided endpoint gives no samples; in time it gets another chance.
+    assert bad.health.failure_rate(12.0) < 0.1
+
+
+def test_endpoint_that_says_nothing_for_long_gets_no_more():
+    held = placement(record("e1"), record("e2"))
+    first = held.choose(ENGINES, prompt("t", "x"), 0.0)
+    with Placed(choice=first, now=0.0):
+        near = held.choose(ENGINES, prompt("t", "y"), 0.1).endpoint
+        assert near is first.endpoint
+        later = held.choose(ENGINES, prompt("t", "y"), 0.8).endpoint
+        assert later is not first.endpoint
+        first.endpoint.health.heard(0.8)
+        again = held.choose(ENGINES, prompt("t", "y"), 0.9).endpoint
+        assert again is first.endpoint
+
+
+def test_failure_after_silence_makes_an_endpoint_rest():
+    held = placement(record("e1"), record("e2"))
+    first = held.choose(ENGINES, prompt("t", "x"), 0.0)
+    with Placed(choice=first, now=0.0):
+        first.endpoint.health.failed(0.1)
+        assert not first.endpoint.health.rests(0.2)
+        first.endpoint.health.failed(1.0)
+        assert first.endpoint.health.rests(1.2)
+
+
 def test_plain_calls_go_to_the_least_crowded():
     held = placement(record("p1", service="app"), record("p2", service="app"))
     for endpoint in held.of_service("app"):
