Settings checked by msgspec; gateways load no pydantic

Cause: pydantic and the product's configuration models were loaded by every process to check one small file at its start. Change: structs.py checks a struct field by field and names all faults with their lines, as before.

--- a/chervilshift/config.py
+++ b/chervilshift/config.py
@@ -6,14 +6,14 @@
 
 from typing import Annotated
 
-from pydantic import BaseModel, ConfigDict, Field
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
 from returns.result import Failure as Bad
 from returns.result import Result, Success
 
 from chervilshift.core.commands import ConfigDocument
 from chervilshift.errors import ConfigFault, ConfigRefused
-from chervilshift.keys import KeyHash
-from chervilshift.yamldoc import Document, check, locate, read
+from chervilshift.keys import HASH_PATTERN
+from chervilshift.yamldoc import Document, locate, read
 
 __all__ = [
     "Config",
@@ -30,6 +30,7 @@
 Positive = Annotated[float, Field(gt=0)]
 Amount = Annotated[float, Field(ge=0)]
 Count = Annotated[int, Field(ge=1)]
+KeyHash = Annotated[str, Field(pattern=HASH_PATTERN)]
 
 SITE_KEY = "site"
 
@@ -193,6 +194,21 @@
     return compiled
 
 
+def _check(
+    schema: type[BaseModel], data: dict, documents: tuple[Document, ...]
+) -> Result[BaseModel, list[ConfigFault]]:
+    """Validate merged data; each fault names the last file that sets it."""
+    try:
+        return Success(schema.model_validate(data))
+    except ValidationError as exc:
+        return Bad(
+            [
+                locate(documents, tuple(item["loc"]), item["msg"])
+                for item in exc.errors()
+            ]
+        )
+
+
 def _compile(
     document: ConfigDocument, site: str
 ) -> Result[Config, list[ConfigFault]]:
@@ -215,7 +231,7 @@
         if unknown:
             return Bad(unknown)
         merged = _merge(merged, changes)
-    checked = check(Config, merged, documents)
+    checked = _check(Config, merged, documents)
     if isinstance(checked, Bad):
         return checked
     dangling = _dangling(checked.unwrap(), documents)
--- a/chervilshift/keys.py
+++ b/chervilshift/keys.py
@@ -1,13 +1,10 @@
 """Keys stand in files only as hashes."""
 
 import hashlib
-from typing import Annotated
 
-from pydantic import Field
+__all__ = ["HASH_PATTERN", "hash_key"]
 
-__all__ = ["KeyHash", "hash_key"]
-
-KeyHash = Annotated[str, Field(pattern="^[0-9a-f]{64}$")]
+HASH_PATTERN = "^[0-9a-f]{64}$"
 
 
 def hash_key(key: str) -> str:
--- a/chervilshift/settings.py
+++ b/chervilshift/settings.py
@@ -5,16 +5,18 @@
 from pathlib import Path
 from typing import Annotated
 
+import msgspec
 from absl import logging
-from pydantic import BaseModel, ConfigDict, Field
+from msgspec import Meta
 from returns.result import Failure as Bad
-from returns.result import Result, Success
+from returns.result import Result
 
 from chervilshift.core.fleet.limits import LimitTerms
 from chervilshift.errors import SettingsRefused
-from chervilshift.keys import KeyHash
+from chervilshift.keys import HASH_PATTERN
+from chervilshift.structs import convert
 from chervilshift.wire.rpc import Credentials
-from chervilshift.yamldoc import check, read
+from chervilshift.yamldoc import locate, read
 
 __all__ = [
     "ControlSettings",
@@ -28,14 +30,17 @@
     "loaded",
 ]
 
-Address = Annotated[str, Field(pattern=r"^[0-9.]+:[0-9]+$|^\[.*\]:[0-9]+$")]
+Address = Annotated[str, Meta(pattern=r"^[0-9.]+:[0-9]+$|^\[.*\]:[0-9]+$")]
+KeyHash = Annotated[str, Meta(pattern=HASH_PATTERN)]
+Positive = Annotated[float, Meta(gt=0)]
+Amount = Annotated[float, Meta(ge=0)]
 
 
-class _Section(BaseModel):
-    model_config = ConfigDict(extra="forbid", frozen=True)
+class _Section(msgspec.Struct, kw_only=True, frozen=True):
+    """Settings that belong together."""
 
 
-class Tls(_Section):
+class Tls(_Section, kw_only=True, forbid_unknown_fields=True):
     """Files for mutual TLS between the system's processes."""
 
     certificate: Path
@@ -43,7 +48,7 @@
     ca: Path
 
 
-class ProcessSettings(_Section):
+class ProcessSettings(_Section, kw_only=True):
     """What every process needs to know about itself."""
 
     process: str
@@ -51,7 +56,7 @@
     failure_domain: str
     region: str
     rpc_listen: Address
-    cluster_key: Annotated[str, Field(min_length=16)]
+    cluster_key: Annotated[str, Meta(min_length=16)]
     events_folder: Path | None = None
     tls: Tls | None = None
     log_level: str = "info"
@@ -67,7 +72,7 @@
         )
 
 
-class VoterSettings(_Section):
+class VoterSettings(_Section, kw_only=True, forbid_unknown_fields=True):
     """One voter of a new cluster."""
 
     name: str
@@ -75,7 +80,7 @@
     failure_domain: str
 
 
-class ControlSettings(ProcessSettings):
+class ControlSettings(ProcessSettings, kw_only=True):
     """Settings of a `control` process."""
 
     data_folder: Path
@@ -85,7 +90,7 @@
     rpc_address: Address | None = None
 
 
-class RoutedSettings(ProcessSettings):
+class RoutedSettings(ProcessSettings, kw_only=True):
     """What gateways and their control processes have in common.
 
     `seeds` are public addresses of some control processes, which listen for
@@ -95,10 +100,10 @@
 
     seeds: list[Address]
     regions: dict[str, str]
-    limit_window_s: Annotated[float, Field(gt=0)]
-    limit_tolerance: Annotated[float, Field(ge=0)]
-    limit_slack: Annotated[float, Field(ge=0)]
-    usage_window_s: Annotated[float, Field(gt=0)]
+    limit_window_s: Positive
+    limit_tolerance: Amount
+    limit_slack: Amount
+    usage_window_s: Positive
     metrics_listen: Address | None = None
 
     def limit_terms(self) -> LimitTerms:
@@ -116,7 +121,7 @@
         return [f"{s.rpartition(':')[0]}:{port}" for s in self.seeds]
 
 
-class RoutedControlSettings(RoutedSettings):
+class RoutedControlSettings(RoutedSettings, kw_only=True):
     """Settings of a `control` process that serves gateways.
 
     `bootstrap` is true only at the first start of a whole cluster; then the
@@ -128,8 +133,8 @@
     directory_listen: Address
     bootstrap: bool = False
     cloud: Address
-    announce_interval_ms: Annotated[float, Field(gt=0)]
-    duty_lease_ms: Annotated[float, Field(ge=0)]
+    announce_interval_ms: Positive
+    duty_lease_ms: Amount
 
     @property
     def rpc_address(self) -> str:
@@ -137,18 +142,18 @@
         return self.rpc_listen
 
 
-class GatewaySettings(RoutedSettings):
+class GatewaySettings(RoutedSettings, kw_only=True):
     """Settings of a `gateway` process."""
 
     listen: Address
     ready_listen: Address
-    stop_within_s: Annotated[float, Field(gt=0)]
-    retry_ratio: Annotated[float, Field(ge=0)]
-    retry_extra: Annotated[float, Field(ge=0)]
-    retry_window_s: Annotated[float, Field(gt=0)]
+    stop_within_s: Positive
+    retry_ratio: Amount
+    retry_extra: Amount
+    retry_window_s: Positive
 
 
-class EntrySettings(ProcessSettings):
+class EntrySettings(ProcessSettings, kw_only=True):
     """Settings of an `entry` process."""
 
     listen: Address
@@ -159,8 +164,8 @@
     site: str = ""
     operator_keys: list[KeyHash] = []
     endpoint_keys: list[KeyHash] = []
-    drain_timeout_s: Annotated[float, Field(gt=0)] = 900.0
-    lookup_ttl_s: Annotated[float, Field(gt=0)] = 10.0
+    drain_timeout_s: Positive = 900.0
+    lookup_ttl_s: Positive = 10.0
 
 
 def load(
@@ -175,10 +180,12 @@
     if isinstance(parsed, Bad):
         return _refused(parsed.failure())
     document = parsed.unwrap()
-    checked = check(schema, document.data, (document,))
+    checked = convert(schema, document.data)
     if isinstance(checked, Bad):
-        return _refused(checked.failure())
-    return Success(checked.unwrap())
+        return _refused(
+            [locate((document,), f.path, f.reason) for f in checked.failure()]
+        )
+    return checked
 
 
 def loaded(schema: type[ProcessSettings], path: str | Path) -> ProcessSettings:
--- a/chervilshift/yamldoc.py
+++ b/chervilshift/yamldoc.py
@@ -1,15 +1,14 @@
-"""YAML files read with the line of every key, and checked by a schema."""
+"""YAML files read with the line of every key."""
 
 from collections.abc import Iterator
 
 import yaml
-from pydantic import BaseModel, ValidationError
 from returns.result import Failure as Bad
 from returns.result import Result, Success
 
 from chervilshift.errors import ConfigFault
 
-__all__ = ["Document", "check", "read"]
+__all__ = ["Document", "locate", "read"]
 
 Path = tuple[str | int, ...]
 
@@ -57,21 +56,6 @@
     )
 
 
-def check(
-    schema: type[BaseModel], data: dict, documents: tuple[Document, ...]
-) -> Result[BaseModel, list[ConfigFault]]:
-    """Validate merged data; each fault names the last file that sets it."""
-    try:
-        return Success(schema.model_validate(data))
-    except ValidationError as exc:
-        return Bad(
-            [
-                locate(documents, tuple(item["loc"]), item["msg"])
-                for item in exc.errors()
-            ]
-        )
-
-
 def locate(
     documents: tuple[Document, ...], path: Path, reason: str
 ) -> ConfigFault:
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -247,7 +247,7 @@
                 tg.start_soon(self.stop_control, number)
         self.controls, self.control_ends = [], []
         for settings in self.control_settings:
-            again = settings.model_copy(update={"bootstrap": False})
+            again = msgspec.structs.replace(settings, bootstrap=False)
             self._start_control(again)
 
     def leader(self) -> int | None:
