Election timing as a setting; control loads no configuration models

Cause: after the loss of everything, and after each lost leader, a new one came 1.0 to 2.0 s later; config calls, leaving notices and grants wait for it. Votes are still refused for as long as a lease may run: lease and refusal both follow the setting, which must be the same on all replicas.

--- a/chervilshift/control/duties.py
+++ b/chervilshift/control/duties.py
@@ -37,13 +37,15 @@
 # A new holder's first call comes this much after the old lease's end: the
 # time limit of a call that was under way.
 CALL_MARGIN_S = 1.0
-# Between two orders for the same subject.
-ORDER_INTERVAL_S = 1.0
+# Between two orders for the same subject. What is refused is asked for again
+# this soon: it may be to be had for a moment only.
+ORDER_INTERVAL_S = 0.5
 # After an order that was taken, endpoints need this long beyond the boot
 # before a shortfall is ordered again.
 ORDER_PATIENCE_S = 3.0
-# A refused domain is taken for empty this long.
-REFUSED_FOR_S = 3.0
+# A refused domain is taken for empty this long: after the next order that
+# is taken, its endpoints need a boot before stand-ins may go.
+REFUSED_FOR_S = 6.0
 # A successor repeats committed reports of this many windows.
 REPEAT_WINDOWS = 2
 
--- a/chervilshift/control/node.py
+++ b/chervilshift/control/node.py
@@ -26,7 +26,7 @@
     Voter,
 )
 from chervilshift.core.raft.node import Raft
-from chervilshift.core.raft.state import LEADER, HardState, Ready
+from chervilshift.core.raft.state import LEADER, HardState, Ready, Timing
 from chervilshift.errors import (
     AtCapacity,
     Failure,
@@ -97,8 +97,10 @@
         events: EventLog,
         rng: Random,
         open_membership: bool = False,
+        timing: Timing | None = None,
     ):
         self.me = me
+        self._timing = timing
         self._open_membership = open_membership
         self._storage = storage
         self._clients = clients
@@ -219,6 +221,7 @@
             rng=self._rng,
             now=now,
             open_membership=self._open_membership,
+            timing=self._timing,
         )
         self._restore(snapshot)
         self._events.emit(
--- a/chervilshift/control/process.py
+++ b/chervilshift/control/process.py
@@ -2,12 +2,16 @@
 
 from anyio.abc import TaskGroup
 from returns.result import Failure as Bad
+from returns.result import Result, Success
 
+from chervilshift.config import validate
 from chervilshift.control.orders import OrderTask
 from chervilshift.control.replica import INITIAL_INCARNATION, ReplicaProcess
+from chervilshift.control.server import ControlServer
 from chervilshift.control.storage import Identity, Storage
+from chervilshift.core.commands import ApplyConfig, Command
 from chervilshift.core.raft.messages import Voter
-from chervilshift.errors import SettingsRefused
+from chervilshift.errors import Failure, SettingsRefused
 from chervilshift.events import EventLog
 from chervilshift.settings import ControlSettings
 from chervilshift.wire.messages import GetControlStatus
@@ -19,6 +23,9 @@
 class ControlProcess(ReplicaProcess):
     """Runs a replica; while it leads, it orders what endpoints lack."""
 
+    def _server(self) -> ControlServer:
+        return ControlServer(node=self.node, check=_check)
+
     async def _start_tasks(self, tg: TaskGroup) -> None:
         orders = OrderTask(
             node=self.node,
@@ -30,6 +37,13 @@
         tg.start_soon(orders.run)
 
 
+def _check(command: Command) -> Result[None, Failure]:
+    """Refuse a faulty configuration."""
+    if isinstance(command, ApplyConfig):
+        return validate(command.document)
+    return Success(None)
+
+
 async def format_cluster(
     settings: ControlSettings, events: EventLog
 ) -> Identity:
--- a/chervilshift/control/replica.py
+++ b/chervilshift/control/replica.py
@@ -13,6 +13,7 @@
 from chervilshift.control.server import ControlServer
 from chervilshift.control.storage import Identity, Storage
 from chervilshift.core.raft.messages import Voter
+from chervilshift.core.raft.state import Timing
 from chervilshift.events import EventLog
 from chervilshift.settings import ControlSettings
 from chervilshift.wire.leader import LeaderClient
@@ -56,6 +57,7 @@
             events=self._events,
             rng=SystemRandom(),
             open_membership=self.open_membership,
+            timing=Timing(election_min_s=self._settings.election_s),
         )
         server = RpcServer(
             serve=self._server().serve,
--- a/chervilshift/control/server.py
+++ b/chervilshift/control/server.py
@@ -1,14 +1,14 @@
 """Answers the messages that other processes send to a control process."""
 
+from collections.abc import Callable
 from functools import singledispatchmethod
 
 from returns.result import Failure as Bad
-from returns.result import Result
+from returns.result import Result, Success
 
-from chervilshift.config import validate
 from chervilshift.control.fleet import FleetService
 from chervilshift.control.node import Node
-from chervilshift.core.commands import ApplyConfig
+from chervilshift.core.commands import Command
 from chervilshift.core.fleet.sync import (
     GatewaySync,
     Heartbeats,
@@ -17,7 +17,7 @@
     SyncReply,
 )
 from chervilshift.core.message import Message
-from chervilshift.errors import BadRequest, NotLeader
+from chervilshift.errors import BadRequest, Failure, NotLeader
 from chervilshift.wire.messages import (
     Ack,
     ControlStatus,
@@ -34,19 +34,36 @@
     WatchReply,
 )
 
-__all__ = ["ControlServer"]
+__all__ = ["Check", "ControlServer"]
 
 MAX_WAIT_S = 10.0
 
+Check = Callable[[Command], Result[None, Failure]]
+
+
+def _accept(command: Command) -> Result[None, Failure]:
+    """Find no fault in a command."""
+    return Success(None)
+
 
 class ControlServer:
-    """Maps messages to the node; raises typed failures."""
+    """Maps messages to the node; raises typed failures.
+
+    `check` tells what is wrong with a command before it is committed.
+    """
 
-    __slots__ = ("_fleet", "_node")
+    __slots__ = ("_check", "_fleet", "_node")
 
-    def __init__(self, *, node: Node, fleet: FleetService | None = None):
+    def __init__(
+        self,
+        *,
+        node: Node,
+        fleet: FleetService | None = None,
+        check: Check = _accept,
+    ):
         self._node = node
         self._fleet = fleet
+        self._check = check
 
     async def serve(self, message: Message) -> Message:
         """Answer one message."""
@@ -69,8 +86,7 @@
 
     @_serve.register
     async def _(self, message: Submit) -> SubmitReply:
-        if isinstance(message.command, ApplyConfig):
-            _raise(validate(message.command.document))
+        _raise(self._check(message.command))
         reply = _raise(await self._node.submit(message.command))
         return SubmitReply(reply=reply)
 
--- a/chervilshift/core/fleet/scaling.py
+++ b/chervilshift/core/fleet/scaling.py
@@ -1,9 +1,9 @@
 """How many endpoints of each kind to keep in each failure domain.
 
 Reclaimable endpoints are cheap but leave together, a whole failure domain
-at a time; on-demand ones are dear and stay. The plan keeps an on-demand
-floor that carries the urgent part of the load by itself, and covers the
-rest with reclaimable ones.
+at a time; on-demand ones are dear and stay. The plan covers the load with
+reclaimable ones, so many that the loss of any one domain leaves enough, and
+orders on-demand ones where reclaimable ones can't be had.
 """
 
 from collections import Counter, deque
@@ -21,11 +21,8 @@
 
 __all__ = ["Fleet", "Order", "SizeHold", "needed_size", "plan_orders"]
 
-# On-demand endpoints per failure domain whatever the load: one survives
-# where all reclaimable ones of every domain are taken back at once.
-ON_DEMAND_FLOOR = 1
-# Reclaimable endpoints per failure domain at light load.
-SPOT_FLOOR = 1
+# Endpoints per failure domain at light load: one may crash or turn slow.
+FLOOR = 2
 # Part of its time that an engine may spend reading prompts: beyond it the
 # streams beside them pause too often.
 READING_SHARE = 0.22
@@ -130,31 +127,63 @@
     domains = sorted(set(spec.scaling.prices) | set(fleet.domains()))
     if not domains:
         return ()
-    reclaimable = ceil(size / len(domains)) - ON_DEMAND_FLOOR
-    spot = max(SPOT_FLOOR, reclaimable)
+    plans = {
+        domain: _plan_domain(spec.scaling, fleet, domain, size, len(domains))
+        for domain in domains
+    }
     return tuple(
         Order(
             service=spec.name,
             failure_domain=domain,
             spot=is_spot,
-            count=_bounded(spec.scaling, fleet, domain, spot, is_spot=is_spot),
+            count=plans[domain][is_spot],
         )
         for domain, is_spot in product(domains, (False, True))
     )
 
 
-def _bounded(
-    scaling: Scaling, fleet: Fleet, domain: str, spot: int, *, is_spot: bool
-) -> int:
-    stand_ins = 0
+def _plan_domain(
+    scaling: Scaling, fleet: Fleet, domain: str, size: int, domains: int
+) -> tuple[int, int]:
+    """Return the on-demand and the reclaimable endpoints of a domain."""
     if scaling.spot_price >= 1:
-        stand_ins, spot = spot, 0
-    elif domain in fleet.refused:
-        # Nothing reclaimable to be had: one on-demand endpoint stands in.
-        stand_ins = 1
-    on_demand = min(
-        scaling.maximum, max(scaling.minimum, ON_DEMAND_FLOOR + stand_ins)
+        wanted = max(FLOOR, ceil(size / domains))
+        return min(scaling.maximum, max(scaling.minimum, wanted)), 0
+    # A lone domain has no others to carry its load: half of it stays.
+    staying = ceil(size / 2) if domains == 1 else 0
+    wanted = max(FLOOR, ceil(size / max(1, domains - 1)))
+    wanted = min(wanted, scaling.maximum)
+    on_demand = max(
+        staying,
+        _stand_ins(fleet, domain, size, domains),
+        _bridge(fleet, domain, wanted),
+        scaling.minimum - wanted,
     )
-    if not is_spot:
-        return on_demand
-    return max(0, min(spot, scaling.maximum - on_demand))
+    on_demand = min(on_demand, scaling.maximum)
+    return on_demand, min(wanted, scaling.maximum - on_demand)
+
+
+def _stand_ins(fleet: Fleet, domain: str, size: int, domains: int) -> int:
+    """Return the on-demand endpoints of a domain that is refused others.
+
+    At least its share of the load: the next domain may be taken back before
+    anything reclaimable is to be had again, and booting takes longer than
+    a notice.
+    """
+    if domain not in fleet.refused:
+        return 0
+    ready = sum(fleet.count(d, spot=True) for d in fleet.domains())
+    share = ceil(size / domains)
+    return max(1, share, ceil((size - ready) / len(fleet.refused)))
+
+
+def _bridge(fleet: Fleet, domain: str, wanted: int) -> int:
+    """Return the on-demand endpoints that stay until others have booted.
+
+    Where there are as many as wanted of both kinds, one makes room.
+    """
+    held = fleet.count(domain, spot=False)
+    missing = wanted - fleet.count(domain, spot=True)
+    if held >= missing:
+        missing -= 1
+    return max(0, min(held, missing))
--- a/chervilshift/core/raft/election.py
+++ b/chervilshift/core/raft/election.py
@@ -4,11 +4,8 @@
 from chervilshift.core.raft.progress import Progress
 from chervilshift.core.raft.state import (
     CANDIDATE,
-    ELECTION_MAX_S,
-    ELECTION_MIN_S,
     FOLLOWER,
     LEADER,
-    LEASE_S,
 )
 
 __all__ = ["Elections"]
@@ -20,7 +17,9 @@
     __slots__ = ()
 
     def _reset_election_timer(self, now: float) -> None:
-        spread = self._rng.uniform(ELECTION_MIN_S, ELECTION_MAX_S)
+        spread = self._rng.uniform(
+            self.timing.election_min_s, self.timing.election_max_s
+        )
         self._election_at = now + spread
 
     def _become_follower(self, term: int, now: float) -> None:
@@ -39,8 +38,10 @@
         if not isinstance(message, RequestVote) or message.transfer:
             return False
         if self.is_leader:
-            return now - self._quorum_acked_at(now) < ELECTION_MIN_S
-        return now - self._contact_at < ELECTION_MIN_S
+            return (
+                now - self._quorum_acked_at(now) < self.timing.election_min_s
+            )
+        return now - self._contact_at < self.timing.election_min_s
 
     def _campaign(self, now: float, *, pre: bool, transfer: bool = False):
         self._reset_election_timer(now)
@@ -90,7 +91,7 @@
         }
         # An election is no proof of contact for the lease.
         for progress in self.progress.values():
-            progress.acked_at = now - LEASE_S
+            progress.acked_at = now - self.timing.lease_s
         self._led_at = now
         self._term_start = self.log.last_index + 1
         self._append_own(NOOP, b"", now)
--- a/chervilshift/core/raft/leadership.py
+++ b/chervilshift/core/raft/leadership.py
@@ -11,9 +11,6 @@
 from chervilshift.core.raft.progress import Progress
 from chervilshift.core.raft.state import (
     CAUGHT_UP_ENTRIES,
-    ELECTION_MAX_S,
-    ELECTION_MIN_S,
-    HEARTBEAT_S,
     MIN_VOTERS,
     REMOVE_AFTER_S,
     SNAPSHOT_RETRY_S,
@@ -43,10 +40,10 @@
         return times[self._quorum() - 1]
 
     def _answers(self, vid: str, now: float) -> bool:
-        return now - self._acked_at(vid, now) < ELECTION_MIN_S
+        return now - self._acked_at(vid, now) < self.timing.election_min_s
 
     def _tick_leader(self, now: float) -> None:
-        if now - self._quorum_acked_at(now) > ELECTION_MAX_S:
+        if now - self._quorum_acked_at(now) > self.timing.election_max_s:
             self._become_follower(self.term, now)
             self.leader = None
             return
@@ -56,7 +53,7 @@
             self.leader = None
             return
         if now >= self._heartbeat_at:
-            self._heartbeat_at = now + HEARTBEAT_S
+            self._heartbeat_at = now + self.timing.heartbeat_s
             for vid in tuple(self.progress):
                 self._send_append(vid, now)
         self._drop_silent_learners(now)
@@ -67,7 +64,7 @@
             vid
             for vid, progress in self.progress.items()
             if vid not in self.voter_ids
-            and now - progress.acked_at > 5 * ELECTION_MAX_S
+            and now - progress.acked_at > 5 * self.timing.election_max_s
         ]
         for vid in silent:
             del self.progress[vid]
--- a/chervilshift/core/raft/node.py
+++ b/chervilshift/core/raft/node.py
@@ -29,14 +29,12 @@
 )
 from chervilshift.core.raft.progress import Progress
 from chervilshift.core.raft.state import (
-    ASK_AFTER_S,
     CANDIDATE,
-    ELECTION_MAX_S,
     FOLLOWER,
     LEADER,
-    LEASE_S,
     HardState,
     Ready,
+    Timing,
 )
 
 __all__ = ["Raft"]
@@ -59,8 +57,10 @@
         rng: Random,
         now: float,
         open_membership: bool = False,
+        timing: Timing | None = None,
     ):
         self.me = me
+        self.timing = timing or Timing()
         self.open_membership = open_membership
         self.log = log
         self.term = hard_state.term
@@ -111,7 +111,10 @@
         if self.is_leader:
             return False
         silent_s = now - self._contact_at
-        return self.me.id not in self.voter_ids or silent_s > ASK_AFTER_S
+        return (
+            self.me.id not in self.voter_ids
+            or silent_s > self.timing.ask_after_s
+        )
 
     def has_lease(self, now: float) -> bool:
         """Whether no other leader can have been elected up to `now`."""
@@ -119,7 +122,7 @@
             self.is_leader
             and self.transferring_to is None
             and self.commit >= self._term_start
-            and now - self._quorum_acked_at(now) < LEASE_S
+            and now - self._quorum_acked_at(now) < self.timing.lease_s
         )
 
     def staleness_s(self, now: float) -> float:
@@ -193,7 +196,7 @@
             return False
         target = max(live, key=lambda vid: self.progress[vid].match)
         self.transferring_to = target
-        self._transfer_until = now + ELECTION_MAX_S
+        self._transfer_until = now + self.timing.election_max_s
         self._try_transfer(now)
         return True
 
--- a/chervilshift/core/raft/state.py
+++ b/chervilshift/core/raft/state.py
@@ -3,29 +3,50 @@
 from chervilshift.core.message import Message
 from chervilshift.core.raft.messages import LogEntry, RaftMessage, Snapshot
 
-__all__ = ["CANDIDATE", "FOLLOWER", "LEADER", "HardState", "Ready"]
+__all__ = ["CANDIDATE", "FOLLOWER", "LEADER", "HardState", "Ready", "Timing"]
 
 FOLLOWER = "follower"
 CANDIDATE = "candidate"
 LEADER = "leader"
 
-HEARTBEAT_S = 0.2
+# Unless settings say otherwise.
 ELECTION_MIN_S = 1.0
-ELECTION_MAX_S = 2.0
-# Shorter than the time for which voters refuse other candidates.
-LEASE_S = 0.8 * ELECTION_MIN_S
+ELECTION_MAX_S = 2 * ELECTION_MIN_S
 SNAPSHOT_RETRY_S = 2.0
 CAUGHT_UP_ENTRIES = 16
 # A voter that is silent for longer than restarts and short cuts last is
 # taken for gone.
 REMOVE_AFTER_S = 10.0
-# A replica that hears from no leader for longer than an election takes asks
-# whether it was removed.
-ASK_AFTER_S = 2 * ELECTION_MAX_S
 # The smallest set that survives the loss of one voter.
 MIN_VOTERS = 3
 
 
+class Timing:
+    """How soon replicas act when they hear nothing; all in seconds.
+
+    A voter hears a leader out for `election_min_s` and stands for election
+    by twice that time. The lease is shorter than the time for which voters
+    refuse other candidates; several heartbeats fit into it, so that one
+    that is lost and sent again costs no lease. A replica that hears from no
+    leader for longer than an election takes asks whether it was removed.
+    """
+
+    __slots__ = (
+        "ask_after_s",
+        "election_max_s",
+        "election_min_s",
+        "heartbeat_s",
+        "lease_s",
+    )
+
+    def __init__(self, *, election_min_s: float = ELECTION_MIN_S):
+        self.election_min_s = election_min_s
+        self.election_max_s = 2 * election_min_s
+        self.heartbeat_s = 0.2 * election_min_s
+        self.lease_s = 0.8 * election_min_s
+        self.ask_after_s = 2 * self.election_max_s
+
+
 class HardState(Message):
     """What a replica must not forget: its term and its vote in it.
 
--- a/chervilshift/settings.py
+++ b/chervilshift/settings.py
@@ -34,6 +34,9 @@
 KeyHash = Annotated[str, Meta(pattern=HASH_PATTERN)]
 Positive = Annotated[float, Meta(gt=0)]
 Amount = Annotated[float, Meta(ge=0)]
+# A voter hears a silent leader out for this long, in seconds; what a new
+# leader waits for an old lease to end covers a second.
+Election = Annotated[float, Meta(gt=0, le=1.0)]
 
 
 class _Section(msgspec.Struct, kw_only=True, frozen=True):
@@ -88,6 +91,7 @@
     voters: list[VoterSettings] = []
     entries: list[Address] = []
     rpc_address: Address | None = None
+    election_s: Election = 1.0
 
 
 class RoutedSettings(ProcessSettings, kw_only=True):
@@ -135,6 +139,7 @@
     cloud: Address
     announce_interval_ms: Positive
     duty_lease_ms: Amount
+    election_s: Election = 1.0
 
     @property
     def rpc_address(self) -> str:
