--- a/chervilshift/errors.py
+++ b/chervilshift/errors.py
@@ -91,6 +91,14 @@
     remedy = "send a smaller body"
 
 
+class BodyTimeout(Failure):
+    """The request's body did not arrive in time."""
+
+    status, not_run = 408, True
+    template = "body did not arrive within {timeout_s} s"
+    remedy = "send the request again"
+
+
 class Unauthorized(Failure):
     """No key, or one that is not known for this use."""
 
--- a/chervilshift/platform/api.py
+++ b/chervilshift/platform/api.py
@@ -10,7 +10,12 @@
 
 from chervilshift.control.fleet import FleetService
 from chervilshift.core.fleet.model import GONE, EndpointRecord
-from chervilshift.errors import ConfigRefused, Failure
+from chervilshift.errors import (
+    BodyTimeout,
+    BodyTooLarge,
+    ConfigRefused,
+    Failure,
+)
 from chervilshift.platform.checkin import decode_checkin, decode_departure
 from chervilshift.platform.reply import reply
 
@@ -21,6 +26,7 @@
 RESOLVE_PATH = "/api/resolve"
 # Clients keep a lookup's answer this long, some three times as long.
 LOOKUP_TTL_S = 1
+# Longer than the largest document takes over a slow link.
 BODY_TIMEOUT_S = 3.0
 # Larger than any document: thousands of routes at some 400 bytes each.
 MAX_BODY_BYTES = 8 << 20
@@ -28,12 +34,19 @@
 App = Callable[[dict, Callable, Callable], Awaitable[None]]
 
 
-def control_app(service: FleetService) -> App:
+def control_app(
+    service: FleetService, body_timeout_s: float = BODY_TIMEOUT_S
+) -> App:
     """Serve operators and endpoints."""
 
     async def app(scope: dict, receive: Callable, send: Callable) -> None:
         path, method = scope["path"], scope["method"]
-        body = await _read(receive)
+        try:
+            body = await _read(receive, body_timeout_s)
+        except (BodyTimeout, BodyTooLarge) as exc:
+            logging.info("%s %s: %s", method, path[:64], exc)
+            await reply(send, exc.status, _explain(exc))
+            return
         if body is None:
             return
         if path == CONFIG_PATH and method == "PUT":
@@ -130,11 +143,15 @@
     return msgspec.json.encode({"error": failure.name, "text": str(failure)})
 
 
-async def _read(receive: Callable) -> bytes | None:
-    """Return the whole body, or None when the caller has left."""
+async def _read(receive: Callable, timeout_s: float) -> bytes | None:
+    """Return the whole body, or None when the caller has left.
+
+    Raises BodyTimeout or BodyTooLarge: a part must not be taken for a
+    document that is wrong.
+    """
     chunks = []
     size_bytes = 0
-    with anyio.move_on_after(BODY_TIMEOUT_S):
+    with anyio.move_on_after(timeout_s):
         while True:
             message = await receive()
             if message["type"] == "http.disconnect":
@@ -142,7 +159,7 @@
             chunks.append(message.get("body", b""))
             size_bytes += len(chunks[-1])
             if size_bytes > MAX_BODY_BYTES:
-                return b""
+                raise BodyTooLarge(limit_bytes=MAX_BODY_BYTES)
             if not message.get("more_body"):
                 return b"".join(chunks)
-    return b""
+    raise BodyTimeout(timeout_s=timeout_s)
--- /dev/null
+++ b/tests/platform/test_api.py
@@ -0,0 +1,52 @@
+"""Bodies that arrive late, in part, or never, at control's interface."""
+
+from functools import partial
+
+import anyio
+import pytest
+
+from chervilshift.platform.api import MAX_BODY_BYTES, control_app
+
+
+class Service:
+    """Fails the test if a part of a body is taken for a document."""
+
+    async def put_document(self, document: bytes):
+        raise AssertionError("a part was taken for a document")
+
+
+def put(*messages: dict) -> list[int]:
+    """Send a body's parts, then nothing; return the answered statuses."""
+    statuses: list[int] = []
+    waiting = list(messages)
+
+    async def receive() -> dict:
+        if not waiting:
+            await anyio.sleep_forever()
+        return waiting.pop(0)
+
+    async def send(message: dict) -> None:
+        if message["type"] == "http.response.start":
+            statuses.append(message["status"])
+
+    scope = {"path": "/api/config", "method": "PUT"}
+    app = control_app(Service(), body_timeout_s=0.02)
+    anyio.run(partial(app, scope, receive, send))
+    return statuses
+
+
+def part(data: bytes) -> dict:
+    return {"type": "http.request", "body": data, "more_body": True}
+
+
+@pytest.mark.parametrize("parts", [(), (part(b'{"version":'),)])
+def test_slow_body_is_asked_for_again(parts):
+    assert put(*parts) == [408]
+
+
+def test_body_over_the_limit_is_refused_as_such():
+    assert put(part(b"x" * MAX_BODY_BYTES), part(b"x")) == [413]
+
+
+def test_caller_that_left_gets_no_answer():
+    assert put(part(b"{"), {"type": "http.disconnect"}) == []
