Reclaimable endpoints alone; on-demand ones only stand in

Change: as many reclaimable endpoints as leave enough at the loss of any one domain; where they are refused, on-demand ones for half of the domain's share, at most half of what a domain may have; they make room by halves.

--- a/chervilshift/control/duties.py
+++ b/chervilshift/control/duties.py
@@ -71,15 +71,29 @@
 
 
 class _Placed:
-    """The last order taken for a subject."""
+    """The last order taken for a subject, and how many it brought."""
 
-    __slots__ = ("at", "count", "tried_at")
+    __slots__ = ("at", "count", "reached", "tried_at")
 
     def __init__(self):
         self.count: int | None = None
         self.at = float("-inf")
+        self.reached = 0
         self.tried_at = float("-inf")
 
+    def is_short(self, held: int, now: float, patience_s: float) -> bool:
+        """Whether to order again: some have left, or too few came."""
+        if self.count is None:
+            return False
+        self.reached = max(self.reached, min(held, self.count))
+        late = now - self.at > patience_s
+        return held < self.reached or (late and held != self.count)
+
+    def take(self, count: int, now: float) -> None:
+        """Note an order that was taken."""
+        self.count, self.at = count, now
+        self.reached = 0
+
 
 class DutyTask:
     """Reports usage and orders endpoints while this replica leads."""
@@ -217,8 +231,7 @@
     async def _place(self, order: Order, held: int, boot_s: float) -> None:
         placed = self._placed.setdefault(order.subject, _Placed())
         now = self._clock.monotonic()
-        settled = now - placed.at > boot_s + ORDER_PATIENCE_S
-        short = held != order.count and settled
+        short = placed.is_short(held, now, boot_s + ORDER_PATIENCE_S)
         if placed.count == order.count and not short:
             return
         if now - placed.tried_at < ORDER_INTERVAL_S or not self._may_act():
@@ -236,7 +249,7 @@
         )
         taken = not isinstance(sent, Bad)
         if taken:
-            placed.count, placed.at = order.count, now
+            placed.take(order.count, now)
         elif order.spot:
             self._refused[order.failure_domain] = now
         self._events.emit(
--- a/chervilshift/core/fleet/scaling.py
+++ b/chervilshift/core/fleet/scaling.py
@@ -23,6 +23,9 @@
 
 # Endpoints per failure domain at light load: one may crash or turn slow.
 FLOOR = 2
+# Part of a lost domain's share that on-demand endpoints make up for at once,
+# though the other domains carry the load.
+STAND_IN_SHARE = 0.5
 # Part of its time that an engine may spend reading prompts: beyond it the
 # streams beside them pause too often.
 READING_SHARE = 0.22
@@ -159,31 +162,30 @@
         _bridge(fleet, domain, wanted),
         scaling.minimum - wanted,
     )
-    on_demand = min(on_demand, scaling.maximum)
+    # Room is left for reclaimable ones: they come back at any moment.
+    on_demand = min(on_demand, max(1, scaling.maximum // 2))
     return on_demand, min(wanted, scaling.maximum - on_demand)
 
 
 def _stand_ins(fleet: Fleet, domain: str, size: int, domains: int) -> int:
     """Return the on-demand endpoints of a domain that is refused others.
 
-    At least its share of the load: the next domain may be taken back before
+    At least a part of its share: the next domain may be taken back before
     anything reclaimable is to be had again, and booting takes longer than
-    a notice.
+    a notice. More where those that are left don't carry the load.
     """
     if domain not in fleet.refused:
         return 0
     ready = sum(fleet.count(d, spot=True) for d in fleet.domains())
-    share = ceil(size / domains)
+    share = ceil(STAND_IN_SHARE * size / domains)
     return max(1, share, ceil((size - ready) / len(fleet.refused)))
 
 
 def _bridge(fleet: Fleet, domain: str, wanted: int) -> int:
     """Return the on-demand endpoints that stay until others have booted.
 
-    Where there are as many as wanted of both kinds, one makes room.
+    Where there are as many as wanted of both kinds, half of them make room.
     """
     held = fleet.count(domain, spot=False)
     missing = wanted - fleet.count(domain, spot=True)
-    if held >= missing:
-        missing -= 1
-    return max(0, min(held, missing))
+    return max(0, held // 2 if held >= missing else held)
--- a/tests/control/test_duties.py
+++ b/tests/control/test_duties.py
@@ -6,8 +6,9 @@
 
 from chervilshift.clock import ManualClock
 from chervilshift.control.duties import CALL_MARGIN_S, DutyTask
-from chervilshift.core.commands import CommitUsage
+from chervilshift.core.commands import AnnounceEndpoint, CommitUsage
 from chervilshift.core.fleet.model import (
+    EndpointRecord,
     EngineSpec,
     Scaling,
     ServiceSpec,
@@ -211,6 +212,41 @@
     assert on_demand(refused)[-1] == 1
 
 
+def announce(world: World, state: str, count: int) -> None:
+    """Let `count` reclaimable endpoints of domain a announce a state."""
+    for number in range(count):
+        record = EndpointRecord(
+            id=f"e{number}",
+            born_ms=1,
+            seq=int(world.clock.monotonic() * 1000),
+            state=state,
+            service="llm",
+            address=f"e{number}:80",
+            failure_domain="a",
+            slots=8,
+            spot=True,
+        )
+        world.node.index += 1
+        world.node.fleet.apply(
+            AnnounceEndpoint(endpoint=record), world.node.index
+        )
+
+
+def test_reclaimed_endpoints_are_ordered_again_at_once():
+    """Also where the last order was taken a moment ago."""
+    world = World(cfg=scaled())
+    world.run(LEASE_S + CALL_MARGIN_S + 1.0)
+    announce(world, "ready", 2)
+    world.run(0.5)
+    before = [o for o in world.cloud.orders if o[2]]
+    announce(world, "draining", 2)
+    world.run(1.0)
+    after = [o for o in world.cloud.orders if o[2]]
+    assert len(before) == 1
+    assert len(after) == 2
+    assert after[0][:3] == after[1][:3]
+
+
 def test_order_is_not_repeated_while_the_endpoints_boot():
     world = World(cfg=scaled())
     world.run(LEASE_S + CALL_MARGIN_S + 4.0)
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -175,6 +175,19 @@
     play(tmp_path, scenario, *workers)
 
 
+def test_endpoint_that_fails_what_it_runs_gets_little_more(tmp_path):
+    bad, good = worker("w1", "app"), worker("w2", "app")
+    bad.behave = lambda number: "error"
+
+    async def scenario(platform: Platform) -> None:
+        for _ in range(30):
+            await platform.ask("/write/a")
+        assert len(bad.runs) < 10
+        assert len(good.runs) > 20
+
+    play(tmp_path, scenario, bad, good)
+
+
 def test_unanswered_request_ends_at_its_timeout_and_frees_the_endpoint(
     tmp_path,
 ):
--- a/tests/proofs/test_at_most_once.py
+++ b/tests/proofs/test_at_most_once.py
@@ -215,7 +215,7 @@
     desk.freeze("e1")
     for _ in range(12):
         status, reply = post(desk.caller("e2"), "k11")
-        assert status == 409, reply
+        assert status == 409, getattr(reply, "content", reply)
         time.sleep(0.5)
     desk.thaw("e1")
     eventually(lambda: post(desk.caller("e2"), "k11")[0] == 200, "settled")
