On-demand endpoints go as soon as reclaimable ones carry the load

Change: the bridge ends once they carry the load. Test: test_on_demand_endpoints_go_once_reclaimable_ones_carry_the_load.

--- a/chervilshift/core/fleet/scaling.py
+++ b/chervilshift/core/fleet/scaling.py
@@ -85,6 +85,10 @@
             for e in self.endpoints
         )
 
+    def reclaimable(self) -> int:
+        """Return the reclaimable endpoints that take work."""
+        return sum(e.spot and e.state == READY for e in self.endpoints)
+
     def domains(self) -> Counter[str]:
         """Return the endpoints that take work, by failure domain."""
         return Counter(
@@ -159,7 +163,7 @@
     on_demand = max(
         staying,
         _stand_ins(fleet, domain, size, domains),
-        _bridge(fleet, domain, wanted),
+        _bridge(fleet, domain, wanted, size),
         scaling.minimum - wanted,
     )
     # Room is left for reclaimable ones: they come back at any moment.
@@ -176,16 +180,19 @@
     """
     if domain not in fleet.refused:
         return 0
-    ready = sum(fleet.count(d, spot=True) for d in fleet.domains())
     share = ceil(STAND_IN_SHARE * size / domains)
-    return max(1, share, ceil((size - ready) / len(fleet.refused)))
+    lacking = size - fleet.reclaimable()
+    return max(1, share, ceil(lacking / len(fleet.refused)))
 
 
-def _bridge(fleet: Fleet, domain: str, wanted: int) -> int:
+def _bridge(fleet: Fleet, domain: str, wanted: int, size: int) -> int:
     """Return the on-demand endpoints that stay until others have booted.
 
-    Where there are as many as wanted of both kinds, half of them make room.
+    None once the reclaimable ones of all domains carry the load. Where
+    there are as many as wanted of both kinds, half of them make room.
     """
+    if fleet.reclaimable() >= size:
+        return 0
     held = fleet.count(domain, spot=False)
     missing = wanted - fleet.count(domain, spot=True)
     return max(0, held // 2 if held >= missing else held)
--- a/tests/core/fleet/test_scaling.py
+++ b/tests/core/fleet/test_scaling.py
@@ -103,6 +103,19 @@
     assert planned["a", True] == 2
 
 
+def test_on_demand_endpoints_go_once_reclaimable_ones_carry_the_load():
+    held = [
+        one
+        for domain in DOMAINS
+        for spot in (False, True)
+        for one in endpoints(domain, 2, spot=spot)
+    ]
+    carried = counts(Fleet(endpoints=held, active=200))
+    assert not any(carried[domain, False] for domain in DOMAINS)
+    too_much = counts(Fleet(endpoints=held, active=900))
+    assert any(too_much[domain, False] for domain in DOMAINS)
+
+
 def test_every_domain_reclaimed_at_once_is_made_up_for_on_demand():
     fleet = Fleet(endpoints=(), active=400, refused=frozenset(DOMAINS))
     planned = counts(fleet)
