--- a/chervilshift/__main__.py
+++ b/chervilshift/__main__.py
@@ -1,6 +1,17 @@
 """Start the command line."""
 
-from chervilshift.cmdline import main
+from chervilshift import hangup
+
+__all__ = ["run"]
+
+
+def run() -> None:
+    """Hold SIGHUP, then import and run what the arguments name."""
+    hangup.hold()
+    from chervilshift.cmdline import main
 
-if __name__ == "__main__":
     main()
+
+
+if __name__ == "__main__":
+    run()
--- a/chervilshift/gateway/sync.py
+++ b/chervilshift/gateway/sync.py
@@ -76,6 +76,9 @@
                 tg.start_soon(tell, address)
 
     def _name(self, addresses: Iterable[str]) -> None:
+        if self._tg is None:
+            # Not running yet: `run` begins with the seeds as they are then.
+            return
         now = self._clock.monotonic()
         for address in addresses:
             if address not in self._named_at:
--- a/chervilshift/runner.py
+++ b/chervilshift/runner.py
@@ -9,6 +9,7 @@
 import anyio
 from absl import logging
 
+from chervilshift import hangup
 from chervilshift.clock import Clock, SystemClock
 from chervilshift.errors import Failure
 from chervilshift.events import EventLog, HybridClock
@@ -94,6 +95,8 @@
 ) -> None:
     wanted = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
     with anyio.open_signal_receiver(*wanted) as signals:
+        if hangup.was_held():
+            reload()
         async for number in signals:
             if number == signal.SIGHUP:
                 reload()
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -87,6 +87,36 @@
         return 0
 
 
+def test_sighup_before_the_settings_are_read_does_not_end_the_start(
+    tmp_path,
+):
+    """The settings come through a pipe, so the start waits for them."""
+    path = tmp_path / "gateway.yaml"
+    os.mkfifo(path)
+    process = start(path)
+    try:
+        # Opening returns once the process has opened its end.
+        with path.open("w") as file:
+            process.send_signal(signal.SIGHUP)
+            eventually(lambda: not pending(process.pid), "signal taken")
+            file.write(yaml.safe_dump(settings(listen="nowhere")))
+        _, err = process.communicate(timeout=20)
+        assert process.returncode == 3, err
+        assert "listen" in err
+    finally:
+        process.kill()
+
+
+def pending(pid: int) -> bool:
+    """Whether a SIGHUP waits to be taken by a process."""
+    try:
+        lines = Path(f"/proc/{pid}/status").read_text().splitlines()
+    except FileNotFoundError:
+        return False
+    masks = [ln.split()[1] for ln in lines if ln.startswith(("Shd", "SigP"))]
+    return any(int(mask, 16) & 1 for mask in masks)
+
+
 def test_gateway_reloads_on_sighup_and_stops_on_sigterm(tmp_path):
     path = tmp_path / "gateway.yaml"
     cfg = settings()
