A record's only holder is asked again a second after it was slow

With two entries it is the only peer: streams went on without a record, and the loss of their entry ended them. Change: it is asked again after RETRY_S.

--- a/chervilshift/entry/recorder.py
+++ b/chervilshift/entry/recorder.py
@@ -26,6 +26,9 @@
 APPEND_TIMEOUT_S = 0.5
 OUTBOX_PARTS = 10_000
 EXPIRE_INTERVAL_S = 10.0
+# A peer that did not answer in time is asked again this soon: while it is
+# the only one, streams have no record, and the loss of their owner ends them.
+RETRY_S = 1.0
 
 
 class Recording:
@@ -72,7 +75,7 @@
         self._events = events
         self._outboxes: dict[str, MemoryObjectSendStream[_Pending]] = {}
         self._tasks: anyio.abc.TaskGroup | None = None
-        self._failed: set[str] = set()
+        self._retry_at: dict[str, float] = {}
 
     async def run(self, *, task_status=anyio.TASK_STATUS_IGNORED) -> None:
         """Send records until cancelled."""
@@ -82,22 +85,19 @@
             while True:
                 await anyio.sleep(EXPIRE_INTERVAL_S)
                 self.store.expire(self._directory.now())
-                self._failed.clear()
 
     def choose(self, request_id: str) -> str:
         """Return the RPC address of the entry to hold a record.
 
         Entries in other failure domains come first; none gives "".
         """
-        ranked = self.ranked(request_id)
-        return next(
-            (
-                e.rpc_address
-                for e in ranked
-                if e.rpc_address not in self._failed
-            ),
-            "",
+        now = self._directory.now()
+        usable = (
+            e.rpc_address
+            for e in self.ranked(request_id)
+            if now >= self._retry_at.get(e.rpc_address, now)
         )
+        return next(usable, "")
 
     def ranked(self, request_id: str) -> list[EntryInfo]:
         """Return the other entries, the likeliest holder first."""
@@ -141,7 +141,7 @@
                 AppendRecord(parts=parts), APPEND_TIMEOUT_S
             )
             if isinstance(reply, Bad):
-                self._failed.add(address)
+                self._retry_at[address] = self._directory.now() + RETRY_S
                 self._lose(batch)
             else:
                 self._settle(batch, reply.unwrap())
