--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 VENV ?= .venv
 PY = $(VENV)/bin/python
 
-.PHONY: run test lint format bench capacity binary proofs clean
+.PHONY: run test lint format bench capacity binary proofs soak clean
 
 $(VENV)/.ready: requirements.txt requirements-dev.txt pyproject.toml
 	python3 -m venv $(VENV)
@@ -22,6 +22,12 @@
 proofs: $(VENV)/.ready
 	$(PY) -m pytest tests/proofs tests/core
 
+# Random faults on real processes; FIRST is the first of SEEDS seeds.
+SEEDS ?= 50
+FIRST ?= 1
+soak: $(VENV)/.ready
+	$(PY) -m tests.soak --seeds $(SEEDS) --first $(FIRST)
+
 lint: $(VENV)/.ready
 	$(VENV)/bin/ruff format --check .
 	$(VENV)/bin/ruff check .
--- a/chervilshift/core/fleet/scaling.py
+++ b/chervilshift/core/fleet/scaling.py
@@ -8,7 +8,6 @@
 
 from collections import Counter, deque
 from collections.abc import Iterable
-from itertools import product
 from math import ceil
 
 from chervilshift.core.fleet.model import (
@@ -134,18 +133,16 @@
     domains = sorted(set(spec.scaling.prices) | set(fleet.domains()))
     if not domains:
         return ()
-    plans = {
-        domain: _plan_domain(spec.scaling, fleet, domain, size, len(domains))
-        for domain in domains
-    }
     return tuple(
         Order(
-            service=spec.name,
-            failure_domain=domain,
-            spot=is_spot,
-            count=plans[domain][is_spot],
+            service=spec.name, failure_domain=domain, spot=is_spot, count=count
+        )
+        for domain in domains
+        for is_spot, count in zip(
+            (False, True),
+            _plan_domain(spec.scaling, fleet, domain, size, len(domains)),
+            strict=True,
         )
-        for domain, is_spot in product(domains, (False, True))
     )
 
 
--- a/chervilshift/gateway/dispatch.py
+++ b/chervilshift/gateway/dispatch.py
@@ -22,6 +22,7 @@
 from chervilshift.gateway.dialect import Attempt, Call, Dialect, Headers
 from chervilshift.gateway.downstream import Downstream
 from chervilshift.gateway.exchange import Exchange
+from chervilshift.gateway.outcomes import Outcomes, describe_choice
 from chervilshift.gateway.relay import Relay
 from chervilshift.gateway.state import GatewayState
 from chervilshift.gateway.sync import ControlSync
@@ -62,8 +63,10 @@
         self._conns = conns
         self._dialect = dialect
         self._clock = clock
-        self._events = events
         self._metrics = metrics
+        self._outcomes = Outcomes(
+            state=state, clock=clock, events=events, metrics=metrics
+        )
         self._rng = rng
         self._scopes: set[anyio.CancelScope] = set()
 
@@ -194,7 +197,7 @@
             self._metrics.observe("connect", sent_at - asked_at)
             exchange.sends += 1
             exchange.endpoints.append(
-                _inputs(placed.choice, sent_at - exchange.arrived_at)
+                describe_choice(placed.choice, sent_at - exchange.arrived_at)
             )
             before = exchange.maybe_ran
             exchange.maybe_ran = True
@@ -285,7 +288,7 @@
         headers.append((b"content-length", str(len(body)).encode()))
         await down.start(reply.status, headers)
         await down.finish(body)
-        self._finish(exchange, str(reply.status))
+        self._outcomes.note(exchange, str(reply.status))
 
     async def _relay(
         self,
@@ -322,7 +325,7 @@
                 self._metrics.observe("first_event", now - exchange.arrived_at)
                 self._begun(exchange)
         await relay.finish()
-        self._finish(exchange, "whole")
+        self._outcomes.note(exchange, "whole")
 
     def _begun(self, exchange: Exchange) -> None:
         """Count a request once an endpoint is known to have begun it."""
@@ -359,51 +362,8 @@
         failure: Failure,
         retry_after_s: float,
     ) -> None:
-        self._finish(exchange, failure.name, str(failure))
+        self._outcomes.note(exchange, failure.name, str(failure))
         if down.started:
             # The answer ends without its end; it must not look complete.
             return
         await down.refuse(failure, retry_after_s)
-
-    def _finish(
-        self, exchange: Exchange, outcome: str, reason: str = ""
-    ) -> None:
-        self._metrics.count(f"requests_{outcome.lower()}")
-        now = self._clock.monotonic()
-        late = exchange.is_late(now)
-        if exchange.gap_s:
-            self._metrics.observe("longest_gap", exchange.gap_s)
-        if late:
-            self._metrics.count("requests_late")
-        if not reason and not exchange.failures and not late:
-            return
-        first_s = None
-        if exchange.first_at is not None:
-            first_s = round(exchange.first_at - exchange.arrived_at, 3)
-        self._events.emit(
-            "request",
-            urgent=bool(reason),
-            request=exchange.id,
-            route=exchange.route.name,
-            service=exchange.service,
-            outcome=outcome,
-            reason=reason,
-            late=bool(late),
-            attempts=exchange.sends,
-            endpoints=exchange.endpoints,
-            failures=exchange.failures,
-            first_s=first_s,
-            gap_s=round(exchange.gap_s, 3),
-            took_s=round(now - exchange.arrived_at, 3),
-            version=self._state.version,
-        )
-
-
-def _inputs(choice: Choice, after_s: float) -> str:
-    """Return what an attempt's choice went by, for logs."""
-    endpoint, others = choice.endpoint, choice.endpoint.others
-    return (
-        f"{endpoint.id} active {endpoint.active}+{others.active} "
-        f"unread {endpoint.prefill_tokens}+{others.prefill_tokens} "
-        f"wait {choice.wait_s:.3f} after {after_s:.3f}"
-    )
