--- a/chervilshift/control/fleet.py
+++ b/chervilshift/control/fleet.py
@@ -1,14 +1,17 @@
 """Fleet service of a control process: configuration, endpoints, gateways."""
 
 from collections.abc import Callable
+from secrets import token_hex
 
 import anyio
+import msgspec
 from absl import logging
 from returns.result import Failure as Bad
 from returns.result import Result, Success
 
 from chervilshift.clock import Clock
 from chervilshift.control.node import Node
+from chervilshift.control.relay import LeaderRelay
 from chervilshift.core.commands import (
     AcceptServing,
     AnnounceEndpoint,
@@ -16,7 +19,8 @@
     CommandReply,
     NoteGateways,
 )
-from chervilshift.core.fleet.limits import LimitAllocator, LimitPolicy
+from chervilshift.core.fleet.distribution import Distributor
+from chervilshift.core.fleet.limits import LimitPolicy
 from chervilshift.core.fleet.lookup import choose_gateways
 from chervilshift.core.fleet.model import (
     DRAINING,
@@ -27,12 +31,15 @@
     ServingConfig,
     with_state,
 )
-from chervilshift.core.fleet.presence import GATEWAY_EXPIRY_S, Presence
+from chervilshift.core.fleet.presence import GATEWAY_EXPIRY_S
 from chervilshift.core.fleet.sync import (
+    ControlInfo,
+    GatewayInfo,
     GatewaySync,
     Heartbeat,
-    Heartbeats,
     ReadServing,
+    Relay,
+    RelayReply,
     ServingDocument,
     SyncReply,
 )
@@ -50,10 +57,12 @@
 # An operator waits one second for the reply, longer for large documents.
 CONFIG_COMMIT_TIMEOUT_S = 0.95
 CONFIG_READ_TIMEOUT_S = 0.9
-# Followers forward heartbeats of endpoints to the leader, which also looks for
-# silent endpoints in this interval.
-HEARTBEAT_FORWARD_INTERVAL_S = 0.4
-HEARTBEAT_FORWARD_TIMEOUT_S = 0.8
+# Interval in which silent gateways and endpoints are looked for.
+SWEEP_INTERVAL_S = 0.25
+# How long the reply to a gateway waits for grants of the leader.
+GRANT_TIMEOUT_S = 0.25
+# Ages in messages are finite.
+MAX_AGE_S = 1e9
 # An endpoint is marked silent after this many announcement intervals without
 # an announcement.
 SILENT_AFTER_INTERVALS = 3.5
@@ -62,6 +71,11 @@
 MAX_STATE_AGE_S = 2.0
 # Largest number of gateway addresses in the reply to a lookup.
 MAX_RESOLVED_ADDRESSES = 64
+# A lookup is answered from a list at most this old.
+LOOKUP_CACHE_S = 0.1
+# Places with a cached lookup; callers may send any place.
+MAX_CACHED_LOOKUPS = 256
+SOURCE_ID_BYTES = 8
 
 DecodeConfig = Callable[[bytes], Result[ServingConfig, Failure]]
 
@@ -77,6 +91,7 @@
         decode: DecodeConfig,
         announce_interval_s: float,
         limit_policy: LimitPolicy,
+        info: ControlInfo,
         clock: Clock,
         events: EventLog,
     ):
@@ -86,9 +101,23 @@
         self._silent_after_s = SILENT_AFTER_INTERVALS * announce_interval_s
         self._clock = clock
         self._events = events
-        self.presence = Presence()
+        self._distributor = Distributor(
+            info=info,
+            source=token_hex(SOURCE_ID_BYTES),
+            limit_policy=limit_policy,
+        )
+        self.presence = self._distributor.presence
+        self.relay = LeaderRelay(
+            leader=self._leader_to_relay_to,
+            make=self._make_relay,
+            apply=self._apply_relay_reply,
+            clients=clients,
+            clock=clock,
+        )
+        self._lookups: dict[tuple[str, str], tuple[float, tuple]] = {}
         self._wall_time = WallTime()
-        self._limits = LimitAllocator(policy=limit_policy)
+        # What the leader's time is, as a follower last heard.
+        self._leader_time = WallTime(counts_own=False)
         self._leader = LeaderClient(addresses=(), clients=clients, clock=clock)
         self._unforwarded_heartbeats: dict[str, Heartbeat] = {}
         self._last_heartbeats: dict[str, tuple[int, float]] = {}
@@ -173,10 +202,26 @@
         """Return the record of an endpoint, or None if it is unknown."""
         return self._node.machine.fleet.endpoint(endpoint_id)
 
-    def resolve(self, region: str) -> tuple[str, ...]:
-        """Return the gateway addresses for a client of a region."""
-        listed = self.presence.listed_gateways(self._clock.monotonic())
-        return choose_gateways(listed, region, MAX_RESOLVED_ADDRESSES)
+    def resolve(self, region: str, failure_domain: str) -> tuple[str, ...]:
+        """Return the gateway addresses for a client at a place."""
+        now = self._clock.monotonic()
+        place = (region, failure_domain)
+        at, addresses = self._lookups.get(place, (float("-inf"), ()))
+        if now - at > LOOKUP_CACHE_S:
+            addresses = choose_gateways(
+                self.listed_gateways(),
+                region,
+                failure_domain,
+                MAX_RESOLVED_ADDRESSES,
+            )
+            if len(self._lookups) > MAX_CACHED_LOOKUPS:
+                self._lookups.clear()
+            self._lookups[place] = (now, addresses)
+        return addresses
+
+    def listed_gateways(self) -> tuple[GatewayInfo, ...]:
+        """Return the gateways that clients may connect to."""
+        return self._distributor.listed_gateways(self._clock.monotonic())
 
     def serving_config(self) -> ServingConfig | None:
         """Return the configuration applied here, or None before the first."""
@@ -197,54 +242,109 @@
     def wall_s(self) -> float:
         """Return the Unix time that a majority of hosts agrees on."""
         wall_s = self._clock.utcnow().timestamp()
-        return self._wall_time.correct(wall_s, self._clock.monotonic())
+        times = (
+            self._wall_time if self._node.has_lease() else self._leader_time
+        )
+        return times.correct(wall_s, self._clock.monotonic())
 
     # Used by the RPC server for gateways and other replicas
 
-    def sync(self, message: GatewaySync) -> SyncReply:
-        """Record the state of a gateway and return the reply to it."""
+    async def sync(self, message: GatewaySync) -> SyncReply:
+        """Record the state of a gateway and return the reply to it.
+
+        Waits for the leader if only that can grant what the gateway needs.
+        """
+        self._configure()
+        self._distributor.observe(message, self._clock.monotonic())
+        self._observe_wall_time(message.gateway.id, message.wall_s)
+        if self._distributor.needs_leader(message):
+            await self.relay.flush(GRANT_TIMEOUT_S)
+        return self._reply(message)
+
+    def _reply(self, message: GatewaySync) -> SyncReply:
         now = self._clock.monotonic()
-        wall_s = self._clock.utcnow().timestamp()
-        self.presence.observe(message, now)
-        self._wall_time.observe(
-            message.gateway.id, message.wall_s, wall_s, now
-        )
         fleet = self._node.machine.fleet
-        has_lease = self._node.has_lease()
+        news = self._distributor.news(message, now)
+        voters = tuple(v.address for v in self._node.raft.log.voters)
+        endpoints = changed = None
+        if fleet.revision > message.revision:
+            changed = fleet.endpoints_since(message.revision)
+            endpoints = fleet.endpoints() if changed is None else changed
         newer = fleet.version > message.version
-        changed = fleet.revision > message.revision
-        cfg = self.serving_config()
-        customers = cfg.customers if cfg else ()
-        grants = {}
-        if has_lease:
-            grants = self._limits.grant(
-                customers,
-                message.needed,
-                message.prefetch,
-                self.presence.silent_share(fleet.gateways, now),
-                now,
-            )
         return SyncReply(
-            led=has_lease,
+            led=self._node.has_lease(),
             leader=self._node.leader_address(),
+            leader_age_s=min(news.leader_age_s, MAX_AGE_S),
             stale_s=self._node.stale_s(),
             version=fleet.version,
             revision=fleet.revision,
-            gateways=len(self.presence.known_gateways(fleet.gateways)),
-            controls=tuple(v.address for v in self._node.raft.log.voters),
+            gateways=news.gateways,
+            replicas=len(voters),
+            controls=self._distributor.controls_for(message, voters, now),
             document=fleet.document if newer else None,
-            endpoints=fleet.endpoints() if changed else None,
-            loads=self.presence.loads(message.gateway.id, now),
-            wall_s=wall_s,
-            granting=has_lease and self._limits.is_granting(now),
-            grants=grants,
-            waits=self._limits.waits(customers) if has_lease else {},
+            endpoints=endpoints,
+            partial=changed is not None,
+            loads=news.loads,
+            included_seq=news.included_seq,
+            wall_s=self.wall_s(),
+            granting=news.granting,
+            grants=news.grants,
+            waits=news.waits,
+            interval_s=news.interval_s,
         )
 
-    def receive_heartbeats(self, message: Heartbeats) -> None:
-        """Record heartbeats that a follower has forwarded."""
+    def receive_relay(self, message: Relay) -> RelayReply:
+        """Record what a follower relays, and return the reply to it.
+
+        Raises NotLeader.
+        """
+        self._configure()
+        if not self._node.has_lease():
+            raise NotLeader(leader=self._node.leader_address())
         for heartbeat in message.beats:
             self._record_heartbeat(heartbeat)
+        self._observe_wall_time(message.sender.address, message.wall_s)
+        reply = self._distributor.receive_relay(
+            message,
+            tuple(v.address for v in self._node.raft.log.voters),
+            self._clock.monotonic(),
+        )
+        return msgspec.structs.replace(reply, wall_s=self.wall_s())
+
+    def _configure(self) -> None:
+        """Pass the replicated state on to the distributor."""
+        cfg = self.serving_config()
+        self._distributor.configure(
+            cfg.customers if cfg else (),
+            self._node.machine.fleet.gateways,
+            len(self._node.raft.log.voters),
+            self._clock.monotonic(),
+            leads=self._node.has_lease(),
+        )
+
+    def _observe_wall_time(self, peer: str, peer_wall_s: float) -> None:
+        self._wall_time.observe(
+            peer,
+            peer_wall_s,
+            self._clock.utcnow().timestamp(),
+            self._clock.monotonic(),
+        )
+
+    def _make_relay(self) -> Relay:
+        beats, self._unforwarded_heartbeats = self._unforwarded_heartbeats, {}
+        return self._distributor.make_relay(
+            self._clock.monotonic(),
+            beats.values(),
+            self._clock.utcnow().timestamp(),
+        )
+
+    def _apply_relay_reply(
+        self, relay: Relay, reply: RelayReply, sent_at: float
+    ) -> None:
+        now = self._clock.monotonic()
+        wall_s = self._clock.utcnow().timestamp()
+        self._leader_time.observe("leader", reply.wall_s, wall_s, now)
+        self._distributor.apply_relay_reply(relay, reply, sent_at, now)
 
     def answer_read(self) -> ServingDocument:
         """Return the document for another replica.
@@ -259,17 +359,22 @@
     # Periodic work
 
     async def run(self) -> None:
-        """Forward heartbeats as follower, expire endpoints as leader."""
-        while True:
-            await anyio.sleep(HEARTBEAT_FORWARD_INTERVAL_S)
-            if self._node.has_lease():
-                await self._expire_endpoints()
-                await self._update_gateways()
-                continue
-            self._leading_since = None
-            if not self._node.raft.is_leader:
-                self._limits.step_down()
-                await self._forward_heartbeats()
+        """Relay to the leader as follower, expire endpoints as leader."""
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(self.relay.run)
+            while True:
+                await anyio.sleep(SWEEP_INTERVAL_S)
+                self._configure()
+                self._distributor.sweep(self._clock.monotonic())
+                if self._node.has_lease():
+                    await self._expire_endpoints()
+                    await self._update_gateways()
+                else:
+                    self._leading_since = None
+
+    def _leader_to_relay_to(self) -> str:
+        """Return the leader's address, empty if this process leads."""
+        return "" if self._node.raft.is_leader else self._node.leader_address()
 
     def _read_under_lease(self) -> Result[ServingDocument, Failure]:
         fleet = self._node.machine.fleet
@@ -313,20 +418,6 @@
         )
         self._unforwarded_heartbeats[heartbeat.endpoint] = heartbeat
 
-    async def _forward_heartbeats(self) -> None:
-        leader = self._node.leader_address()
-        if not leader or not self._unforwarded_heartbeats:
-            return
-        beats, self._unforwarded_heartbeats = self._unforwarded_heartbeats, {}
-        reply = await self._clients.at(leader).call(
-            Heartbeats(beats=tuple(beats.values())),
-            HEARTBEAT_FORWARD_TIMEOUT_S,
-        )
-        if isinstance(reply, Bad):
-            logging.info(
-                "heartbeats not forwarded to the leader: %s", reply.failure()
-            )
-
     async def _update_gateways(self) -> None:
         """Commit the set of gateways if it has changed.
 
--- a/chervilshift/control/routed.py
+++ b/chervilshift/control/routed.py
@@ -10,6 +10,7 @@
 from chervilshift.control.replica import INITIAL_INCARNATION, ReplicaProcess
 from chervilshift.control.server import ControlServer
 from chervilshift.control.storage import Identity
+from chervilshift.core.fleet.sync import ControlInfo
 from chervilshift.core.raft.messages import Voter
 from chervilshift.events import EventLog
 from chervilshift.httpserver import serve_app
@@ -71,6 +72,11 @@
             decode=self._adapter.decode,
             announce_interval_s=self._settings.announce_interval_ms / 1000,
             limit_policy=self._settings.limit_policy(),
+            info=ControlInfo(
+                address=self._settings.rpc_listen,
+                failure_domain=self._settings.failure_domain,
+                region=self._settings.region,
+            ),
             clock=self._clock,
             events=self._events,
         )
@@ -105,7 +111,7 @@
 
     def _metrics(self) -> Metrics:
         """Return the metrics of this replica."""
-        node, presence = self.node, self.fleet.presence
+        node = self.node
         metrics = Metrics()
         metrics.gauge("leads", lambda: node.raft.is_leader)
         metrics.gauge("lease_held", node.has_lease)
@@ -119,7 +125,7 @@
         )
         metrics.gauge(
             "gateways_listed",
-            lambda: len(presence.listed_gateways(self._clock.monotonic())),
+            lambda: len(self.fleet.listed_gateways()),
         )
         return metrics
 
--- a/chervilshift/control/server.py
+++ b/chervilshift/control/server.py
@@ -11,8 +11,9 @@
 from chervilshift.core.commands import Command
 from chervilshift.core.fleet.sync import (
     GatewaySync,
-    Heartbeats,
     ReadServing,
+    Relay,
+    RelayReply,
     ServingDocument,
     SyncReply,
 )
@@ -121,12 +122,11 @@
 
     @_serve.register
     async def _(self, message: GatewaySync) -> SyncReply:
-        return self._fleet_service().sync(message)
+        return await self._fleet_service().sync(message)
 
     @_serve.register
-    async def _(self, message: Heartbeats) -> Ack:
-        self._fleet_service().receive_heartbeats(message)
-        return Ack()
+    async def _(self, message: Relay) -> RelayReply:
+        return self._fleet_service().receive_relay(message)
 
     @_serve.register
     async def _(self, message: ReadServing) -> ServingDocument:
--- /dev/null
+++ b/chervilshift/core/fleet/distribution.py
@@ -0,0 +1,430 @@
+"""Distribution of state between gateways, control replicas and the leader.
+
+A gateway reports to one control process. A follower relays its gateways'
+reports to the leader in batches, and gets the changes of the load of all
+gateways and of the gateways that clients may connect to. So the leader's
+messages grow with the number of replicas, a replica's with the gateways that
+it serves, and a gateway's do not grow with the fleet.
+"""
+
+from collections.abc import Iterable
+
+import msgspec
+
+from chervilshift.core.fleet.changes import Changes, ChangeTable
+from chervilshift.core.fleet.home import controls_digest
+from chervilshift.core.fleet.intervals import (
+    is_relayed,
+    load_expiry_s,
+    report_interval_s,
+)
+from chervilshift.core.fleet.limits import (
+    LimitAllocator,
+    LimitPolicy,
+    LimitPool,
+)
+from chervilshift.core.fleet.model import Customer
+from chervilshift.core.fleet.presence import Presence
+from chervilshift.core.fleet.sync import (
+    ControlInfo,
+    EndpointLoad,
+    GatewayInfo,
+    GatewaysDelta,
+    GatewaySync,
+    Heartbeat,
+    LoadsDelta,
+    Relay,
+    RelayReply,
+)
+
+__all__ = ["Distributor", "GatewayNews"]
+
+# Counts over all gateways are made anew at most this often.
+COUNT_INTERVAL_S = 0.1
+# Reports in one relay; the others follow with the next.
+MAX_RELAYED_REPORTS = 256
+# A gateway that stops tells all control processes; the leader's list is
+# without it at the latest after this time.
+STOP_NEWS_MAX_DELAY_S = 1.0
+# A control process that did not relay for this long is no longer told to
+# gateways with its place.
+CONTROL_EXPIRY_S = 20.0
+
+
+class GatewayNews:
+    """What a control process tells one gateway; see `SyncReply`."""
+
+    __slots__ = (
+        "gateways",
+        "granting",
+        "grants",
+        "included_seq",
+        "interval_s",
+        "leader_age_s",
+        "loads",
+        "waits",
+    )
+
+    def __init__(
+        self,
+        *,
+        loads: LoadsDelta,
+        included_seq: int,
+        leader_age_s: float,
+        granting: bool,
+        grants: dict[str, float],
+        waits: dict[str, float],
+        gateways: int,
+        interval_s: float,
+    ):
+        self.loads = loads
+        self.included_seq = included_seq
+        self.leader_age_s = leader_age_s
+        self.granting = granting
+        self.grants = grants
+        self.waits = waits
+        self.gateways = gateways
+        self.interval_s = interval_s
+
+
+class _LeaderState:
+    """What a follower last heard from the leader."""
+
+    __slots__ = (
+        "controls",
+        "gateways_cursor",
+        "granting",
+        "heard_at",
+        "loads_cursor",
+        "source",
+        "waits_until",
+    )
+
+    def __init__(self):
+        self.source = ""
+        self.heard_at = float("-inf")
+        self.loads_cursor = 0
+        self.gateways_cursor = 0
+        self.granting = False
+        self.waits_until: dict[str, float] = {}
+        self.controls: tuple[ControlInfo, ...] = ()
+
+
+class Distributor:
+    """One control process's part; leader and followers use the same object.
+
+    `source` names this process's tables and has to differ after a restart.
+    `now` is monotonic time throughout.
+    """
+
+    def __init__(
+        self, *, info: ControlInfo, source: str, limit_policy: LimitPolicy
+    ):
+        self._info = info
+        self._source = source
+        self.presence = Presence()
+        self._allocator = LimitAllocator(policy=limit_policy)
+        self._pool = LimitPool(policy=limit_policy)
+        self._leader = _LeaderState()
+        # A follower's copies of the leader's tables.
+        self._loads: ChangeTable[str, EndpointLoad] = ChangeTable()
+        self._listing: ChangeTable[str, GatewayInfo] = ChangeTable()
+        self._relayed: dict[str, GatewaySync] = {}
+        self._served: dict[str, float] = {}
+        self._controls: dict[str, tuple[ControlInfo, float]] = {}
+        self._customers: tuple[Customer, ...] = ()
+        self._recorded: tuple[str, ...] = ()
+        self._counted_at = float("-inf")
+        self._gateway_count = 0
+        self._silent_share = 1.0
+        self._leads = False
+
+    # Both roles
+
+    def configure(
+        self,
+        customers: Iterable[Customer],
+        recorded: tuple[str, ...],
+        replicas: int,
+        now: float,
+        *,
+        leads: bool,
+    ) -> None:
+        """Take over the replicated state; `leads` with the leader's lease.
+
+        `recorded` are the ids of the gateways in the replicated state.
+        """
+        self._customers = tuple(customers)
+        self._recorded = recorded
+        if self._leads and not leads:
+            self._allocator.step_down()
+        self._leads = leads
+        if now - self._counted_at >= COUNT_INTERVAL_S:
+            self._recount(now)
+        self._pool.configure(self._customers, self._gateway_count, replicas)
+
+    def sweep(self, now: float) -> None:
+        """Drop what is no longer reported."""
+        self.presence.sweep(now)
+        self._served = {
+            gateway_id: at
+            for gateway_id, at in self._served.items()
+            if now - at < load_expiry_s(0.0)
+        }
+        self._controls = {
+            address: (info, at)
+            for address, (info, at) in self._controls.items()
+            if now - at < CONTROL_EXPIRY_S
+        }
+
+    def observe(self, sync: GatewaySync, now: float) -> None:
+        """Record the report of a gateway to this process."""
+        if self.presence.observe(sync, now):
+            self._served[sync.gateway.id] = now
+        if not sync.gateway.ready:
+            self._pool.drop(sync.gateway.id)
+
+    def news(self, sync: GatewaySync, now: float) -> GatewayNews:
+        """Return the reply to a gateway, and take its grants."""
+        if self._leads:
+            return self._leader_news(sync, now)
+        leader = self._leader
+        gateway_id = sync.gateway.id
+        relayed = self._relayed.get(gateway_id)
+        return GatewayNews(
+            loads=self._loads_delta(
+                self._loads, sync.loads_source, sync.loads_cursor
+            ),
+            included_seq=relayed.seq if relayed else 0,
+            leader_age_s=now - leader.heard_at,
+            granting=leader.granting,
+            grants=self._pool.take(gateway_id, sync.needed, sync.prefetch),
+            waits={
+                name: until - now
+                for name, until in leader.waits_until.items()
+                if until > now
+            },
+            gateways=self._gateway_count,
+            interval_s=report_interval_s(len(self._served)),
+        )
+
+    def needs_leader(self, sync: GatewaySync) -> bool:
+        """Whether only the leader can grant what a gateway waits for."""
+        return not self._leads and self._pool.request(
+            sync.gateway.id, sync.needed
+        )
+
+    def listed_gateways(self, now: float) -> tuple[GatewayInfo, ...]:
+        """Return the gateways that clients may connect to.
+
+        A follower combines the leader's list with the reports to itself,
+        which are newer while they arrive, and with the gateways that told it
+        that they stop.
+        """
+        own = {g.id: g for g in self.presence.listed_gateways(now)}
+        if self._leads:
+            return tuple(own.values())
+        listed = self._listing.items() | own
+        return tuple(g for g in listed.values() if not self._has_left(g))
+
+    def controls(
+        self, voters: Iterable[str], now: float
+    ) -> tuple[ControlInfo, ...]:
+        """Return the control replicas at `voters`, with places if known."""
+        known = {info.address: info for info in self._leader.controls}
+        if self._leads:
+            known = {a: info for a, (info, _) in self._controls.items()}
+        known[self._info.address] = self._info
+        return tuple(known.get(a) or ControlInfo(address=a) for a in voters)
+
+    def controls_for(
+        self, sync: GatewaySync, voters: Iterable[str], now: float
+    ) -> tuple[ControlInfo, ...]:
+        """Return the control replicas, or nothing if the gateway has them."""
+        controls = self.controls(voters, now)
+        return () if controls_digest(controls) == sync.controls else controls
+
+    # Follower
+
+    def make_relay(
+        self, now: float, beats: Iterable[Heartbeat] = (), wall_s: float = 0.0
+    ) -> Relay:
+        """Return what the leader does not have yet."""
+        reports, unchanged = [], []
+        for gateway_id in self._served:
+            sync = self.presence.report(gateway_id)
+            if sync is None:
+                continue
+            relayed = self._relayed.get(gateway_id)
+            if relayed is not None and relayed.seq >= sync.seq:
+                continue
+            if relayed is not None and _same_content(relayed, sync):
+                incarnation = sync.gateway.incarnation
+                unchanged.append((gateway_id, incarnation, sync.seq))
+            else:
+                reports.append(sync)
+        return Relay(
+            sender=self._info,
+            reports=tuple(
+                msgspec.structs.replace(sync, needed={}, prefetch={})
+                for sync in reports[:MAX_RELAYED_REPORTS]
+            ),
+            unchanged=tuple(unchanged),
+            needed=self._pool.needed(),
+            prefetch=self._pool.prefetch(),
+            loads_source=self._leader.source,
+            loads_cursor=self._leader.loads_cursor,
+            gateways_cursor=self._leader.gateways_cursor,
+            beats=tuple(beats),
+            wall_s=wall_s,
+        )
+
+    def apply_relay_reply(
+        self, relay: Relay, reply: RelayReply, sent_at: float, now: float
+    ) -> None:
+        """Take over the leader's reply to a relay sent at `sent_at`."""
+        leader = self._leader
+        if reply.loads.source != leader.source:
+            # Another leader: it gets all reports with the next relay.
+            self._relayed = {}
+            leader.source = reply.loads.source
+        for sync in relay.reports:
+            self._relayed[sync.gateway.id] = sync
+        for gateway_id, _, seq in relay.unchanged:
+            held = self._relayed.get(gateway_id)
+            if held is not None:
+                self._relayed[gateway_id] = msgspec.structs.replace(
+                    held, seq=seq
+                )
+        for gateway_id in reply.unknown:
+            self._relayed.pop(gateway_id, None)
+        self._loads.apply(
+            Changes(
+                cursor=reply.loads.cursor,
+                full=reply.loads.full,
+                values=reply.loads.loads,
+            )
+        )
+        self._listing.apply(
+            Changes(
+                cursor=reply.gateways.cursor,
+                full=reply.gateways.full,
+                values=reply.gateways.gateways,
+            )
+        )
+        leader.loads_cursor = reply.loads.cursor
+        leader.gateways_cursor = reply.gateways.cursor
+        leader.heard_at = sent_at
+        leader.granting = reply.granting
+        leader.waits_until = {n: now + s for n, s in reply.waits.items()}
+        leader.controls = reply.controls
+        self._pool.add(reply.grants)
+
+    # Leader
+
+    def receive_relay(
+        self, relay: Relay, voters: Iterable[str], now: float
+    ) -> RelayReply:
+        """Record a follower's relay and return the reply to it."""
+        self._controls[relay.sender.address] = (relay.sender, now)
+        for sync in relay.reports:
+            self.presence.observe(sync, now)
+        unknown = tuple(
+            gateway_id
+            for gateway_id, incarnation, seq in relay.unchanged
+            if not self.presence.confirm(gateway_id, incarnation, seq, now)
+        )
+        grants, waits = self._grant(relay.needed, relay.prefetch, now)
+        is_known = relay.loads_source == self._source
+        gateways = self.presence.listing.since(
+            relay.gateways_cursor if is_known else 0
+        )
+        return RelayReply(
+            loads=self._loads_delta(
+                self.presence.load_sums, relay.loads_source, relay.loads_cursor
+            ),
+            gateways=GatewaysDelta(
+                source=self._source,
+                cursor=gateways.cursor,
+                full=gateways.full,
+                gateways=gateways.values,
+            ),
+            controls=self.controls(voters, now),
+            unknown=unknown,
+            granting=self._allocator.is_granting(now),
+            grants=grants,
+            waits=waits,
+        )
+
+    def _leader_news(self, sync: GatewaySync, now: float) -> GatewayNews:
+        grants, waits = self._grant(sync.needed, sync.prefetch, now)
+        return GatewayNews(
+            loads=self._loads_delta(
+                self.presence.load_sums, sync.loads_source, sync.loads_cursor
+            ),
+            included_seq=sync.seq,
+            leader_age_s=0.0,
+            granting=self._allocator.is_granting(now),
+            grants=grants,
+            waits=waits,
+            gateways=self._gateway_count,
+            interval_s=report_interval_s(
+                len(self._served) if is_relayed(self._gateway_count) else 0
+            ),
+        )
+
+    def _grant(
+        self, needed: dict[str, float], prefetch: dict[str, float], now: float
+    ) -> tuple[dict[str, float], dict[str, float]]:
+        """Return grants, and the waits of exhausted limits."""
+        self._allocator.set_gateway_count(self._gateway_count)
+        grants = self._allocator.grant(
+            self._customers, needed, prefetch, self._silent_share, now
+        )
+        return grants, self._allocator.waits(self._customers)
+
+    def _recount(self, now: float) -> None:
+        self._counted_at = now
+        self._gateway_count = len(self.presence.known_gateways(self._recorded))
+        self._silent_share = self.presence.silent_share(self._recorded, now)
+
+    def _has_left(self, gateway: GatewayInfo) -> bool:
+        own = self.presence.report(gateway.id)
+        return (
+            own is not None
+            and own.gateway.incarnation == gateway.incarnation
+            and not own.gateway.ready
+            and self._leader.heard_at
+            < self.presence.heard_at(gateway.id) + STOP_NEWS_MAX_DELAY_S
+        )
+
+    def _loads_delta(
+        self,
+        table: ChangeTable[str, EndpointLoad],
+        reader_source: str,
+        reader_cursor: int,
+    ) -> LoadsDelta:
+        source = self._table_source()
+        changes = table.since(reader_cursor if reader_source == source else 0)
+        return LoadsDelta(
+            source=source,
+            cursor=changes.cursor,
+            full=changes.full,
+            loads=changes.values,
+        )
+
+    def _table_source(self) -> str:
+        """Return the name of the table of loads that readers are served.
+
+        A process that becomes leader serves another table than before.
+        """
+        return self._source if self._leads else f"{self._source}/copy"
+
+
+def _same_content(old: GatewaySync, new: GatewaySync) -> bool:
+    return (
+        old.gateway == new.gateway
+        and old.loads == new.loads
+        and old.reading == new.reading
+        and not new.usage
+    )
--- a/chervilshift/core/fleet/limits.py
+++ b/chervilshift/core/fleet/limits.py
@@ -11,21 +11,26 @@
 
 from collections.abc import Iterable
 
+from chervilshift.core.fleet.intervals import (
+    DIRECT_FALLBACK_AFTER_S,
+    DIRECT_INTERVAL_S,
+    fallback_after_s,
+    is_relayed,
+)
 from chervilshift.core.fleet.model import Customer
 
-__all__ = ["LimitAccount", "LimitAllocator", "LimitPolicy"]
+__all__ = ["LimitAccount", "LimitAllocator", "LimitPolicy", "LimitPool"]
 
-# A gateway spends its fallback share after this long without a reply from a
-# granting leader.
-FALLBACK_AFTER_S = 0.8
-# The leader reserves a silent gateway's share after this long without a sync,
-# earlier than the gateway can use it.
-RESERVE_AFTER_S = 0.55
 # Part of a gateway's equal share of the rate that it may spend without a
 # leader. Below 1, so that shares reserved too late stay within the tolerance.
 FALLBACK_SHARE = 0.9
 # Part of the tolerated overshoot that prefetched grants may use.
 PREFETCH_SHARE = 0.4
+# In a large fleet, the part of these that pools may hold instead of gateways.
+POOLED_PREFETCH_SHARE = 0.5
+# Part of a burst that the pools of a large fleet hold instead of the leader's
+# bucket.
+POOLED_BURST_SHARE = 0.5
 # Prefetch grants must leave the bucket at least this part of its burst.
 PREFETCH_MIN_LEVEL_SHARE = 0.5
 # A grant may overdraw a bucket by this part of the tolerated slack, so that
@@ -57,11 +62,29 @@
 
     def prefetch_cap(self, customer: Customer, gateways: int) -> float:
         """Return the amount that one gateway may hold in advance."""
-        return (
-            PREFETCH_SHARE
-            * self._tolerated_overshoot(customer)
-            / max(1, gateways)
+        share = PREFETCH_SHARE
+        if is_relayed(gateways):
+            share *= 1 - POOLED_PREFETCH_SHARE
+        return share * self._tolerated_overshoot(customer) / max(1, gateways)
+
+    def pool_cap(
+        self, customer: Customer, gateways: int, replicas: int
+    ) -> float:
+        """Return the amount that one control process may hold in advance."""
+        if not is_relayed(gateways):
+            return 0.0
+        overshoot = PREFETCH_SHARE * self._tolerated_overshoot(customer)
+        pooled = (
+            POOLED_PREFETCH_SHARE * overshoot
+            + POOLED_BURST_SHARE * customer.burst
         )
+        return pooled / max(1, replicas)
+
+    def bucket_size(self, customer: Customer, gateways: int) -> float:
+        """Return the capacity of the leader's bucket."""
+        if not is_relayed(gateways):
+            return customer.burst
+        return (1 - POOLED_BURST_SHARE) * customer.burst
 
     def small_request_cap(self, customer: Customer, gateways: int) -> float:
         """Return what one gateway may spend on small requests in a window."""
@@ -96,13 +119,25 @@
     large, so the debt that one grant may cause is bounded.
     """
 
-    __slots__ = ("_buckets", "_leader_since", "_max_debt")
+    __slots__ = (
+        "_buckets",
+        "_gateways",
+        "_leader_since",
+        "_max_debt",
+        "_policy",
+    )
 
     def __init__(self, *, policy: LimitPolicy):
+        self._policy = policy
+        self._gateways = 1
         self._max_debt = DEBT_SHARE * policy.slack
         self._buckets: dict[str, _Bucket] = {}
         self._leader_since: float | None = None
 
+    def set_gateway_count(self, count: int) -> None:
+        """Set the number of gateways that share the limits."""
+        self._gateways = max(1, count)
+
     def step_down(self) -> None:
         """Drop the buckets, since another leader may grant from now on."""
         self._buckets = {}
@@ -117,7 +152,7 @@
         """
         if self._leader_since is None:
             self._leader_since = now
-        return now - self._leader_since > FALLBACK_AFTER_S
+        return now - self._leader_since > DIRECT_FALLBACK_AFTER_S
 
     def grant(
         self,
@@ -127,9 +162,9 @@
         silent_share: float,
         now: float,
     ) -> dict[str, float]:
-        """Return the amounts granted to one gateway, by customer.
+        """Return the amounts granted to one gateway or pool, by customer.
 
-        `needed` is what its waiting requests lack and `prefetch` what it may
+        `needed` is what waiting requests lack and `prefetch` what it may
         hold in advance, both by customer. `silent_share` is the part of the
         known gateways, 0 to 1, that may be spending their fallback shares.
         """
@@ -175,18 +210,125 @@
         )
         reserved_share = silent_share * FALLBACK_SHARE
         rate = customer.rate_per_s * max(0.0, 1.0 - reserved_share)
-        bucket.refill(rate, customer.burst, now)
+        burst = self._policy.bucket_size(customer, self._gateways)
+        bucket.refill(rate, burst, now)
         granted = 0.0
         if bucket.level > 0:
             granted = min(needed, bucket.level + self._max_debt)
         bucket.level -= granted
         remaining = bucket.level - prefetch
-        if remaining >= PREFETCH_MIN_LEVEL_SHARE * customer.burst:
+        if remaining >= PREFETCH_MIN_LEVEL_SHARE * burst:
             bucket.level = remaining
             granted += prefetch
         return granted
 
 
+class LimitPool:
+    """A control process's part in a large fleet: grants out of a reserve.
+
+    The reserve was taken from the leader's bucket, so it may be spent
+    whether or not the leader can be reached.
+    """
+
+    __slots__ = ("_balances", "_customers", "_policy", "_size", "_unmet")
+
+    def __init__(self, *, policy: LimitPolicy):
+        self._policy = policy
+        self._customers: dict[str, Customer] = {}
+        # Numbers of gateways and of control processes.
+        self._size = (1, 1)
+        self._balances: dict[str, float] = {}
+        # What gateways wait for, by gateway id and customer.
+        self._unmet: dict[str, dict[str, float]] = {}
+
+    def configure(
+        self, customers: Iterable[Customer], gateways: int, replicas: int
+    ) -> None:
+        """Set the customers, and how many processes share their limits."""
+        self._customers = {c.name: c for c in customers if c.rate_per_s > 0}
+        self._size = (gateways, replicas)
+
+    def add(self, grants: dict[str, float]) -> None:
+        """Add what the leader has granted."""
+        for name, amount in grants.items():
+            self._balances[name] = self._balances.get(name, 0.0) + amount
+
+    def take(
+        self,
+        gateway_id: str,
+        needed: dict[str, float],
+        prefetch: dict[str, float],
+    ) -> dict[str, float]:
+        """Return the amounts granted to one gateway, by customer.
+
+        What the reserve lacks for `needed` is asked of the leader.
+        """
+        unmet = self._lacking(needed)
+        grants = {
+            name: amount
+            for name, amount in needed.items()
+            if name in self._customers and name not in unmet and amount > 0
+        }
+        for name, amount in grants.items():
+            self._balances[name] -= amount
+        for name, amount in prefetch.items():
+            if name in unmet or name not in self._customers or amount <= 0:
+                continue
+            # The reserve is for requests; only its upper half is prefetched.
+            spare = self._balances.get(name, 0.0) - self._cap(name) / 2
+            if spare >= amount:
+                self._balances[name] -= amount
+                grants[name] = grants.get(name, 0.0) + amount
+        self._note(gateway_id, unmet)
+        return grants
+
+    def request(self, gateway_id: str, needed: dict[str, float]) -> bool:
+        """Note what a gateway waits for; True if the leader has to grant."""
+        unmet = self._lacking(needed)
+        self._note(gateway_id, unmet)
+        return bool(unmet)
+
+    def drop(self, gateway_id: str) -> None:
+        """Forget what a gateway waits for."""
+        self._unmet.pop(gateway_id, None)
+
+    def needed(self) -> dict[str, float]:
+        """Return what the gateways wait for beyond the reserve."""
+        wanted: dict[str, float] = {}
+        for unmet in self._unmet.values():
+            for name, amount in unmet.items():
+                wanted[name] = wanted.get(name, 0.0) + amount
+        lacking = (
+            (name, amount - self._balances.get(name, 0.0))
+            for name, amount in wanted.items()
+        )
+        return {name: amount for name, amount in lacking if amount > 0}
+
+    def prefetch(self) -> dict[str, float]:
+        """Return what the reserve lacks up to its cap."""
+        gaps = (
+            (name, self._cap(name) - self._balances.get(name, 0.0))
+            for name in self._customers
+        )
+        return {name: gap for name, gap in gaps if gap > 0}
+
+    def _lacking(self, needed: dict[str, float]) -> dict[str, float]:
+        return {
+            name: amount
+            for name, amount in needed.items()
+            if name in self._customers
+            and amount > self._balances.get(name, 0.0)
+        }
+
+    def _note(self, gateway_id: str, unmet: dict[str, float]) -> None:
+        self._unmet.pop(gateway_id, None)
+        if unmet:
+            self._unmet[gateway_id] = unmet
+
+    def _cap(self, name: str) -> float:
+        return self._policy.pool_cap(self._customers[name], *self._size)
+
+
 class _Account:
     __slots__ = ("balance", "fallback", "small_requests", "waiting")
 
@@ -204,6 +346,7 @@
         "_accounts",
         "_available_at",
         "_customers",
+        "_fallback_after_s",
         "_gateways",
         "_leader_reply_at",
         "_policy",
@@ -215,6 +358,7 @@
         self._accounts: dict[str, _Account] = {}
         self._customers: dict[str, Customer] = {}
         self._gateways = 1
+        self._fallback_after_s = DIRECT_FALLBACK_AFTER_S
         # A gateway starts on its fallback share: during the restart it was
         # silent long enough for the leader to have reserved the share.
         self._leader_reply_at = float("-inf")
@@ -232,12 +376,14 @@
         grants: dict[str, float],
         waits: dict[str, float],
         now: float,
+        leader_age_s: float = 0.0,
     ) -> None:
-        """Add the grants of a leader's reply.
+        """Add the grants of a reply.
 
-        `waits` is the seconds until an exhausted limit has room, by customer.
+        `waits` is the seconds until an exhausted limit has room, by customer,
+        and `leader_age_s` the time since the leader was heard of.
         """
-        self._leader_reply_at = now
+        self._leader_reply_at = max(self._leader_reply_at, now - leader_age_s)
         self._available_at = {name: now + wait for name, wait in waits.items()}
         for name, amount in grants.items():
             self._account(name).balance += amount
@@ -291,12 +437,17 @@
         return {name: gap for name, gap in gaps if gap > 0}
 
     def uses_fallback(self, now: float) -> bool:
-        """Whether no leader has replied for `FALLBACK_AFTER_S`."""
-        return now - self._leader_reply_at > FALLBACK_AFTER_S
+        """Whether no granting leader was heard of for too long."""
+        return now - self._leader_reply_at > self._fallback_after_s
 
-    def set_gateway_count(self, count: int) -> None:
-        """Set the number of gateways that share the limits."""
+    def set_gateway_count(
+        self, count: int, interval_s: float = DIRECT_INTERVAL_S
+    ) -> None:
+        """Set the number of gateways, and the interval of their reports."""
         self._gateways = max(1, count)
+        self._fallback_after_s = fallback_after_s(
+            interval_s, relayed=is_relayed(count)
+        )
 
     def _spend_fallback(
         self, account: _Account, customer: Customer, amount: float, now: float
--- a/chervilshift/core/fleet/placement.py
+++ b/chervilshift/core/fleet/placement.py
@@ -14,9 +14,11 @@
 import hashlib
 from collections import OrderedDict, defaultdict
 from collections.abc import Iterable
+from itertools import chain
 
 from chervilshift.core.fleet.health import Health
 from chervilshift.core.fleet.model import (
+    GONE,
     READY,
     SILENT,
     EndpointRecord,
@@ -280,6 +282,17 @@
             endpoint.record = record
             self._endpoints[record.id] = endpoint
 
+    def change_endpoints(self, records: Iterable[EndpointRecord]) -> None:
+        """Take over changed records, and remove endpoints that have ended."""
+        changed = {record.id: record for record in records}
+        kept = (
+            endpoint.record
+            for endpoint in self._endpoints.values()
+            if endpoint.id not in changed
+        )
+        ready = (r for r in changed.values() if r.state != GONE)
+        self.update_endpoints(chain(kept, ready))
+
     def set_other_loads(self, loads: dict[str, EndpointLoad]) -> None:
         """Set the load from other gateways, by endpoint id."""
         idle = EndpointLoad()
--- a/chervilshift/core/fleet/presence.py
+++ b/chervilshift/core/fleet/presence.py
@@ -1,9 +1,20 @@
-"""Gateways known to a control process, with their load and usage."""
+"""Gateways known to a control process, with their load and usage.
+
+The sum of all loads is kept up to date by the difference between a gateway's
+last two reports, so a report costs as much as it changes, whatever the size
+of the fleet. Silent gateways are dropped by `sweep`, which a timer calls.
+"""
 
 from collections import Counter
 from collections.abc import Iterable
 
-from chervilshift.core.fleet.limits import RESERVE_AFTER_S
+from chervilshift.core.fleet.changes import ChangeTable
+from chervilshift.core.fleet.intervals import (
+    is_relayed,
+    listing_timeout_s,
+    load_expiry_s,
+    reserve_after_s,
+)
 from chervilshift.core.fleet.sync import (
     EndpointLoad,
     GatewayInfo,
@@ -12,119 +23,246 @@
 
 __all__ = ["Presence"]
 
-# A gateway syncs several times a second; one that is silent for longer is not
-# listed for clients.
-LISTING_TIMEOUT_S = 1.5
-# Load reported longer ago is assumed to have ended.
-LOAD_MAX_AGE_S = 2.0
 # A silent gateway may still be spending its fallback share; after this long it
 # is assumed to have ended.
 GATEWAY_EXPIRY_S = 30.0
-# Newest windows for which the usage of ended incarnations is kept, enough to
-# cover those not yet reported.
-MAX_ENDED_WINDOWS = 8
+# Newest windows for which usage is kept, enough to cover those not yet
+# reported.
+MAX_USAGE_WINDOWS = 8
+# Reports of an ended incarnation are ignored for this long, longer than a
+# report can be under way.
+ENDED_INCARNATION_MEMORY_S = 2.0
+# More than one gateway can have in flight at one endpoint.
+MAX_ACTIVE = 100_000
+MAX_PREFILL_TOKENS = 1_000_000_000
+
 
+class _Report:
+    """The newest report of one gateway, and what it adds to the sums."""
 
-class _ReceivedSync:
-    __slots__ = ("received_at", "sync")
+    __slots__ = ("counted", "heard_at", "sync", "usage")
 
-    def __init__(self, *, sync: GatewaySync, received_at: float):
-        self.sync = sync
-        self.received_at = received_at
+    def __init__(self):
+        self.sync: GatewaySync | None = None
+        self.heard_at = 0.0
+        self.counted: dict[str, EndpointLoad] = {}
+        self.usage: dict[int, dict[str, int]] = {}
 
 
 class Presence:
-    """The last sync of each gateway, and the usage of ended gateways."""
+    """The newest report of each gateway, and sums over all gateways.
+
+    `loads` is the load of all gateways by endpoint id, `listing` the gateways
+    that clients may connect to by id.
+    """
 
-    __slots__ = ("_ended_usage", "_syncs")
+    __slots__ = (
+        "_active",
+        "_ended",
+        "_ended_usage",
+        "_prefill",
+        "_reports",
+        "listing",
+        "load_sums",
+        "refused_reports",
+    )
 
     def __init__(self):
-        self._syncs: dict[str, _ReceivedSync] = {}
+        self._reports: dict[str, _Report] = {}
+        # When incarnations ended, by gateway id and incarnation.
+        self._ended: dict[tuple[str, str], float] = {}
         self._ended_usage: dict[int, Counter[str]] = {}
+        self._active: Counter[str] = Counter()
+        self._prefill: Counter[str] = Counter()
+        self.load_sums: ChangeTable[str, EndpointLoad] = ChangeTable()
+        self.listing: ChangeTable[str, GatewayInfo] = ChangeTable()
+        self.refused_reports = 0
+
+    def observe(self, sync: GatewaySync, now: float) -> bool:
+        """Record a report; return False if a newer one is known.
 
-    def observe(self, sync: GatewaySync, now: float) -> None:
-        """Record a sync, and drop gateways that were silent for too long."""
-        previous = self._syncs.get(sync.gateway.id)
-        incarnation = sync.gateway.incarnation
+        Loads that no gateway can have are counted in `refused_reports` and
+        taken as none.
+        """
+        gateway = sync.gateway
+        report = self._reports.setdefault(gateway.id, _Report())
+        previous = report.sync
+        ended_at = self._ended.get((gateway.id, gateway.incarnation))
         if (
-            previous is not None
-            and previous.sync.gateway.incarnation != incarnation
+            ended_at is not None
+            and now - ended_at < ENDED_INCARNATION_MEMORY_S
         ):
-            self._retain_usage(previous.sync)
-        self._syncs[sync.gateway.id] = _ReceivedSync(
-            sync=sync, received_at=now
-        )
-        for gateway_id, received in tuple(self._syncs.items()):
-            if now - received.received_at > GATEWAY_EXPIRY_S:
-                self._retain_usage(received.sync)
-                del self._syncs[gateway_id]
+            return False
+        if previous is not None:
+            if previous.gateway.incarnation != gateway.incarnation:
+                ended = (gateway.id, previous.gateway.incarnation)
+                self._ended[ended] = now
+                self._retain_usage(report.usage)
+                report.usage = {}
+            elif sync.seq < previous.seq:
+                return False
+        report.sync = sync
+        report.heard_at = now
+        report.usage = _newest_windows(report.usage | sync.usage)
+        self._count(report, self._plausible(sync.loads))
+        self.listing.set(gateway.id, gateway if gateway.ready else None)
+        return True
+
+    def confirm(
+        self, gateway_id: str, incarnation: str, seq: int, now: float
+    ) -> bool:
+        """Record that a report has not changed; False if it is not known."""
+        report = self._reports.get(gateway_id)
+        if report is None or report.sync.gateway.incarnation != incarnation:
+            return False
+        if seq >= report.sync.seq:
+            report.heard_at = now
+            self._count(report, self._plausible(report.sync.loads))
+        return True
+
+    def sweep(self, now: float) -> None:
+        """Drop the load, listing and state of gateways that are silent."""
+        self._ended = {
+            ended: at
+            for ended, at in self._ended.items()
+            if now - at < ENDED_INCARNATION_MEMORY_S
+        }
+        for gateway_id, report in tuple(self._reports.items()):
+            silent_s = now - report.heard_at
+            interval_s = report.sync.interval_s
+            if silent_s > load_expiry_s(interval_s):
+                self._count(report, {})
+            if silent_s > listing_timeout_s(interval_s):
+                self.listing.set(gateway_id, None)
+            elif report.sync.gateway.ready:
+                self.listing.set(gateway_id, report.sync.gateway)
+            if silent_s > GATEWAY_EXPIRY_S:
+                self._retain_usage(report.usage)
+                del self._reports[gateway_id]
+
+    def report(self, gateway_id: str) -> GatewaySync | None:
+        """Return the newest report of a gateway, or None."""
+        report = self._reports.get(gateway_id)
+        return report.sync if report else None
+
+    def heard_at(self, gateway_id: str) -> float:
+        """Return when a gateway last reported, minus infinity if never."""
+        report = self._reports.get(gateway_id)
+        return report.heard_at if report else float("-inf")
+
+    def reports_since(self, since: float) -> list[GatewaySync]:
+        """Return the newest reports that arrived at `since` or later."""
+        return [r.sync for r in self._reports.values() if r.heard_at >= since]
 
     def listed_gateways(self, now: float) -> tuple[GatewayInfo, ...]:
         """Return the gateways that clients may connect to."""
         return tuple(
-            received.sync.gateway
-            for received in self._syncs.values()
-            if received.sync.gateway.ready
-            and now - received.received_at < LISTING_TIMEOUT_S
+            report.sync.gateway
+            for report in self._reports.values()
+            if report.sync.gateway.ready
+            and now - report.heard_at
+            < listing_timeout_s(report.sync.interval_s)
         )
 
     def known_gateways(self, recorded: Iterable[str] = ()) -> tuple[str, ...]:
         """Return the gateways that may be running.
 
         `recorded` are the ids in the replicated state, which may include
-        gateways that have not synced with this process.
+        gateways that have not reported to this process.
         """
-        return tuple(sorted({*self._syncs, *recorded}))
+        return tuple(sorted({*self._reports, *recorded}))
 
     def silent_share(self, recorded: Iterable[str], now: float) -> float:
-        """Return the share of the known gateways without a recent sync.
+        """Return the share of the known gateways without a recent report.
 
         Returns 1 if no gateway is known.
         """
         known = self.known_gateways(recorded)
+        relayed = is_relayed(len(known))
         heard = sum(
-            now - received.received_at <= RESERVE_AFTER_S
-            for received in self._syncs.values()
+            now - report.heard_at
+            <= reserve_after_s(report.sync.interval_s, relayed=relayed)
+            for report in self._reports.values()
         )
         return 1.0 - heard / len(known) if known else 1.0
 
     def loads(self, excluding: str, now: float) -> dict[str, EndpointLoad]:
         """Return the load from all gateways but one, by endpoint id."""
-        active: Counter[str] = Counter()
-        prefill: Counter[str] = Counter()
-        for gateway_id, received in self._syncs.items():
-            if (
-                gateway_id == excluding
-                or now - received.received_at > LOAD_MAX_AGE_S
-            ):
-                continue
-            for endpoint_id, load in received.sync.loads.items():
-                active[endpoint_id] += load.active
-                prefill[endpoint_id] += load.prefill_tokens
+        excluded = self._reports.get(excluding)
+        own = excluded.counted if excluded else {}
+        idle = EndpointLoad()
         return {
             endpoint_id: EndpointLoad(
-                active=count, prefill_tokens=prefill[endpoint_id]
+                active=total.active - own.get(endpoint_id, idle).active,
+                prefill_tokens=total.prefill_tokens
+                - own.get(endpoint_id, idle).prefill_tokens,
             )
-            for endpoint_id, count in active.items()
+            for endpoint_id, total in self.load_sums.items().items()
         }
 
     def prefill_tokens_per_s(self, service: str, now: float) -> float:
         """Return the prefill tokens per second that a service is sent."""
         return sum(
-            received.sync.reading.get(service, 0.0)
-            for received in self._syncs.values()
-            if now - received.received_at <= LOAD_MAX_AGE_S
+            report.sync.reading.get(service, 0.0)
+            for report in self._reports.values()
+            if now - report.heard_at <= load_expiry_s(report.sync.interval_s)
         )
 
     def usage(self, window: int) -> dict[str, int]:
         """Return the requests started in a window, by customer."""
         total = Counter(self._ended_usage.get(window, {}))
-        for received in self._syncs.values():
-            total.update(received.sync.usage.get(window, {}))
+        for report in self._reports.values():
+            total.update(report.usage.get(window, {}))
         return dict(total)
 
-    def _retain_usage(self, sync: GatewaySync) -> None:
-        for window, counts in sync.usage.items():
+    def _count(self, report: _Report, loads: dict[str, EndpointLoad]) -> None:
+        """Replace what a report adds to the sums by `loads`."""
+        counted, idle = report.counted, EndpointLoad()
+        if counted == loads:
+            return
+        for endpoint_id in counted.keys() | loads.keys():
+            old = counted.get(endpoint_id, idle)
+            new = loads.get(endpoint_id, idle)
+            if old == new:
+                continue
+            active = self._active[endpoint_id] + new.active - old.active
+            prefill = (
+                self._prefill[endpoint_id]
+                + new.prefill_tokens
+                - old.prefill_tokens
+            )
+            if not active and not prefill:
+                del self._active[endpoint_id], self._prefill[endpoint_id]
+                self.load_sums.set(endpoint_id, None)
+                continue
+            self._active[endpoint_id] = active
+            self._prefill[endpoint_id] = prefill
+            self.load_sums.set(
+                endpoint_id,
+                EndpointLoad(active=active, prefill_tokens=prefill),
+            )
+        report.counted = loads
+
+    def _plausible(
+        self, loads: dict[str, EndpointLoad]
+    ) -> dict[str, EndpointLoad]:
+        plausible = {
+            endpoint_id: load
+            for endpoint_id, load in loads.items()
+            if 0 <= load.active <= MAX_ACTIVE
+            and 0 <= load.prefill_tokens <= MAX_PREFILL_TOKENS
+        }
+        self.refused_reports += len(plausible) < len(loads)
+        return plausible
+
+    def _retain_usage(self, usage: dict[int, dict[str, int]]) -> None:
+        for window, counts in usage.items():
             self._ended_usage.setdefault(window, Counter()).update(counts)
-        for window in sorted(self._ended_usage)[:-MAX_ENDED_WINDOWS]:
-            del self._ended_usage[window]
+        self._ended_usage = _newest_windows(self._ended_usage)
+
+
+def _newest_windows(usage: dict) -> dict:
+    if len(usage) <= MAX_USAGE_WINDOWS:
+        return usage
+    newest = sorted(usage)[-MAX_USAGE_WINDOWS:]
+    return {window: usage[window] for window in newest}
--- a/chervilshift/core/fleet/state.py
+++ b/chervilshift/core/fleet/state.py
@@ -1,7 +1,7 @@
 """Replicated state: serving document, endpoints, gateways and usage."""
 
 from functools import singledispatchmethod
-from itertools import islice
+from itertools import islice, takewhile
 
 from chervilshift.core.fleet.commands import (
     AcceptServing,
@@ -50,6 +50,8 @@
     """
 
     __slots__ = (
+        "_changed_at",
+        "_changes_since",
         "_endpoints",
         "_usage",
         "document",
@@ -63,7 +65,11 @@
         self.version = stored.version
         self.document = stored.document
         self.revision = stored.revision
+        # In the order of their last change.
         self._endpoints = {record.id: record for record in stored.endpoints}
+        self._changed_at: dict[str, int] = {}
+        # Changes up to this revision can't be told apart.
+        self._changes_since = stored.revision
         self._usage = dict(stored.usage)
         self.gateways = stored.gateways
 
@@ -86,6 +92,23 @@
         """Return the records of endpoints that have not ended."""
         return tuple(e for e in self._endpoints.values() if e.state != GONE)
 
+    def endpoints_since(
+        self, revision: int
+    ) -> tuple[EndpointRecord, ...] | None:
+        """Return the records that changed after a revision, ended ones too.
+
+        Returns None if the changes since then are not known.
+        """
+        if revision < self._changes_since or revision > self.revision:
+            return None
+        newest_first = reversed(self._endpoints.values())
+        return tuple(
+            takewhile(
+                lambda e: self._changed_at.get(e.id, 0) > revision,
+                newest_first,
+            )
+        )
+
     def committed_usage(self, window: int) -> dict[str, int] | None:
         """Return the committed counts of a window by customer, or None."""
         return self._usage.get(window)
@@ -137,13 +160,17 @@
             # A late announcement: a newer endpoint uses the address now.
             announced = with_state(announced, GONE)
         elif other is not None and announced.state != GONE:
-            self._endpoints[other.id] = with_state(other, GONE)
-        self._endpoints.pop(announced.id, None)
-        self._endpoints[announced.id] = announced
+            self._replace(with_state(other, GONE), index)
+        self._replace(announced, index)
         self.revision = index
         self._prune_tombstones()
         return EndpointKnown(state=announced.state)
 
+    def _replace(self, record: EndpointRecord, index: int) -> None:
+        self._endpoints.pop(record.id, None)
+        self._endpoints[record.id] = record
+        self._changed_at[record.id] = index
+
     def _should_replace(
         self, stored: EndpointRecord, announced: EndpointRecord
     ) -> bool:
@@ -183,3 +210,5 @@
         ended = [e.id for e in self._endpoints.values() if e.state == GONE]
         for endpoint_id in islice(ended, max(0, len(ended) - MAX_TOMBSTONES)):
             del self._endpoints[endpoint_id]
+            self._changed_at.pop(endpoint_id, None)
+            self._changes_since = self.revision
--- a/chervilshift/core/fleet/sync.py
+++ b/chervilshift/core/fleet/sync.py
@@ -4,12 +4,16 @@
 from chervilshift.core.message import Message
 
 __all__ = [
+    "ControlInfo",
     "EndpointLoad",
-    "Heartbeat",
-    "Heartbeats",
     "GatewayInfo",
     "GatewaySync",
+    "GatewaysDelta",
+    "Heartbeat",
+    "LoadsDelta",
     "ReadServing",
+    "Relay",
+    "RelayReply",
     "ServingDocument",
     "SyncReply",
 ]
@@ -26,7 +30,15 @@
     ready: bool
 
 
-class EndpointLoad(Message):
+class ControlInfo(Message):
+    """One control process; the places are empty if they are not known."""
+
+    address: str
+    failure_domain: str = ""
+    region: str = ""
+
+
+class EndpointLoad(Message, tag=False, array_like=True):
     """Requests of one or more gateways in flight at one endpoint.
 
     `active` is the number of requests, `prefill_tokens` the prompt tokens
@@ -37,21 +49,55 @@
     prefill_tokens: int = 0
 
 
+class LoadsDelta(Message):
+    """Changes of the load of all gateways by endpoint id.
+
+    `source` names the table that `cursor` belongs to. With `full`, endpoints
+    that `loads` lacks have no load; None is no load either.
+    """
+
+    source: str
+    cursor: int
+    full: bool = False
+    loads: dict[str, EndpointLoad | None] = {}
+
+
+class GatewaysDelta(Message):
+    """Changes of the gateways that clients may connect to, by id.
+
+    The fields are those of `LoadsDelta`; None is a gateway that has left.
+    """
+
+    source: str
+    cursor: int
+    full: bool = False
+    gateways: dict[str, GatewayInfo | None] = {}
+
+
 class GatewaySync(Message):
     """State report of one gateway to a control process.
 
-    `version` and `revision` are the configuration and the endpoint list that
-    the gateway has. `loads`, by endpoint id, and `usage`, the requests
-    started per window and customer since the process started, are totals,
-    not increments, of this gateway only. `reading` is the uncached prompt
-    tokens per second sent to engines, by service. `needed` is the amount of
-    each customer's limit that requests wait for, `prefetch` the amount that
-    may be granted in advance. `wall_s` is the gateway's Unix time.
+    `seq` orders the reports of one incarnation, `interval_s` is the time
+    until the next. `version` and `revision` are the configuration and the
+    endpoint list that the gateway has, `loads_source` and `loads_cursor` the
+    last `LoadsDelta` that it received, and `controls` the digest of the
+    control processes that it knows. `loads`, by endpoint id, and `usage`, the
+    requests started per window and customer since the process started, are
+    totals, not increments, of this gateway only. `usage` is empty in most
+    reports. `reading` is the uncached prompt tokens per second sent to
+    engines, by service. `needed` is the amount of each customer's limit that
+    requests wait for, `prefetch` the amount that may be granted in advance.
+    `wall_s` is the gateway's Unix time.
     """
 
     gateway: GatewayInfo
     version: int
     revision: int
+    seq: int = 0
+    interval_s: float = 0.25
+    loads_source: str = ""
+    loads_cursor: int = 0
+    controls: int = 0
     loads: dict[str, EndpointLoad] = {}
     usage: dict[int, dict[str, int]] = {}
     reading: dict[str, float] = {}
@@ -63,15 +109,19 @@
 class SyncReply(Message):
     """Reply of a control process to one gateway's `GatewaySync`.
 
-    `document` and `endpoints` are None if the gateway has the current ones.
-    `led` is true if the sender is the leader; only the leader fills `grants`
-    and `waits`. `leader` is the leader's RPC address, empty if unknown, and
-    `controls` are the addresses of the control replicas. While `granting` is
+    `led` is true if the sender is the leader, `leader` the leader's RPC
+    address, empty if unknown, and `leader_age_s` the time since the leader
+    had the state that the reply is made from. `document` and `endpoints` are
+    None if the gateway has the current ones; with `partial` the endpoints
+    are those that have changed since the gateway's revision. `controls` is
+    empty if the gateway knows the control processes. `loads` counts all
+    gateways, this one as of its report `included_seq`. While `granting` is
     false, gateways continue with their fallback shares. `waits` is the
     seconds until an exhausted limit has room, by customer. `stale_s` is an
-    upper bound on the age of the sender's state, `wall_s` the sender's Unix
-    time, `loads` the load from other gateways by endpoint id and `gateways`
-    the number of known gateways.
+    upper bound on the age of the sender's replicated state, `wall_s` the
+    Unix time that the sender's peers agree on, `gateways` the number of known
+    gateways, `replicas` that of control replicas and `interval_s` the time
+    until the next report.
     """
 
     led: bool
@@ -80,14 +130,19 @@
     version: int
     revision: int
     gateways: int
-    controls: tuple[str, ...] = ()
+    loads: LoadsDelta
+    leader_age_s: float = 0.0
+    replicas: int = 1
+    controls: tuple[ControlInfo, ...] = ()
     document: bytes | None = None
     endpoints: tuple[EndpointRecord, ...] | None = None
-    loads: dict[str, EndpointLoad] = {}
+    partial: bool = False
+    included_seq: int = 0
     wall_s: float = 0.0
     granting: bool = False
     grants: dict[str, float] = {}
     waits: dict[str, float] = {}
+    interval_s: float = 0.25
 
 
 class Heartbeat(Message):
@@ -97,10 +152,42 @@
     born_ms: int
 
 
-class Heartbeats(Message):
-    """Heartbeats of endpoints that a follower forwards to the leader."""
+class Relay(Message):
+    """What a follower passes on to the leader.
+
+    `reports` are the gateways' reports that differ from those relayed
+    before, `unchanged` the id, incarnation and newest `seq` of gateways whose
+    report is the same. `needed` and `prefetch` are the sums that the follower
+    asks for on behalf of its gateways. The cursors are those of the last
+    reply. `beats` are the heartbeats of endpoints.
+    """
+
+    sender: ControlInfo
+    reports: tuple[GatewaySync, ...] = ()
+    unchanged: tuple[tuple[str, str, int], ...] = ()
+    needed: dict[str, float] = {}
+    prefetch: dict[str, float] = {}
+    loads_source: str = ""
+    loads_cursor: int = 0
+    gateways_cursor: int = 0
+    beats: tuple[Heartbeat, ...] = ()
+    wall_s: float = 0.0
+
 
-    beats: tuple[Heartbeat, ...]
+class RelayReply(Message):
+    """The leader's reply to a `Relay`.
+
+    `unknown` are the ids of unchanged reports that the leader does not have.
+    """
+
+    loads: LoadsDelta
+    gateways: GatewaysDelta
+    controls: tuple[ControlInfo, ...] = ()
+    unknown: tuple[str, ...] = ()
+    granting: bool = False
+    grants: dict[str, float] = {}
+    waits: dict[str, float] = {}
+    wall_s: float = 0.0
 
 
 class ReadServing(Message):
--- a/chervilshift/core/fleet/walltime.py
+++ b/chervilshift/core/fleet/walltime.py
@@ -14,11 +14,16 @@
 
 
 class WallTime:
-    """Offsets of peers' clocks from this host's clock, in seconds."""
+    """Offsets of peers' clocks from this host's clock, in seconds.
 
-    __slots__ = ("_offsets",)
+    With `counts_own`, this host's clock is one of those that are compared;
+    without it the peers' times are taken as agreed upon already.
+    """
 
-    def __init__(self):
+    __slots__ = ("_offsets", "_own")
+
+    def __init__(self, *, counts_own: bool = True):
+        self._own = (0.0,) if counts_own else ()
         self._offsets: dict[str, tuple[float, float]] = {}
 
     def observe(
@@ -37,4 +42,4 @@
             for offset, observed_at in self._offsets.values()
             if now - observed_at < OFFSET_MAX_AGE_S
         )
-        return wall_s + median(chain((0.0,), recent))
+        return wall_s + median(tuple(chain(self._own, recent)) or (0.0,))
--- a/chervilshift/gateway/process.py
+++ b/chervilshift/gateway/process.py
@@ -8,6 +8,7 @@
 from returns.result import Result
 
 from chervilshift.clock import Clock
+from chervilshift.core.fleet.home import HomeChooser
 from chervilshift.core.fleet.model import ServingConfig
 from chervilshift.core.fleet.placement import Placement
 from chervilshift.core.fleet.retries import RetryPolicy
@@ -90,10 +91,17 @@
             hlc=events.hlc, credentials=settings.credentials()
         )
         self._pool = ConnectionPool(clock=clock)
+        home = HomeChooser(
+            gateway_id=settings.process,
+            failure_domain=settings.failure_domain,
+            region=settings.region,
+            seeds=settings.control,
+        )
+        self._controls_digest = lambda: home.digest
         self.state = self._make_state()
         self._sync = ControlSync(
             state=self.state,
-            seeds=tuple(settings.control),
+            home=home,
             clients=self._clients,
             clock=clock,
         )
@@ -171,6 +179,7 @@
             ),
             usage_window_s=settings.usage_window_s,
             decode=self._protocol.decode_config,
+            controls_digest=self._controls_digest,
             clock=self._clock,
             events=self._events,
         )
--- a/chervilshift/gateway/state.py
+++ b/chervilshift/gateway/state.py
@@ -9,8 +9,10 @@
 from returns.result import Result
 
 from chervilshift.clock import Clock
+from chervilshift.core.fleet.intervals import DIRECT_INTERVAL_S
 from chervilshift.core.fleet.limits import LimitAccount, LimitPolicy
 from chervilshift.core.fleet.model import ServingConfig
+from chervilshift.core.fleet.otherload import OtherLoads
 from chervilshift.core.fleet.placement import Placement
 from chervilshift.core.fleet.retries import RetryBudget, RetryPolicy
 from chervilshift.core.fleet.routes import RouteTable
@@ -27,6 +29,8 @@
 # bursts, short enough that a rise shows before a new endpoint would have
 # booted.
 PREFILL_RATE_WINDOW_S = 4.0
+# Usage is reported in this interval only; it is needed once per window.
+USAGE_REPORT_INTERVAL_S = 0.5
 
 
 class GatewayState:
@@ -35,6 +39,8 @@
     The replies of control processes change it. `table` is None until the
     first configuration arrives; `revision` is that of the known endpoints,
     and `gateway_count` the number of gateways that control knows.
+    `report_interval_s` is the time until the next report to control, as the
+    control process asks.
     """
 
     def __init__(
@@ -46,9 +52,11 @@
         retry_policy: RetryPolicy,
         usage_window_s: float,
         decode: Callable[[bytes], Result[ServingConfig, Failure]],
+        controls_digest: Callable[[], int],
         clock: Clock,
         events: EventLog,
     ):
+        self._controls_digest = controls_digest
         self._info = info
         self._decode = decode
         self._clock = clock
@@ -60,7 +68,10 @@
         self._prefill_rates: defaultdict[str, DecayingRate] = defaultdict(
             lambda: DecayingRate(window_s=PREFILL_RATE_WINDOW_S)
         )
-        self._wall_time = WallTime()
+        self._wall_time = WallTime(counts_own=False)
+        self._other_loads = OtherLoads()
+        self._usage_reported_at = float("-inf")
+        self.report_interval_s = DIRECT_INTERVAL_S
         self.usage = UsageCounter(window_s=usage_window_s)
         self.table: RouteTable | None = None
         self._configured = anyio.Event()
@@ -92,12 +103,24 @@
     def sync_request(self) -> GatewaySync:
         """Return the message that reports this gateway's state to control."""
         now = self._clock.monotonic()
+        info = self._info()
+        loads = self.placement.loads()
+        usage = {}
+        usage_age_s = now - self._usage_reported_at
+        if usage_age_s >= USAGE_REPORT_INTERVAL_S or not info.ready:
+            self._usage_reported_at = now
+            usage = self.usage.counts()
         return GatewaySync(
-            gateway=self._info(),
+            gateway=info,
             version=self.version,
             revision=self.revision,
-            loads=self.placement.loads(),
-            usage=self.usage.counts(),
+            seq=self._other_loads.record_report(loads),
+            interval_s=self.report_interval_s,
+            loads_source=self._other_loads.source,
+            loads_cursor=self._other_loads.cursor,
+            controls=self._controls_digest(),
+            loads=loads,
+            usage=usage,
             wall_s=self._clock.utcnow().timestamp(),
             reading={
                 service: rate.value(now)
@@ -115,25 +138,31 @@
             customer, self._wall_time.correct(wall_s, now)
         )
 
-    def apply_reply(self, peer: str, reply: SyncReply) -> None:
-        """Apply the reply of the control process at the address `peer`.
+    def apply_reply(self, reply: SyncReply) -> None:
+        """Apply the reply of a control process.
 
         Versions and revisions that are not newer change nothing.
         """
         wall_s = self._clock.utcnow().timestamp()
         now = self._clock.monotonic()
-        self._wall_time.observe(peer, reply.wall_s, wall_s, now)
+        self._wall_time.observe(reply.leader, reply.wall_s, wall_s, now)
         if reply.document is not None and reply.version > self.version:
             self._apply_document(reply.document)
         if reply.endpoints is not None and reply.revision > self.revision:
             self.revision = reply.revision
-            self.placement.update_endpoints(reply.endpoints)
+            if reply.partial:
+                self.placement.change_endpoints(reply.endpoints)
+            else:
+                self.placement.update_endpoints(reply.endpoints)
         self.gateway_count = max(1, reply.gateways)
-        self.limits.set_gateway_count(self.gateway_count)
-        if reply.led:
-            self.placement.set_other_loads(reply.loads)
-            if reply.granting:
-                self.limits.apply_grants(reply.grants, reply.waits, now)
+        self.report_interval_s = reply.interval_s
+        self.limits.set_gateway_count(self.gateway_count, reply.interval_s)
+        self._other_loads.apply(reply.loads, reply.included_seq)
+        self.placement.set_other_loads(self._other_loads.loads())
+        if reply.granting:
+            self.limits.apply_grants(
+                reply.grants, reply.waits, now, reply.leader_age_s
+            )
 
     def _apply_document(self, document: bytes) -> None:
         decoded = self._decode(document)
--- a/chervilshift/platform/api.py
+++ b/chervilshift/platform/api.py
@@ -74,7 +74,9 @@
             await send_json(send, 404)
             return
         query = parse_qs(scope["query_string"].decode("latin-1"))
-        addresses = fleet.resolve(query.get("region", [""])[0])
+        addresses = fleet.resolve(
+            query.get("region", [""])[0], query.get("zone", [""])[0]
+        )
         if not addresses:
             await send_json(send, 503)
             return
--- a/chervilshift/wire/messages.py
+++ b/chervilshift/wire/messages.py
@@ -13,8 +13,9 @@
 )
 from chervilshift.core.fleet.sync import (
     GatewaySync,
-    Heartbeats,
     ReadServing,
+    Relay,
+    RelayReply,
     ServingDocument,
     SyncReply,
 )
@@ -189,7 +190,8 @@
         | Takeover
         | GatewaySync
         | SyncReply
-        | Heartbeats
+        | Relay
+        | RelayReply
         | ReadServing
         | ServingDocument
         | Ack
--- a/tests/core/fleet/test_limits.py
+++ b/tests/core/fleet/test_limits.py
@@ -10,8 +10,8 @@
 
 import pytest
 
+from chervilshift.core.fleet.intervals import DIRECT_RESERVE_AFTER_S
 from chervilshift.core.fleet.limits import (
-    RESERVE_AFTER_S,
     LimitAccount,
     LimitAllocator,
     LimitPolicy,
@@ -115,7 +115,8 @@
             if sync_due and not gateway.is_cut:
                 gateway.synced_at = now
                 silent = sum(
-                    now - n.synced_at > RESERVE_AFTER_S for n in gateways
+                    now - n.synced_at > DIRECT_RESERVE_AFTER_S
+                    for n in gateways
                 )
                 grants = allocator.grant(
                     (acme,),
--- a/tests/core/fleet/test_presence.py
+++ b/tests/core/fleet/test_presence.py
@@ -1,7 +1,8 @@
 """Listing, load, usage and silence of gateways at control."""
 
+from chervilshift.core.fleet.intervals import MIN_LISTING_TIMEOUT_S
 from chervilshift.core.fleet.lookup import choose_gateways
-from chervilshift.core.fleet.presence import LISTING_TIMEOUT_S, Presence
+from chervilshift.core.fleet.presence import Presence
 from chervilshift.core.fleet.sync import (
     EndpointLoad,
     GatewayInfo,
@@ -33,7 +34,7 @@
     presence.observe(sync("g1"), 0.0)
     presence.observe(sync("g2", gateway_changes={"ready": False}), 0.0)
     assert [g.id for g in presence.listed_gateways(0.5)] == ["g1"]
-    assert not presence.listed_gateways(LISTING_TIMEOUT_S + 0.1)
+    assert not presence.listed_gateways(MIN_LISTING_TIMEOUT_S + 0.1)
 
 
 def test_loads_of_the_others_are_added_up():
@@ -70,10 +71,10 @@
 def test_lookup_offers_every_near_gateway_and_never_only_one():
     near = [info("g1"), info("g2"), info("g3")]
     far = [info("g8", "there"), info("g9", "there")]
-    assert choose_gateways(near + far, "here", 64) == (
+    assert choose_gateways(near + far, "here", "a", 64) == (
         "g1:80",
         "g2:80",
         "g3:80",
     )
-    assert len(choose_gateways([near[0], *far], "here", 64)) == 3
-    assert choose_gateways((), "here", 64) == ()
+    assert len(choose_gateways([near[0], *far], "here", "a", 64)) == 3
+    assert choose_gateways((), "here", "a", 64) == ()
