--- a/chervilshift/control/duties.py
+++ b/chervilshift/control/duties.py
@@ -42,7 +42,7 @@
 CLOUD_CALL_TIMEOUT_S = 1.0
 # Interval of orders for the same service, domain and kind. A refused order is
 # repeated this soon because capacity may be available for a moment only.
-ORDER_INTERVAL_S = 0.5
+ORDER_INTERVAL_S = 0.75
 # After an accepted order, a shortfall is ordered again only once the boot time
 # and this margin have passed.
 ORDER_ARRIVAL_MARGIN_S = 3.0
@@ -55,6 +55,10 @@
 REPEATED_WINDOWS = 2
 
 
+# The term of the first leader of a new cluster.
+FIRST_TERM = 1
+
+
 class Cloud(Protocol):
     """Interface to the cloud that `DutyTask` uses."""
 
@@ -188,6 +192,9 @@
         if self._leading_since is None:
             self._leading_since = now
             self._events.emit("duty_lease", term=self._node.raft.term)
+        if self._node.raft.term == FIRST_TERM:
+            # There was no leader before.
+            return True
         return now - self._leading_since > self._lease_s + CLOUD_CALL_TIMEOUT_S
 
     async def _report_usage(self) -> None:
@@ -287,12 +294,9 @@
             or not self._may_act()
         ):
             return
-        if (
-            order_state.count is None
-            and held == order.count
-            and order.count == 0
-        ):
-            order_state.count = 0
+        if order_state.count is None and held == order.count:
+            # If more are booting, the order is repeated once they are late.
+            order_state.accept(order.count, now)
             return
         order_state.attempted_at = now
         sent = await self._cloud.order(
--- a/chervilshift/core/fleet/scaling.py
+++ b/chervilshift/core/fleet/scaling.py
@@ -23,8 +23,8 @@
 
 # Endpoints per failure domain at light load, since one may crash or slow down.
 MIN_ENDPOINTS_PER_DOMAIN = 1
-# Part of the share of a domain without spot capacity that is ordered on demand
-# at once, even if the other domains carry the load.
+# Part of what would be missing after the loss of a further domain that is
+# ordered on demand while spot endpoints are not to be had.
 SUBSTITUTE_SHARE = 0.5
 # Share of time that an engine may spend on prefill; above it, concurrent
 # streams pause too often.
@@ -96,10 +96,24 @@
         """Return the number of ready spot endpoints."""
         return sum(e.spot and e.state == READY for e in self.endpoints)
 
+    def largest_spot_share(self) -> int:
+        """Return the largest number of ready spot endpoints in one domain."""
+        ready = Counter(
+            e.failure_domain
+            for e in self.endpoints
+            if e.spot and e.state == READY
+        )
+        return max(ready.values(), default=0)
+
+    @property
+    def has_load(self) -> bool:
+        """Whether any request was reported."""
+        return bool(self.active or self.prefill_tokens_per_s)
+
     def found_size(self) -> int:
         """Return the size of the fleet while one kind replaces the other."""
         ready = Counter(e.spot for e in self.endpoints if e.state == READY)
-        return max(ready.values(), default=0)
+        return max(ready.values(), default=1)
 
     def ready_by_domain(self) -> Counter[str]:
         """Return the number of ready endpoints by failure domain."""
@@ -133,7 +147,7 @@
     until requests arrive. On-demand endpoints and the spot ones that replace
     them count once.
     """
-    if not fleet.active and not fleet.prefill_tokens_per_s:
+    if not fleet.has_load:
         return fleet.found_size()
     slots = spec.engine.slots if spec.engine else 1
     by_slots = fleet.active / (MAX_SLOT_UTILIZATION * slots)
@@ -170,11 +184,13 @@
     if scaling.spot_price >= 1:
         wanted = max(MIN_ENDPOINTS_PER_DOMAIN, ceil(size / domain_count))
         return min(scaling.maximum, max(scaling.minimum, wanted)), 0
-    # No other domain can carry the load of a single one, so half of the
-    # needed size is ordered on demand.
-    permanent = ceil(size / 2) if domain_count == 1 else 0
+    # A reserve for the loss of a domain is kept once there is load. No other
+    # domain can carry the load of a single one, so half of the needed size is
+    # ordered on demand.
+    lost = 1 if fleet.has_load else 0
+    permanent = ceil(size / 2) if domain_count == 1 and lost else 0
     wanted = max(
-        MIN_ENDPOINTS_PER_DOMAIN, ceil(size / max(1, domain_count - 1))
+        MIN_ENDPOINTS_PER_DOMAIN, ceil(size / max(1, domain_count - lost))
     )
     wanted = min(wanted, scaling.maximum)
     on_demand = max(
@@ -193,16 +209,17 @@
 ) -> int:
     """Return the on-demand substitutes in a domain without spot capacity.
 
-    They cover at least a part of the domain's share, as the next domain may
-    be reclaimed before spot endpoints are available again and a boot takes
-    longer than the notice period. They cover more if the ready spot
-    endpoints don't carry the load.
+    They cover what the ready spot endpoints don't carry, and a part of what
+    the loss of a further domain would leave uncovered: it may be reclaimed
+    before spot endpoints are available again, and a boot takes longer than
+    the notice period.
     """
     if domain not in fleet.spot_unavailable:
         return 0
-    share = ceil(SUBSTITUTE_SHARE * size / domain_count)
     shortage = size - fleet.ready_spot_count()
-    return max(1, share, ceil(shortage / len(fleet.spot_unavailable)))
+    next_shortage = shortage + fleet.largest_spot_share()
+    missing = max(shortage, ceil(SUBSTITUTE_SHARE * next_shortage), 0)
+    return ceil(missing / len(fleet.spot_unavailable))
 
 
 def _retained(fleet: Fleet, domain: str, wanted: int, size: int) -> int:
--- a/tests/control/test_duties.py
+++ b/tests/control/test_duties.py
@@ -134,6 +134,21 @@
     assert world.cloud.usage
 
 
+def test_first_leader_of_a_new_cluster_has_no_predecessor_to_wait_for():
+    world = World(cfg=scaled_config())
+    world.node.raft.term = 1
+    world.run(1.0)
+    assert world.cloud.orders
+
+
+def test_fleet_as_found_is_not_ordered_again():
+    """Calls to the cloud are limited and priced."""
+    world = World(cfg=scaled_config())
+    announce(world, "ready", 1)
+    world.run(LEASE_S + CLOUD_CALL_TIMEOUT_S + 3.0)
+    assert not world.cloud.orders
+
+
 def test_each_window_is_reported_once_with_the_term_as_token():
     world = World()
     for _ in range(10):
