Log and measure which control process a gateway reports to

A gateway logs each change of its control process with the failed syncs and the age of the leader's news; a control process counts reports with impossible loads, and serves how many gateways report to it and when the leader last took a relay.

--- a/chervilshift/control/fleet.py
+++ b/chervilshift/control/fleet.py
@@ -239,6 +239,17 @@
             self._cfg = decoded.unwrap()
         return self._cfg
 
+    @property
+    def served_count(self) -> int:
+        """The number of gateways that report to this process."""
+        return self._distributor.served_count
+
+    @property
+    def leader_age_s(self) -> float:
+        """Seconds since the leader took a relay, 0 if this process leads."""
+        now = self._clock.monotonic()
+        return min(MAX_AGE_S, self._distributor.leader_age_s(now))
+
     def wall_s(self) -> float:
         """Return the Unix time that a majority of hosts agrees on."""
         wall_s = self._clock.utcnow().timestamp()
@@ -255,7 +266,15 @@
         Waits for the leader if only that can grant what the gateway needs.
         """
         self._configure()
+        refused = self.presence.refused_reports
         self._distributor.observe(message, self._clock.monotonic())
+        if self.presence.refused_reports > refused:
+            self._events.emit(
+                "report_refused",
+                gateway=message.gateway.id,
+                reason="a load is negative or too large; taken as none",
+                refused=self.presence.refused_reports,
+            )
         self._observe_wall_time(message.gateway.id, message.wall_s)
         if self._distributor.needs_leader(message):
             await self.relay.flush(GRANT_TIMEOUT_S)
--- a/chervilshift/control/routed.py
+++ b/chervilshift/control/routed.py
@@ -127,6 +127,11 @@
             "gateways_listed",
             lambda: len(self.fleet.listed_gateways()),
         )
+        metrics.gauge("gateways_served", lambda: self.fleet.served_count)
+        metrics.gauge("leader_age_seconds", lambda: self.fleet.leader_age_s)
+        metrics.gauge(
+            "reports_refused", lambda: self.fleet.presence.refused_reports
+        )
         return metrics
 
     def _identity(self) -> Identity:
--- a/chervilshift/core/fleet/home.py
+++ b/chervilshift/core/fleet/controls.py
@@ -7,7 +7,7 @@
 from chervilshift.core.fleet.intervals import is_relayed
 from chervilshift.core.fleet.sync import ControlInfo
 
-__all__ = ["HomeChooser", "controls_digest"]
+__all__ = ["ControlChooser", "controls_digest"]
 
 # A control process that did not reply, or that has lost the leader, is not
 # chosen again for this long unless there is no other.
@@ -23,7 +23,7 @@
     return zlib.crc32(text.encode())
 
 
-class HomeChooser:
+class ControlChooser:
     """Ranks the control processes that a gateway knows.
 
     In a small fleet the leader comes first. In a large one the nearest come
--- a/chervilshift/core/fleet/distribution.py
+++ b/chervilshift/core/fleet/distribution.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from chervilshift.core.fleet.changes import Changes, ChangeTable
-from chervilshift.core.fleet.home import controls_digest
+from chervilshift.core.fleet.controls import controls_digest
 from chervilshift.core.fleet.intervals import (
     is_relayed,
     load_expiry_s,
@@ -196,7 +196,7 @@
                 self._loads, sync.loads_source, sync.loads_cursor
             ),
             included_seq=relayed.seq if relayed else 0,
-            leader_age_s=now - leader.heard_at,
+            leader_age_s=self.leader_age_s(now),
             granting=leader.granting,
             grants=self._pool.take(gateway_id, sync.needed, sync.prefetch),
             waits={
@@ -214,6 +214,15 @@
             sync.gateway.id, sync.needed
         )
 
+    @property
+    def served_count(self) -> int:
+        """The number of gateways that report to this process."""
+        return len(self._served)
+
+    def leader_age_s(self, now: float) -> float:
+        """Return the seconds since the leader took a relay, 0 as leader."""
+        return 0.0 if self._leads else now - self._leader.heard_at
+
     def listed_gateways(self, now: float) -> tuple[GatewayInfo, ...]:
         """Return the gateways that clients may connect to.
 
--- a/chervilshift/gateway/process.py
+++ b/chervilshift/gateway/process.py
@@ -8,7 +8,7 @@
 from returns.result import Result
 
 from chervilshift.clock import Clock
-from chervilshift.core.fleet.home import HomeChooser
+from chervilshift.core.fleet.controls import ControlChooser
 from chervilshift.core.fleet.model import ServingConfig
 from chervilshift.core.fleet.placement import Placement
 from chervilshift.core.fleet.retries import RetryPolicy
@@ -91,19 +91,20 @@
             hlc=events.hlc, credentials=settings.credentials()
         )
         self._pool = ConnectionPool(clock=clock)
-        home = HomeChooser(
+        chooser = ControlChooser(
             gateway_id=settings.process,
             failure_domain=settings.failure_domain,
             region=settings.region,
             seeds=settings.control,
         )
-        self._controls_digest = lambda: home.digest
+        self._controls_digest = lambda: chooser.digest
         self.state = self._make_state()
         self._sync = ControlSync(
             state=self.state,
-            home=home,
+            chooser=chooser,
             clients=self._clients,
             clock=clock,
+            events=events,
         )
         self._dispatcher = Dispatcher(
             state=self.state,
--- a/chervilshift/gateway/sync.py
+++ b/chervilshift/gateway/sync.py
@@ -6,8 +6,9 @@
 from returns.result import Failure as Bad
 
 from chervilshift.clock import Clock
-from chervilshift.core.fleet.home import HomeChooser
+from chervilshift.core.fleet.controls import ControlChooser
 from chervilshift.core.fleet.sync import SyncReply
+from chervilshift.events import EventLog
 from chervilshift.gateway.state import GatewayState
 from chervilshift.wire.rpc import Clients
 
@@ -29,7 +30,7 @@
 class ControlSync:
     """Syncs periodically with one control process at a time.
 
-    `home` chooses it. Another is chosen when it does not reply, or has lost
+    `chooser` chooses it. Another is chosen when it does not reply, or has lost
     the leader.
     """
 
@@ -37,14 +38,19 @@
         self,
         *,
         state: GatewayState,
-        home: HomeChooser,
+        chooser: ControlChooser,
         clients: Clients,
         clock: Clock,
+        events: EventLog,
     ):
         self._state = state
-        self._home = home
+        self._chooser = chooser
         self._clients = clients
         self._clock = clock
+        self._events = events
+        # The control process that replied last.
+        self._address = ""
+        self._failures = 0
         self._refresh_wanted = anyio.Event()
         self._replied = anyio.Event()
 
@@ -64,7 +70,7 @@
 
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
         """Replace the seeds, which are known without any reply."""
-        self._home.set_seeds(seeds)
+        self._chooser.set_seeds(seeds)
 
     async def refresh(self) -> None:
         """Sync soon; return when a control process has replied."""
@@ -80,7 +86,7 @@
             await self._clients.at(address).call(request, timeout_s)
 
         async with anyio.create_task_group() as tg:
-            for address in self._home.addresses():
+            for address in self._chooser.addresses():
                 tg.start_soon(send, address)
 
     async def _sync_once(self, tg: TaskGroup) -> bool:
@@ -89,7 +95,7 @@
         A call that takes too long goes on besides the next one, and its reply
         is applied when it comes.
         """
-        address = self._home.choose(self._clock.monotonic())
+        address = self._chooser.choose(self._clock.monotonic())
         ended = anyio.Event()
         results: list[bool] = []
 
@@ -101,7 +107,7 @@
         with anyio.move_on_after(SLOW_REPLY_S):
             await ended.wait()
         if not results:
-            self._home.set_aside(address, self._clock.monotonic())
+            self._chooser.set_aside(address, self._clock.monotonic())
         return any(results)
 
     async def _call(self, address: str) -> bool:
@@ -115,13 +121,26 @@
                 address,
                 result.failure(),
             )
-            self._home.set_aside(address, now)
+            self._chooser.set_aside(address, now)
+            self._failures += 1
             return False
         reply: SyncReply = result.unwrap()
+        if address != self._address:
+            self._events.emit(
+                "control_chosen",
+                address=address,
+                previous=self._address,
+                failed_syncs=self._failures,
+                leader=reply.leader,
+                leader_age_s=round(reply.leader_age_s, 3),
+                gateways=reply.gateways,
+                interval_s=round(reply.interval_s, 3),
+            )
+            self._address, self._failures = address, 0
         self._state.apply_reply(reply)
-        self._home.update(reply.controls, reply.leader, reply.gateways)
+        self._chooser.update(reply.controls, reply.leader, reply.gateways)
         if reply.leader_age_s > MAX_LEADER_AGE_S:
-            self._home.set_aside(address, now)
+            self._chooser.set_aside(address, now)
         self._replied.set()
         self._replied = anyio.Event()
         return True
--- a/tests/core/fleet/test_distribution.py
+++ b/tests/core/fleet/test_distribution.py
@@ -11,8 +11,8 @@
 
 import pytest
 
+from chervilshift.core.fleet.controls import ControlChooser
 from chervilshift.core.fleet.distribution import Distributor
-from chervilshift.core.fleet.home import HomeChooser
 from chervilshift.core.fleet.intervals import (
     MIN_LISTING_TIMEOUT_S,
     RELAY_INTERVAL_S,
@@ -54,7 +54,7 @@
         self.other_loads = OtherLoads()
         self.account = LimitAccount(policy=policy())
         self.account.configure(self.world.customers)
-        self.home = HomeChooser(
+        self.chooser = ControlChooser(
             gateway_id=self.id,
             failure_domain=self.domain,
             region=self.domain[0],
@@ -80,7 +80,7 @@
             interval_s=self.interval_s,
             loads_source=self.other_loads.source,
             loads_cursor=self.other_loads.cursor,
-            controls=self.home.digest,
+            controls=self.chooser.digest,
             loads=self.loads,
             needed=self.account.needed(),
             prefetch=self.account.prefetch(),
@@ -88,10 +88,10 @@
 
     def sync(self) -> None:
         world = self.world
-        address = self.home.choose(world.now)
+        address = self.chooser.choose(world.now)
         self.due_at = world.now + self.interval_s
         if not world.reaches(self.id, address):
-            self.home.set_aside(address, world.now + 0.3)
+            self.chooser.set_aside(address, world.now + 0.3)
             self.due_at = world.now + 0.35
             return
         control = world.controls[address]
@@ -102,13 +102,13 @@
         if control.core.needs_leader(message):
             world.relay(address)
         news = control.core.news(message, world.now)
-        self.home.update(
+        self.chooser.update(
             control.core.controls_for(message, world.controls, world.now),
             world.leader,
             news.gateways,
         )
         if news.leader_age_s > 1.0:
-            self.home.set_aside(address, world.now)
+            self.chooser.set_aside(address, world.now)
         self.interval_s = news.interval_s
         self.due_at = world.now + self.interval_s
         self.account.set_gateway_count(news.gateways, news.interval_s)
@@ -270,7 +270,7 @@
         assert_all_know_the_loads(world)
 
 
-def test_gateways_find_another_home_when_half_of_control_is_gone():
+def test_gateways_find_another_control_process_when_half_of_control_is_gone():
     world = World(300)
     world.run(3.0)
     world.cut = {"c1", "c2", "c3", "c4"}
--- a/tests/gateway/test_sync.py
+++ b/tests/gateway/test_sync.py
@@ -9,9 +9,10 @@
 from returns.result import Success
 
 from chervilshift.clock import SystemClock
-from chervilshift.core.fleet.home import HomeChooser
+from chervilshift.core.fleet.controls import ControlChooser
 from chervilshift.core.fleet.sync import ControlInfo, LoadsDelta, SyncReply
 from chervilshift.errors import PeerUnreachable
+from chervilshift.events import EventLog, HybridClock
 from chervilshift.gateway.sync import ControlSync
 
 
@@ -55,6 +56,10 @@
         self.replies.append(reply)
 
 
+def event_log() -> EventLog:
+    return EventLog(process="g", hlc=HybridClock(clock=SystemClock()))
+
+
 def reply(**changes) -> SyncReply:
     fields = {
         "led": False,
@@ -75,11 +80,15 @@
 def play(behave, seconds: float, seeds=("a:1",)):
     """Sync for some time; return the asked addresses and the state."""
     clients, state = RecordingClients(behave), StubState()
-    home = HomeChooser(
+    chooser = ControlChooser(
         gateway_id="g", failure_domain="near", region="here", seeds=seeds
     )
     sync = ControlSync(
-        state=state, home=home, clients=clients, clock=SystemClock()
+        state=state,
+        chooser=chooser,
+        clients=clients,
+        clock=SystemClock(),
+        events=event_log(),
     )
 
     async def run() -> None:
@@ -92,11 +101,15 @@
 
 def test_seeds_that_change_before_the_first_turn_are_asked():
     clients = RecordingClients(lambda address: None)
-    home = HomeChooser(
+    chooser = ControlChooser(
         gateway_id="g", failure_domain="", region="", seeds=("a:1",)
     )
     sync = ControlSync(
-        state=StubState(), home=home, clients=clients, clock=SystemClock()
+        state=StubState(),
+        chooser=chooser,
+        clients=clients,
+        clock=SystemClock(),
+        events=event_log(),
     )
     sync.set_seeds(("b:1",))
 
