Pack serving documents between processes and in the log

A sync that takes longer than 0.8 s is given up and asked of another control process, which sends the document anew, so a gateway had neither the new configuration nor news of leaving endpoints for seconds. Change: documents are packed by zlib once, when they are accepted; a document like that one takes 18 KB instead of 392 KB.

--- a/chervilshift/control/fleet.py
+++ b/chervilshift/control/fleet.py
@@ -20,6 +20,7 @@
     NoteGateways,
 )
 from chervilshift.core.fleet.distribution import Distributor
+from chervilshift.core.fleet.documents import pack, unpack
 from chervilshift.core.fleet.limits import LimitPolicy
 from chervilshift.core.fleet.lookup import choose_gateways
 from chervilshift.core.fleet.model import (
@@ -139,7 +140,7 @@
         version = decoded.unwrap().version
         if version <= self._node.machine.fleet.version:
             return Success(self._node.machine.fleet.version)
-        command = AcceptServing(version=version, document=document)
+        command = AcceptServing(version=version, document=pack(document))
         reply = await self._submit(command, CONFIG_COMMIT_TIMEOUT_S)
         self._events.emit(
             "config_put", version=version, taken=not isinstance(reply, Bad)
@@ -153,9 +154,13 @@
         with the failure of the call to the leader.
         """
         if self._node.raft.is_leader:
-            return self._read_under_lease()
-        self._update_leader_addresses()
-        return await self._leader.call(ReadServing(), CONFIG_READ_TIMEOUT_S)
+            serving = self._read_under_lease()
+        else:
+            self._update_leader_addresses()
+            serving = await self._leader.call(
+                ReadServing(), CONFIG_READ_TIMEOUT_S
+            )
+        return serving.bind(_unpacked)
 
     async def announce(self, record: EndpointRecord) -> Result[None, Failure]:
         """Process an announcement of an endpoint.
@@ -228,7 +233,7 @@
         fleet = self._node.machine.fleet
         decoded_version = self._cfg.version if self._cfg else 0
         if fleet.version > decoded_version:
-            decoded = self._decode(fleet.document)
+            decoded = unpack(fleet.document).bind(self._decode)
             if isinstance(decoded, Bad):
                 logging.error(
                     "configuration in force cannot be decoded, "
@@ -366,7 +371,7 @@
         self._distributor.apply_relay_reply(relay, reply, sent_at, now)
 
     def answer_read(self) -> ServingDocument:
-        """Return the document for another replica.
+        """Return the packed document for another replica.
 
         Raises NotLeader, or NotReady if there is no document yet.
         """
@@ -467,6 +472,14 @@
                 self._events.emit("endpoint_silent", endpoint=record.id)
 
 
+def _unpacked(serving: ServingDocument) -> Result[ServingDocument, Failure]:
+    return unpack(serving.document).map(
+        lambda document: ServingDocument(
+            version=serving.version, document=document
+        )
+    )
+
+
 def _needs_commit(held: EndpointRecord, record: EndpointRecord) -> bool:
     """Return whether an announcement is more than a heartbeat.
 
--- a/chervilshift/core/fleet/commands.py
+++ b/chervilshift/core/fleet/commands.py
@@ -16,7 +16,7 @@
 
 
 class AcceptServing(Message):
-    """Activate a serving document if its version is the highest so far."""
+    """Activate a packed serving document if its version is the highest."""
 
     version: int
     document: bytes
--- a/chervilshift/core/fleet/sync.py
+++ b/chervilshift/core/fleet/sync.py
@@ -111,17 +111,17 @@
 
     `led` is true if the sender is the leader, `leader` the leader's RPC
     address, empty if unknown, and `leader_age_s` the time since the leader
-    had the state that the reply is made from. `document` and `endpoints` are
-    None if the gateway has the current ones; with `partial` the endpoints
-    are those that have changed since the gateway's revision. `controls` is
-    empty if the gateway knows the control processes. `loads` counts all
-    gateways, this one as of its report `included_seq`. While `granting` is
-    false, gateways continue with their fallback shares. `waits` is the
-    seconds until an exhausted limit has room, by customer. `stale_s` is an
-    upper bound on the age of the sender's replicated state, `wall_s` the
-    Unix time that the sender's peers agree on, `gateways` the number of known
-    gateways, `replicas` that of control replicas and `interval_s` the time
-    until the next report.
+    had the state that the reply is made from. `document`, which is packed,
+    and `endpoints` are None if the gateway has the current ones; with
+    `partial` the endpoints are those that have changed since the gateway's
+    revision. `controls` is empty if the gateway knows the control processes.
+    `loads` counts all gateways, this one as of its report `included_seq`.
+    While `granting` is false, gateways continue with their fallback shares.
+    `waits` is the seconds until an exhausted limit has room, by customer.
+    `stale_s` is an upper bound on the age of the sender's replicated state,
+    `wall_s` the Unix time that the sender's peers agree on, `gateways` the
+    number of known gateways, `replicas` that of control replicas and
+    `interval_s` the time until the next report.
     """
 
     led: bool
@@ -195,7 +195,7 @@
 
 
 class ServingDocument(Message):
-    """The active document and its version."""
+    """The active document, packed between processes, and its version."""
 
     version: int
     document: bytes
--- a/chervilshift/gateway/state.py
+++ b/chervilshift/gateway/state.py
@@ -9,6 +9,7 @@
 from returns.result import Result
 
 from chervilshift.clock import Clock
+from chervilshift.core.fleet.documents import unpack
 from chervilshift.core.fleet.intervals import DIRECT_INTERVAL_S
 from chervilshift.core.fleet.limits import LimitAccount, LimitPolicy
 from chervilshift.core.fleet.model import ServingConfig
@@ -165,7 +166,7 @@
             )
 
     def _apply_document(self, document: bytes) -> None:
-        decoded = self._decode(document)
+        decoded = unpack(document).bind(self._decode)
         if isinstance(decoded, Bad):
             logging.error(
                 "configuration from control refused, "
