--- a/chervilshift/core/fleet/distribution.py
+++ b/chervilshift/core/fleet/distribution.py
@@ -386,7 +386,6 @@
         self, needed: dict[str, float], prefetch: dict[str, float], now: float
     ) -> tuple[dict[str, float], dict[str, float]]:
         """Return grants, and the waits of exhausted limits."""
-        self._allocator.set_gateway_count(self._gateway_count)
         grants = self._allocator.grant(
             self._customers, needed, prefetch, self._silent_share, now
         )
--- a/chervilshift/core/fleet/limits.py
+++ b/chervilshift/core/fleet/limits.py
@@ -24,18 +24,18 @@
 # Part of a gateway's equal share of the rate that it may spend without a
 # leader. Below 1, so that shares reserved too late stay within the tolerance.
 FALLBACK_SHARE = 0.9
-# Part of the tolerated overshoot that prefetched grants may use.
-PREFETCH_SHARE = 0.4
-# In a large fleet, the part of these that pools may hold instead of gateways.
-POOLED_PREFETCH_SHARE = 0.5
-# Part of a burst that the pools of a large fleet hold instead of the leader's
-# bucket.
-POOLED_BURST_SHARE = 0.5
+# Parts of the tolerated overshoot. Prefetched grants: the whole of it, and in
+# a large fleet the part that pools hold instead of gateways.
+PREFETCH_SHARE = 0.25
+POOLED_PREFETCH_SHARE = 0.6
+# What the leader's bucket holds beyond the burst: customers send in clumps,
+# and the operator's bound is on a window, not on a moment.
+EXTRA_BURST_SHARE = 0.3
 # Prefetch grants must leave the bucket at least this part of its burst.
 PREFETCH_MIN_LEVEL_SHARE = 0.5
 # A grant may overdraw a bucket by this part of the tolerated slack, so that
 # large requests are granted as readily as small ones.
-DEBT_SHARE = 0.25
+DEBT_SHARE = 0.15
 # Capacity of a fallback bucket, in seconds of its rate.
 FALLBACK_BURST_S = 1.0
 # A request that costs at most this many seconds of the customer's rate counts
@@ -73,18 +73,13 @@
         """Return the amount that one control process may hold in advance."""
         if not is_relayed(gateways):
             return 0.0
-        overshoot = PREFETCH_SHARE * self._tolerated_overshoot(customer)
-        pooled = (
-            POOLED_PREFETCH_SHARE * overshoot
-            + POOLED_BURST_SHARE * customer.burst
-        )
-        return pooled / max(1, replicas)
+        share = PREFETCH_SHARE * POOLED_PREFETCH_SHARE
+        return share * self._tolerated_overshoot(customer) / max(1, replicas)
 
-    def bucket_size(self, customer: Customer, gateways: int) -> float:
+    def bucket_size(self, customer: Customer) -> float:
         """Return the capacity of the leader's bucket."""
-        if not is_relayed(gateways):
-            return customer.burst
-        return (1 - POOLED_BURST_SHARE) * customer.burst
+        extra = EXTRA_BURST_SHARE * self._tolerated_overshoot(customer)
+        return customer.burst + extra
 
     def small_request_cap(self, customer: Customer, gateways: int) -> float:
         """Return what one gateway may spend on small requests in a window."""
@@ -121,7 +116,6 @@
 
     __slots__ = (
         "_buckets",
-        "_gateways",
         "_leader_since",
         "_max_debt",
         "_policy",
@@ -129,15 +123,10 @@
 
     def __init__(self, *, policy: LimitPolicy):
         self._policy = policy
-        self._gateways = 1
         self._max_debt = DEBT_SHARE * policy.slack
         self._buckets: dict[str, _Bucket] = {}
         self._leader_since: float | None = None
 
-    def set_gateway_count(self, count: int) -> None:
-        """Set the number of gateways that share the limits."""
-        self._gateways = max(1, count)
-
     def step_down(self) -> None:
         """Drop the buckets, since another leader may grant from now on."""
         self._buckets = {}
@@ -210,14 +199,14 @@
         )
         reserved_share = silent_share * FALLBACK_SHARE
         rate = customer.rate_per_s * max(0.0, 1.0 - reserved_share)
-        burst = self._policy.bucket_size(customer, self._gateways)
-        bucket.refill(rate, burst, now)
+        size = self._policy.bucket_size(customer)
+        bucket.refill(rate, size, now)
         granted = 0.0
         if bucket.level > 0:
             granted = min(needed, bucket.level + self._max_debt)
         bucket.level -= granted
         remaining = bucket.level - prefetch
-        if remaining >= PREFETCH_MIN_LEVEL_SHARE * burst:
+        if remaining >= PREFETCH_MIN_LEVEL_SHARE * size:
             bucket.level = remaining
             granted += prefetch
         return granted
@@ -226,8 +215,8 @@
 class LimitPool:
     """A control process's part in a large fleet: grants out of a reserve.
 
-    The reserve was taken from the leader's bucket, so it may be spent
-    whether or not the leader can be reached.
+    The reserve was granted in advance, so it may be spent whether or not the
+    leader can be reached.
     """
 
     __slots__ = ("_balances", "_customers", "_policy", "_size", "_unmet")
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -271,6 +271,21 @@
     run_scenario(tmp_path, scenario, *workers)
 
 
+@pytest.mark.parametrize("pause_s", [0.0, 2.0])
+def test_endpoint_that_announces_itself_is_used_after_a_pause(
+    tmp_path, pause_s
+):
+    """A scenario that takes long must not make its endpoints silent."""
+    endpoint = worker("p1", "app")
+
+    async def scenario(platform: Platform) -> None:
+        await anyio.sleep(pause_s)
+        reply = await platform.send_request("/read/a", method="GET", body=b"")
+        assert reply.status == 200
+
+    run_scenario(tmp_path, scenario, endpoint)
+
+
 def test_broken_announcements_name_no_endpoint(tmp_path):
     endpoint = worker("p1", "app")
 
