Let entries and stand-ins stop again

Cause: the server loop without wake-ups (Bound replies without end) never looked at should_exit, by which entries and stand-ins stop: they hung until killed. Change: only servers that are stopped by cancellation have that loop.

--- a/chervilshift/httpserver.py
+++ b/chervilshift/httpserver.py
@@ -23,12 +23,15 @@
         """Leave signal handling to the process."""
         yield
 
-    async def main_loop(self) -> None:
-        """Serve until cancelled.
 
-        The loop of the base class wakes up ten times a second for a date
-        header and for flags that are not used here.
-        """
+class _CancelledServer(HttpServer):
+    """A server that only cancellation stops, not `should_exit`.
+
+    Its loop does not wake up ten times a second to look at that flag.
+    """
+
+    async def main_loop(self) -> None:
+        """Serve until cancelled."""
         await self.on_tick(0)
         await anyio.sleep_forever()
 
@@ -76,7 +79,7 @@
         timeout_keep_alive=idle_timeout_s,
         timeout_graceful_shutdown=GRACEFUL_SHUTDOWN_TIMEOUT_S,
     )
-    server = HttpServer(cfg)
+    server = _CancelledServer(cfg)
     with listen_on(host, port) as sock:
         try:
             async with anyio.create_task_group() as tg:
