Ask for grants beside the reports, and hold more of them near the gateways

A request for a grant waited for the relay in flight, and for its own; with 191 gateways the reserve near them was 1.7% of a burst and the tolerance. Change: requests for grants are relays of their own, which carry nothing else, may overlap, and are collected for 15 ms; what was asked for is not asked again. The control processes of a large fleet hold half of each burst again. A request waits for its limit up to 35 in 100 of its objective (25 before).

--- a/chervilshift/control/fleet.py
+++ b/chervilshift/control/fleet.py
@@ -61,7 +61,7 @@
 # Interval in which silent gateways and endpoints are looked for.
 SWEEP_INTERVAL_S = 0.25
 # How long the reply to a gateway waits for grants of the leader.
-GRANT_TIMEOUT_S = 0.25
+GRANT_TIMEOUT_S = 0.2
 # Ages in messages are finite.
 MAX_AGE_S = 1e9
 # An endpoint is marked silent after this many announcement intervals without
@@ -282,7 +282,7 @@
             )
         self._observe_wall_time(message.gateway.id, message.wall_s)
         if self._distributor.needs_leader(message):
-            await self.relay.flush(GRANT_TIMEOUT_S)
+            await self.relay.request_grants(GRANT_TIMEOUT_S)
         return self._reply(message)
 
     def _reply(self, message: GatewaySync) -> SyncReply:
@@ -354,20 +354,25 @@
             self._clock.monotonic(),
         )
 
-    def _make_relay(self) -> Relay:
-        beats, self._unforwarded_heartbeats = self._unforwarded_heartbeats, {}
+    def _make_relay(self, grants_only: bool) -> Relay:
+        beats = {}
+        if not grants_only:
+            beats = self._unforwarded_heartbeats
+            self._unforwarded_heartbeats = {}
         return self._distributor.make_relay(
             self._clock.monotonic(),
             beats.values(),
             self._clock.utcnow().timestamp(),
+            grants_only=grants_only,
         )
 
     def _apply_relay_reply(
-        self, relay: Relay, reply: RelayReply, sent_at: float
+        self, relay: Relay, reply: RelayReply | None, sent_at: float
     ) -> None:
         now = self._clock.monotonic()
-        wall_s = self._clock.utcnow().timestamp()
-        self._leader_time.observe("leader", reply.wall_s, wall_s, now)
+        if reply is not None:
+            wall_s = self._clock.utcnow().timestamp()
+            self._leader_time.observe("leader", reply.wall_s, wall_s, now)
         self._distributor.apply_relay_reply(relay, reply, sent_at, now)
 
     def answer_read(self) -> ServingDocument:
--- a/chervilshift/control/relay.py
+++ b/chervilshift/control/relay.py
@@ -4,6 +4,7 @@
 
 import anyio
 from absl import logging
+from anyio.abc import TaskGroup
 from returns.result import Failure as Bad
 
 from chervilshift.clock import Clock
@@ -13,8 +14,8 @@
 
 __all__ = ["LeaderRelay"]
 
-# Two relays are at least this far apart, also those that gateways wait for.
-MIN_RELAY_INTERVAL_S = 0.03
+# A request for grants waits this long for others to go with it.
+COALESCE_S = 0.015
 RELAY_TIMEOUT_S = 0.8
 RETRY_INTERVAL_S = 0.1
 
@@ -23,15 +24,16 @@
     """Sends relays while this process is a follower.
 
     `leader` returns the address to send to, empty if there is none, `make`
-    the next relay, and `apply` takes the reply and when the relay was sent.
+    the next relay, which only asks for grants if its argument is true, and
+    `apply` takes the reply, None without one, and when the relay was sent.
     """
 
     def __init__(
         self,
         *,
         leader: Callable[[], str],
-        make: Callable[[], Relay],
-        apply: Callable[[Relay, RelayReply, float], None],
+        make: Callable[[bool], Relay],
+        apply: Callable[[Relay, RelayReply | None, float], None],
         clients: Clients,
         clock: Clock,
     ):
@@ -40,45 +42,50 @@
         self._apply = apply
         self._clients = clients
         self._clock = clock
-        self._wanted = anyio.Event()
-        self._started = 0
-        self._finished = 0
-        self._round_ended = anyio.Event()
+        self._tg: TaskGroup | None = None
+        # Set when the request for grants that has not been sent yet is done.
+        self._next_granted: anyio.Event | None = None
 
-    async def flush(self, timeout_s: float) -> None:
-        """Relay soon; return after a relay that began after this call."""
-        awaited = self._started + 1
-        self._wanted.set()
+    async def request_grants(self, timeout_s: float) -> None:
+        """Ask for grants soon; return when the leader has replied."""
+        if self._tg is None or not self._leader():
+            return
+        if self._next_granted is None:
+            self._next_granted = anyio.Event()
+            self._tg.start_soon(self._relay_for_grants, self._next_granted)
+        granted = self._next_granted
         with anyio.move_on_after(timeout_s):
-            while self._finished < awaited:
-                await self._round_ended.wait()
+            await granted.wait()
 
     async def run(self) -> None:
-        """Relay periodically until cancelled."""
-        while True:
-            await anyio.sleep(MIN_RELAY_INTERVAL_S)
-            with anyio.move_on_after(RELAY_INTERVAL_S - MIN_RELAY_INTERVAL_S):
-                await self._wanted.wait()
-            self._wanted = anyio.Event()
-            leader = self._leader()
-            if leader and not await self._relay_to(leader):
-                await anyio.sleep(RETRY_INTERVAL_S)
+        """Relay reports periodically until cancelled."""
+        async with anyio.create_task_group() as tg:
+            self._tg = tg
+            while True:
+                await anyio.sleep(RELAY_INTERVAL_S)
+                if not await self._relay(grants_only=False):
+                    await anyio.sleep(RETRY_INTERVAL_S)
 
-    async def _relay_to(self, leader: str) -> bool:
-        self._started += 1
-        relay = self._make()
+    async def _relay_for_grants(self, granted: anyio.Event) -> None:
+        await anyio.sleep(COALESCE_S)
+        self._next_granted = None
+        await self._relay(grants_only=True)
+        granted.set()
+
+    async def _relay(self, *, grants_only: bool) -> bool:
+        leader = self._leader()
+        if not leader:
+            return False
+        relay = self._make(grants_only)
         sent_at = self._clock.monotonic()
-        reply = await self._clients.at(leader).call(relay, RELAY_TIMEOUT_S)
-        failed = isinstance(reply, Bad)
-        if failed:
+        result = await self._clients.at(leader).call(relay, RELAY_TIMEOUT_S)
+        if isinstance(result, Bad):
             logging.info(
                 "relay of %d reports to the leader failed: %s",
                 len(relay.reports),
-                reply.failure(),
+                result.failure(),
             )
-        else:
-            self._apply(relay, reply.unwrap(), sent_at)
-        self._finished = self._started
-        self._round_ended.set()
-        self._round_ended = anyio.Event()
-        return not failed
+            self._apply(relay, None, sent_at)
+            return False
+        self._apply(relay, result.unwrap(), sent_at)
+        return True
--- a/chervilshift/core/fleet/distribution.py
+++ b/chervilshift/core/fleet/distribution.py
@@ -256,9 +256,21 @@
     # Follower
 
     def make_relay(
-        self, now: float, beats: Iterable[Heartbeat] = (), wall_s: float = 0.0
+        self,
+        now: float,
+        beats: Iterable[Heartbeat] = (),
+        wall_s: float = 0.0,
+        *,
+        grants_only: bool = False,
     ) -> Relay:
         """Return what the leader does not have yet."""
+        if grants_only:
+            return Relay(
+                sender=self._info,
+                grants_only=True,
+                needed=self._pool.ask(),
+                wall_s=wall_s,
+            )
         reports, unchanged = [], []
         for gateway_id in self._served:
             sync = self.presence.report(gateway_id)
@@ -279,7 +291,7 @@
                 for sync in reports[:MAX_RELAYED_REPORTS]
             ),
             unchanged=tuple(unchanged),
-            needed=self._pool.needed(),
+            needed=self._pool.ask(),
             prefetch=self._pool.prefetch(),
             loads_source=self._leader.source,
             loads_cursor=self._leader.loads_cursor,
@@ -289,10 +301,21 @@
         )
 
     def apply_relay_reply(
-        self, relay: Relay, reply: RelayReply, sent_at: float, now: float
+        self,
+        relay: Relay,
+        reply: RelayReply | None,
+        sent_at: float,
+        now: float,
     ) -> None:
-        """Take over the leader's reply to a relay sent at `sent_at`."""
+        """Take over the reply to a relay sent at `sent_at`, None without."""
+        self._pool.answered(relay.needed)
+        if reply is None:
+            return
+        self._pool.add(reply.grants)
         leader = self._leader
+        leader.waits_until = {n: now + s for n, s in reply.waits.items()}
+        if relay.grants_only:
+            return
         if reply.loads.source != leader.source:
             # Another leader: it gets all reports with the next relay.
             self._relayed = {}
@@ -325,9 +348,7 @@
         leader.gateways_cursor = reply.gateways.cursor
         leader.heard_at = sent_at
         leader.granting = reply.granting
-        leader.waits_until = {n: now + s for n, s in reply.waits.items()}
         leader.controls = reply.controls
-        self._pool.add(reply.grants)
 
     # Leader
 
@@ -335,6 +356,9 @@
         self, relay: Relay, voters: Iterable[str], now: float
     ) -> RelayReply:
         """Record a follower's relay and return the reply to it."""
+        if relay.grants_only:
+            grants, waits = self._grant(relay.needed, {}, now)
+            return RelayReply(grants=grants, waits=waits)
         self._controls[relay.sender.address] = (relay.sender, now)
         for sync in relay.reports:
             self.presence.observe(sync, now)
@@ -386,6 +410,7 @@
         self, needed: dict[str, float], prefetch: dict[str, float], now: float
     ) -> tuple[dict[str, float], dict[str, float]]:
         """Return grants, and the waits of exhausted limits."""
+        self._allocator.set_gateway_count(self._gateway_count)
         grants = self._allocator.grant(
             self._customers, needed, prefetch, self._silent_share, now
         )
--- a/chervilshift/core/fleet/limits.py
+++ b/chervilshift/core/fleet/limits.py
@@ -28,6 +28,9 @@
 # a large fleet the part that pools hold instead of gateways.
 PREFETCH_SHARE = 0.25
 POOLED_PREFETCH_SHARE = 0.6
+# Part of a burst that the pools of a large fleet hold instead of the leader's
+# bucket, so that few requests wait for the leader.
+POOLED_BURST_SHARE = 0.5
 # What the leader's bucket holds beyond the burst: customers send in clumps,
 # and the operator's bound is on a window, not on a moment.
 EXTRA_BURST_SHARE = 0.3
@@ -74,12 +77,15 @@
         if not is_relayed(gateways):
             return 0.0
         share = PREFETCH_SHARE * POOLED_PREFETCH_SHARE
-        return share * self._tolerated_overshoot(customer) / max(1, replicas)
+        pooled = share * self._tolerated_overshoot(customer)
+        pooled += POOLED_BURST_SHARE * customer.burst
+        return pooled / max(1, replicas)
 
-    def bucket_size(self, customer: Customer) -> float:
+    def bucket_size(self, customer: Customer, gateways: int = 1) -> float:
         """Return the capacity of the leader's bucket."""
+        share = 1 - POOLED_BURST_SHARE if is_relayed(gateways) else 1.0
         extra = EXTRA_BURST_SHARE * self._tolerated_overshoot(customer)
-        return customer.burst + extra
+        return share * customer.burst + extra
 
     def small_request_cap(self, customer: Customer, gateways: int) -> float:
         """Return what one gateway may spend on small requests in a window."""
@@ -116,6 +122,7 @@
 
     __slots__ = (
         "_buckets",
+        "_gateways",
         "_leader_since",
         "_max_debt",
         "_policy",
@@ -123,10 +130,15 @@
 
     def __init__(self, *, policy: LimitPolicy):
         self._policy = policy
+        self._gateways = 1
         self._max_debt = DEBT_SHARE * policy.slack
         self._buckets: dict[str, _Bucket] = {}
         self._leader_since: float | None = None
 
+    def set_gateway_count(self, count: int) -> None:
+        """Set the number of gateways that share the limits."""
+        self._gateways = max(1, count)
+
     def step_down(self) -> None:
         """Drop the buckets, since another leader may grant from now on."""
         self._buckets = {}
@@ -199,7 +211,7 @@
         )
         reserved_share = silent_share * FALLBACK_SHARE
         rate = customer.rate_per_s * max(0.0, 1.0 - reserved_share)
-        size = self._policy.bucket_size(customer)
+        size = self._policy.bucket_size(customer, self._gateways)
         bucket.refill(rate, size, now)
         granted = 0.0
         if bucket.level > 0:
@@ -219,7 +231,14 @@
     leader can be reached.
     """
 
-    __slots__ = ("_balances", "_customers", "_policy", "_size", "_unmet")
+    __slots__ = (
+        "_asked",
+        "_balances",
+        "_customers",
+        "_policy",
+        "_size",
+        "_unmet",
+    )
 
     def __init__(self, *, policy: LimitPolicy):
         self._policy = policy
@@ -227,6 +246,8 @@
         # Numbers of gateways and of control processes.
         self._size = (1, 1)
         self._balances: dict[str, float] = {}
+        # What the leader was asked for and has not replied to.
+        self._asked: dict[str, float] = {}
         # What gateways wait for, by gateway id and customer.
         self._unmet: dict[str, dict[str, float]] = {}
 
@@ -281,14 +302,31 @@
         """Forget what a gateway waits for."""
         self._unmet.pop(gateway_id, None)
 
+    def ask(self) -> dict[str, float]:
+        """Return what to ask the leader for, until `answered`."""
+        needed = self.needed()
+        for name, amount in needed.items():
+            self._asked[name] = self._asked.get(name, 0.0) + amount
+        return needed
+
+    def answered(self, asked: dict[str, float]) -> None:
+        """Note that the leader has replied, or that no reply will come."""
+        for name, amount in asked.items():
+            self._asked[name] = self._asked.get(name, 0.0) - amount
+
     def needed(self) -> dict[str, float]:
-        """Return what the gateways wait for beyond the reserve."""
+        """Return what gateways wait for beyond the reserve and requests."""
         wanted: dict[str, float] = {}
         for unmet in self._unmet.values():
             for name, amount in unmet.items():
                 wanted[name] = wanted.get(name, 0.0) + amount
         lacking = (
-            (name, amount - self._balances.get(name, 0.0))
+            (
+                name,
+                amount
+                - self._balances.get(name, 0.0)
+                - self._asked.get(name, 0.0),
+            )
             for name, amount in wanted.items()
         )
         return {name: amount for name, amount in lacking if amount > 0}
--- a/chervilshift/core/fleet/sync.py
+++ b/chervilshift/core/fleet/sync.py
@@ -159,10 +159,12 @@
     before, `unchanged` the id, incarnation and newest `seq` of gateways whose
     report is the same. `needed` and `prefetch` are the sums that the follower
     asks for on behalf of its gateways. The cursors are those of the last
-    reply. `beats` are the heartbeats of endpoints.
+    reply. `beats` are the heartbeats of endpoints. With `grants_only` the rest
+    is empty, and the reply has nothing but grants.
     """
 
     sender: ControlInfo
+    grants_only: bool = False
     reports: tuple[GatewaySync, ...] = ()
     unchanged: tuple[tuple[str, str, int], ...] = ()
     needed: dict[str, float] = {}
@@ -180,8 +182,8 @@
     `unknown` are the ids of unchanged reports that the leader does not have.
     """
 
-    loads: LoadsDelta
-    gateways: GatewaysDelta
+    loads: LoadsDelta = LoadsDelta(source="", cursor=0)
+    gateways: GatewaysDelta = GatewaysDelta(source="", cursor=0)
     controls: tuple[ControlInfo, ...] = ()
     unknown: tuple[str, ...] = ()
     granting: bool = False
--- a/chervilshift/gateway/admission.py
+++ b/chervilshift/gateway/admission.py
@@ -12,7 +12,7 @@
 # A request waits at most this share of its route's objective for a grant:
 # enough for a round trip to a leader in another region. A later refusal would
 # leave too little time for the client's retry.
-MAX_LIMIT_WAIT_SHARE = 0.25
+MAX_LIMIT_WAIT_SHARE = 0.35
 # Without a reply of the leader for this long, the limit is tried again: the
 # fallback share is refilled locally.
 GRANT_TIMEOUT_S = 0.15
