Tell unchanged reports by the number that they equal

Found by reading: a gateway that moved to another control process, changed, and moved back as it was before counted as unchanged, and the leader kept the load in between. Needs of a gateway that had ended were asked for on and on, and a gateway with an interval of 2 s was not counted as served. A test for each, which failed first.

--- a/chervilshift/core/fleet/distribution.py
+++ b/chervilshift/core/fleet/distribution.py
@@ -35,6 +35,7 @@
     LoadsDelta,
     Relay,
     RelayReply,
+    Unchanged,
 )
 
 __all__ = ["Distributor", "GatewayNews"]
@@ -166,11 +167,12 @@
     def sweep(self, now: float) -> None:
         """Drop what is no longer reported."""
         self.presence.sweep(now)
-        self._served = {
-            gateway_id: at
-            for gateway_id, at in self._served.items()
-            if now - at < load_expiry_s(0.0)
-        }
+        for gateway_id, at in tuple(self._served.items()):
+            sync = self.presence.report(gateway_id)
+            if sync is None or now - at > load_expiry_s(sync.interval_s):
+                del self._served[gateway_id]
+                self._relayed.pop(gateway_id, None)
+                self._pool.drop(gateway_id)
         self._controls = {
             address: (info, at)
             for address, (info, at) in self._controls.items()
@@ -280,8 +282,14 @@
             if relayed is not None and relayed.seq >= sync.seq:
                 continue
             if relayed is not None and _same_content(relayed, sync):
-                incarnation = sync.gateway.incarnation
-                unchanged.append((gateway_id, incarnation, sync.seq))
+                unchanged.append(
+                    Unchanged(
+                        gateway=gateway_id,
+                        incarnation=sync.gateway.incarnation,
+                        relayed_seq=relayed.seq,
+                        seq=sync.seq,
+                    )
+                )
             else:
                 reports.append(sync)
         return Relay(
@@ -322,11 +330,11 @@
             leader.source = reply.loads.source
         for sync in relay.reports:
             self._relayed[sync.gateway.id] = sync
-        for gateway_id, _, seq in relay.unchanged:
-            held = self._relayed.get(gateway_id)
+        for same in relay.unchanged:
+            held = self._relayed.get(same.gateway)
             if held is not None:
-                self._relayed[gateway_id] = msgspec.structs.replace(
-                    held, seq=seq
+                self._relayed[same.gateway] = msgspec.structs.replace(
+                    held, seq=same.seq
                 )
         for gateway_id in reply.unknown:
             self._relayed.pop(gateway_id, None)
@@ -363,9 +371,9 @@
         for sync in relay.reports:
             self.presence.observe(sync, now)
         unknown = tuple(
-            gateway_id
-            for gateway_id, incarnation, seq in relay.unchanged
-            if not self.presence.confirm(gateway_id, incarnation, seq, now)
+            same.gateway
+            for same in relay.unchanged
+            if not self.presence.confirm(same, now)
         )
         grants, waits = self._grant(relay.needed, relay.prefetch, now)
         is_known = relay.loads_source == self._source
--- a/chervilshift/core/fleet/presence.py
+++ b/chervilshift/core/fleet/presence.py
@@ -8,6 +8,8 @@
 from collections import Counter
 from collections.abc import Iterable
 
+import msgspec
+
 from chervilshift.core.fleet.changes import ChangeTable
 from chervilshift.core.fleet.intervals import (
     is_relayed,
@@ -19,6 +21,7 @@
     EndpointLoad,
     GatewayInfo,
     GatewaySync,
+    Unchanged,
 )
 
 __all__ = ["Presence"]
@@ -108,16 +111,21 @@
         self.listing.set(gateway.id, gateway if gateway.ready else None)
         return True
 
-    def confirm(
-        self, gateway_id: str, incarnation: str, seq: int, now: float
-    ) -> bool:
-        """Record that a report has not changed; False if it is not known."""
-        report = self._reports.get(gateway_id)
-        if report is None or report.sync.gateway.incarnation != incarnation:
+    def confirm(self, same: Unchanged, now: float) -> bool:
+        """Record that a report has not changed; False if it is not known.
+
+        It is not known if another one came in between by another way.
+        """
+        report = self._reports.get(same.gateway)
+        if (
+            report is None
+            or report.sync.gateway.incarnation != same.incarnation
+            or report.sync.seq != same.relayed_seq
+        ):
             return False
-        if seq >= report.sync.seq:
-            report.heard_at = now
-            self._count(report, self._plausible(report.sync.loads))
+        report.sync = msgspec.structs.replace(report.sync, seq=same.seq)
+        report.heard_at = now
+        self._count(report, self._plausible(report.sync.loads))
         return True
 
     def sweep(self, now: float) -> None:
--- a/chervilshift/core/fleet/sync.py
+++ b/chervilshift/core/fleet/sync.py
@@ -16,6 +16,7 @@
     "RelayReply",
     "ServingDocument",
     "SyncReply",
+    "Unchanged",
 ]
 
 
@@ -152,21 +153,32 @@
     born_ms: int
 
 
+class Unchanged(Message, tag=False, array_like=True):
+    """A report that equals the one relayed before but for its number.
+
+    `relayed_seq` is the number of that one, `seq` the newest.
+    """
+
+    gateway: str
+    incarnation: str
+    relayed_seq: int
+    seq: int
+
+
 class Relay(Message):
     """What a follower passes on to the leader.
 
     `reports` are the gateways' reports that differ from those relayed
-    before, `unchanged` the id, incarnation and newest `seq` of gateways whose
-    report is the same. `needed` and `prefetch` are the sums that the follower
-    asks for on behalf of its gateways. The cursors are those of the last
-    reply. `beats` are the heartbeats of endpoints. With `grants_only` the rest
-    is empty, and the reply has nothing but grants.
+    before, `unchanged` names the others. `needed` and `prefetch` are the sums
+    that the follower asks for on behalf of its gateways. The cursors are those
+    of the last reply. `beats` are the heartbeats of endpoints. With
+    `grants_only` the rest is empty, and the reply has nothing but grants.
     """
 
     sender: ControlInfo
     grants_only: bool = False
     reports: tuple[GatewaySync, ...] = ()
-    unchanged: tuple[tuple[str, str, int], ...] = ()
+    unchanged: tuple[Unchanged, ...] = ()
     needed: dict[str, float] = {}
     prefetch: dict[str, float] = {}
     loads_source: str = ""
--- a/tests/core/fleet/test_distribution.py
+++ b/tests/core/fleet/test_distribution.py
@@ -270,6 +270,51 @@
         assert_all_know_the_loads(world)
 
 
+def test_report_that_is_as_it_was_before_a_move_is_not_taken_for_unchanged():
+    """A gateway moves away, changes, moves back, and is as it was."""
+    world = World(60)
+    world.run(3.0)
+    gateway = world.gateways[0]
+    first = world.controls["c1"].core
+    second = world.controls["c2"].core
+
+    def report(core: Distributor, active: int, address: str) -> None:
+        gateway.loads = {"e1": EndpointLoad(active=active)}
+        core.observe(gateway.request(), world.now)
+        world.relay(address)
+
+    report(first, 1, "c1")
+    report(second, 5, "c2")
+    report(first, 1, "c1")
+    report(first, 1, "c1")
+    leader = world.controls["c0"].core.presence
+    assert leader.load_sums.get("e1").active == 1
+
+
+def test_needs_of_a_gateway_that_ended_are_forgotten():
+    world = World(60, rate=36_000.0)
+    world.run(3.0)
+    follower = world.controls["c1"]
+    world.gateways[0].account.add_waiting("acme", 1_000_000.0)
+    message = world.gateways[0].request()
+    follower.core.observe(message, world.now)
+    assert follower.core.needs_leader(message)
+    world.gateways[0].alive = False
+    world.run(5.0)
+    assert not follower.core.make_relay(world.now, grants_only=True).needed
+
+
+def test_gateways_with_long_intervals_stay_served():
+    world = World(8)
+    core = world.controls["c1"].core
+    gateway = world.gateways[0]
+    gateway.interval_s = 2.0
+    for step in range(4):
+        core.observe(gateway.request(), 2.5 * step)
+        core.sweep(2.5 * step + 2.4)
+        assert core.served_count == 1
+
+
 def test_gateways_find_another_control_process_when_half_of_control_is_gone():
     world = World(300)
     world.run(3.0)
