Let a found fleet announce itself before the first orders

Change: the first leader waits 2.5 s, in which every endpoint announces itself twice. Ruled out: limits (one refusal in the seconds in question, 220 before grants were asked for beside the reports).

--- a/chervilshift/control/duties.py
+++ b/chervilshift/control/duties.py
@@ -57,6 +57,9 @@
 
 # The term of the first leader of a new cluster.
 FIRST_TERM = 1
+# Time in which the endpoints of an existing fleet announce themselves to a new
+# cluster; orders for those known before would shrink the fleet.
+FLEET_SETTLE_S = 2.5
 
 
 class Cloud(Protocol):
@@ -192,10 +195,11 @@
         if self._leading_since is None:
             self._leading_since = now
             self._events.emit("duty_lease", term=self._node.raft.term)
+        wait_s = self._lease_s + CLOUD_CALL_TIMEOUT_S
         if self._node.raft.term == FIRST_TERM:
             # There was no leader before.
-            return True
-        return now - self._leading_since > self._lease_s + CLOUD_CALL_TIMEOUT_S
+            wait_s = min(wait_s, FLEET_SETTLE_S)
+        return now - self._leading_since > wait_s
 
     async def _report_usage(self) -> None:
         first_unsettled = window_of(
