Don't hurry syncs while no control process knows a leader

Change: such syncs are 0.1 s apart; control_chosen is logged for a process that knows a leader only, and control_lost once. Result: a test that counts the calls.

--- a/chervilshift/gateway/sync.py
+++ b/chervilshift/gateway/sync.py
@@ -25,6 +25,9 @@
 # A control process that has not heard of the leader for longer is replaced by
 # another one.
 MAX_LEADER_AGE_S = 1.0
+# Interval of syncs while no control process has heard of a leader. Requests
+# that wait for grants don't shorten it: there is nobody to give them.
+NO_LEADER_INTERVAL_S = 0.1
 
 
 class ControlSync:
@@ -48,7 +51,7 @@
         self._clients = clients
         self._clock = clock
         self._events = events
-        # The control process that replied last.
+        # The control process in use, empty while none knows a leader.
         self._address = ""
         self._failures = 0
         self._refresh_wanted = anyio.Event()
@@ -125,22 +128,33 @@
             self._failures += 1
             return False
         reply: SyncReply = result.unwrap()
-        if address != self._address:
-            self._events.emit(
-                "control_chosen",
-                address=address,
-                previous=self._address,
-                failed_syncs=self._failures,
-                leader=reply.leader,
-                leader_age_s=round(reply.leader_age_s, 3),
-                gateways=reply.gateways,
-                interval_s=round(reply.interval_s, 3),
-            )
-            self._address, self._failures = address, 0
         self._state.apply_reply(reply)
         self._chooser.update(reply.controls, reply.leader, reply.gateways)
-        if reply.leader_age_s > MAX_LEADER_AGE_S:
+        self._log_choice(address, reply)
+        if not _knows_leader(reply):
             self._chooser.set_aside(address, now)
+            await anyio.sleep(NO_LEADER_INTERVAL_S)
         self._replied.set()
         self._replied = anyio.Event()
         return True
+
+    def _log_choice(self, address: str, reply: SyncReply) -> None:
+        """Log a change of the control process, and the loss of all."""
+        chosen = address if _knows_leader(reply) else ""
+        if chosen == self._address:
+            return
+        self._events.emit(
+            "control_chosen" if chosen else "control_lost",
+            address=address,
+            previous=self._address,
+            failed_syncs=self._failures,
+            leader=reply.leader,
+            leader_age_s=round(reply.leader_age_s, 3),
+            gateways=reply.gateways,
+            interval_s=round(reply.interval_s, 3),
+        )
+        self._address, self._failures = chosen, 0
+
+
+def _knows_leader(reply: SyncReply) -> bool:
+    return reply.leader_age_s <= MAX_LEADER_AGE_S
--- a/tests/gateway/test_sync.py
+++ b/tests/gateway/test_sync.py
@@ -77,8 +77,11 @@
     return SyncReply(**(fields | changes))
 
 
-def play(behave, seconds: float, seeds=("a:1",)):
-    """Sync for some time; return the asked addresses and the state."""
+def play(behave, seconds: float, seeds=("a:1",), *, refresh=False):
+    """Sync for some time; return the asked addresses and the state.
+
+    With `refresh` a request waits for each reply and for the next.
+    """
     clients, state = RecordingClients(behave), StubState()
     chooser = ControlChooser(
         gateway_id="g", failure_domain="near", region="here", seeds=seeds
@@ -92,8 +95,15 @@
     )
 
     async def run() -> None:
+        async def keep_refreshing() -> None:
+            while True:
+                await sync.refresh()
+
         with anyio.move_on_after(seconds):
-            await sync.run()
+            async with anyio.create_task_group() as tg:
+                if refresh:
+                    tg.start_soon(keep_refreshing)
+                await sync.run()
 
     anyio.run(run)
     return clients.asked, state
@@ -138,6 +148,16 @@
     assert len(state.replies) > 3
 
 
+def test_waiting_requests_do_not_hurry_syncs_without_a_leader():
+    """After a power loss each gateway asked 25 times a second in vain."""
+
+    def behave(address: str) -> SyncReply:
+        return reply(leader_age_s=1e9, leader="")
+
+    asked, _ = play(behave, 1.0, refresh=True)
+    assert len(asked) <= 12
+
+
 def test_control_process_that_lost_the_leader_is_replaced():
     asked, _ = play(
         lambda a: reply(leader_age_s=5.0 if a == "b:1" else 0.1), 0.6
