--- a/chervilshift/core/fleet/distribution.py
+++ b/chervilshift/core/fleet/distribution.py
@@ -18,12 +18,9 @@
     load_expiry_s,
     report_interval_s,
 )
-from chervilshift.core.fleet.limits import (
-    LimitAllocator,
-    LimitPolicy,
-    LimitPool,
-)
+from chervilshift.core.fleet.limits import LimitAllocator, LimitPolicy
 from chervilshift.core.fleet.model import Customer
+from chervilshift.core.fleet.pool import LimitPool
 from chervilshift.core.fleet.presence import Presence
 from chervilshift.core.fleet.sync import (
     ControlInfo,
