--- a/chervilshift/core/fleet/scaling.py
+++ b/chervilshift/core/fleet/scaling.py
@@ -21,7 +21,8 @@
 
 __all__ = ["Fleet", "Order", "PeakSize", "needed_size", "plan_orders"]
 
-# Endpoints per failure domain at light load, since one may crash or slow down.
+# Endpoints per failure domain at light load; the others are the reserve if one
+# crashes or slows down.
 MIN_ENDPOINTS_PER_DOMAIN = 1
 # Part of what would be missing after the loss of a further domain that is
 # ordered on demand while spot endpoints are not to be had.
