--- a/chervilshift/control/fleet.py
+++ b/chervilshift/control/fleet.py
@@ -296,15 +296,13 @@
             endpoints = fleet.endpoints() if changed is None else changed
         newer = fleet.version > message.version
         return SyncReply(
-            led=self._node.has_lease(),
             leader=self._node.leader_address(),
             leader_age_s=min(news.leader_age_s, MAX_AGE_S),
             stale_s=self._node.stale_s(),
             version=fleet.version,
             revision=fleet.revision,
             gateways=news.gateways,
-            replicas=len(voters),
-            controls=self._distributor.controls_for(message, voters, now),
+            controls=self._distributor.controls_for(message, voters),
             document=fleet.document if newer else None,
             endpoints=endpoints,
             partial=changed is not None,
@@ -360,7 +358,6 @@
             beats = self._unforwarded_heartbeats
             self._unforwarded_heartbeats = {}
         return self._distributor.make_relay(
-            self._clock.monotonic(),
             beats.values(),
             self._clock.utcnow().timestamp(),
             grants_only=grants_only,
--- a/chervilshift/core/fleet/distribution.py
+++ b/chervilshift/core/fleet/distribution.py
@@ -235,9 +235,7 @@
         listed = self._listing.items() | own
         return tuple(g for g in listed.values() if not self._has_left(g))
 
-    def controls(
-        self, voters: Iterable[str], now: float
-    ) -> tuple[ControlInfo, ...]:
+    def controls(self, voters: Iterable[str]) -> tuple[ControlInfo, ...]:
         """Return the control replicas at `voters`, with places if known."""
         known = {info.address: info for info in self._leader.controls}
         if self._leads:
@@ -246,17 +244,16 @@
         return tuple(known.get(a) or ControlInfo(address=a) for a in voters)
 
     def controls_for(
-        self, sync: GatewaySync, voters: Iterable[str], now: float
+        self, sync: GatewaySync, voters: Iterable[str]
     ) -> tuple[ControlInfo, ...]:
         """Return the control replicas, or nothing if the gateway has them."""
-        controls = self.controls(voters, now)
+        controls = self.controls(voters)
         return () if controls_digest(controls) == sync.controls else controls
 
     # Follower
 
     def make_relay(
         self,
-        now: float,
         beats: Iterable[Heartbeat] = (),
         wall_s: float = 0.0,
         *,
@@ -387,7 +384,7 @@
                 full=gateways.full,
                 gateways=gateways.values,
             ),
-            controls=self.controls(voters, now),
+            controls=self.controls(voters),
             unknown=unknown,
             granting=self._allocator.is_granting(now),
             grants=grants,
--- a/chervilshift/core/fleet/presence.py
+++ b/chervilshift/core/fleet/presence.py
@@ -158,10 +158,6 @@
         report = self._reports.get(gateway_id)
         return report.heard_at if report else float("-inf")
 
-    def reports_since(self, since: float) -> list[GatewaySync]:
-        """Return the newest reports that arrived at `since` or later."""
-        return [r.sync for r in self._reports.values() if r.heard_at >= since]
-
     def listed_gateways(self, now: float) -> tuple[GatewayInfo, ...]:
         """Return the gateways that clients may connect to."""
         return tuple(
--- a/chervilshift/core/fleet/sync.py
+++ b/chervilshift/core/fleet/sync.py
@@ -110,22 +110,20 @@
 class SyncReply(Message):
     """Reply of a control process to one gateway's `GatewaySync`.
 
-    `led` is true if the sender is the leader, `leader` the leader's RPC
-    address, empty if unknown, and `leader_age_s` the time since the leader
-    had the state that the reply is made from. `document`, which is packed,
-    and `endpoints` are None if the gateway has the current ones; with
-    `partial` the endpoints are those that have changed since the gateway's
-    revision. `controls` is empty if the gateway knows the control processes.
+    `leader` is the leader's RPC address, empty if unknown, and `leader_age_s`
+    the time since the leader had the state that the reply is made from, 0 from
+    the leader itself. `document`, which is packed, and `endpoints` are None
+    if the gateway has the current ones; with `partial` the endpoints are those
+    that have changed since the gateway's revision. `controls` is empty if the
+    gateway knows the control processes.
     `loads` counts all gateways, this one as of its report `included_seq`.
     While `granting` is false, gateways continue with their fallback shares.
     `waits` is the seconds until an exhausted limit has room, by customer.
     `stale_s` is an upper bound on the age of the sender's replicated state,
     `wall_s` the Unix time that the sender's peers agree on, `gateways` the
-    number of known gateways, `replicas` that of control replicas and
-    `interval_s` the time until the next report.
+    number of known gateways and `interval_s` the time until the next report.
     """
 
-    led: bool
     leader: str
     stale_s: float
     version: int
@@ -133,7 +131,6 @@
     gateways: int
     loads: LoadsDelta
     leader_age_s: float = 0.0
-    replicas: int = 1
     controls: tuple[ControlInfo, ...] = ()
     document: bytes | None = None
     endpoints: tuple[EndpointRecord, ...] | None = None
--- a/tests/core/fleet/test_distribution.py
+++ b/tests/core/fleet/test_distribution.py
@@ -103,7 +103,7 @@
             world.relay(address)
         news = control.core.news(message, world.now)
         self.chooser.update(
-            control.core.controls_for(message, world.controls, world.now),
+            control.core.controls_for(message, world.controls),
             world.leader,
             news.gateways,
         )
@@ -177,7 +177,7 @@
         follower = self.controls[address].core
         leader = self.controls[self.leader]
         leader.update(leads=True)
-        message = follower.make_relay(self.now)
+        message = follower.make_relay()
         reply = leader.core.receive_relay(message, self.controls, self.now)
         follower.apply_relay_reply(message, reply, self.now, self.now)
 
@@ -301,7 +301,7 @@
     assert follower.core.needs_leader(message)
     world.gateways[0].alive = False
     world.run(5.0)
-    assert not follower.core.make_relay(world.now, grants_only=True).needed
+    assert not follower.core.make_relay(grants_only=True).needed
 
 
 def test_gateways_with_long_intervals_stay_served():
--- a/tests/gateway/test_sync.py
+++ b/tests/gateway/test_sync.py
@@ -62,7 +62,6 @@
 
 def reply(**changes) -> SyncReply:
     fields = {
-        "led": False,
         "leader": "a:1",
         "stale_s": 0.0,
         "version": 1,
