Keep limits and gateways while a leader's lease lapses for a moment

Found by reading the whole change. has_lease is false for a moment beside each save that falls together with a commit. The distribution took that for the loss of leadership: the buckets were dropped (no grants for 0.8 s, then a debt), and gateways were told that the leader had not been heard of, so they left it for 3 s. Before the change only the loss of leadership did that. Change: leadership decides on the state, the lease on grants; the age of the leader's news counts from when it last had the lease. The first report of a gateway no longer creates an entry before it is accepted.

--- a/chervilshift/control/fleet.py
+++ b/chervilshift/control/fleet.py
@@ -341,7 +341,8 @@
             self._node.machine.fleet.gateways,
             len(self._node.raft.log.voters),
             self._clock.monotonic(),
-            leads=self._node.has_lease(),
+            leads=self._node.raft.is_leader,
+            has_lease=self._node.has_lease(),
         )
 
     def _observe_wall_time(self, peer: str, peer_wall_s: float) -> None:
--- a/chervilshift/core/fleet/distribution.py
+++ b/chervilshift/core/fleet/distribution.py
@@ -136,6 +136,8 @@
         self._gateway_count = 0
         self._silent_share = 1.0
         self._leads = False
+        self._may_grant = False
+        self._lease_held_at = float("-inf")
 
     # Both roles
 
@@ -147,9 +149,12 @@
         now: float,
         *,
         leads: bool,
+        has_lease: bool = True,
     ) -> None:
-        """Take over the replicated state; `leads` with the leader's lease.
+        """Take over the replicated state.
 
+        A leader whose lease lapses for a moment, as while entries are being
+        saved, keeps its limits but does not grant.
         `recorded` are the ids of the gateways in the replicated state.
         """
         self._customers = tuple(customers)
@@ -157,6 +162,9 @@
         if self._leads and not leads:
             self._allocator.step_down()
         self._leads = leads
+        self._may_grant = leads and has_lease
+        if self._may_grant:
+            self._lease_held_at = now
         if now - self._counted_at >= COUNT_INTERVAL_S:
             self._recount(now)
         self._pool.configure(self._customers, self._gateway_count, replicas)
@@ -220,7 +228,9 @@
 
     def leader_age_s(self, now: float) -> float:
         """Return the seconds since the leader took a relay, 0 as leader."""
-        return 0.0 if self._leads else now - self._leader.heard_at
+        if self._leads:
+            return now - self._lease_held_at
+        return now - self._leader.heard_at
 
     def listed_gateways(self, now: float) -> tuple[GatewayInfo, ...]:
         """Return the gateways that clients may connect to.
@@ -398,8 +408,8 @@
                 self.presence.load_sums, sync.loads_source, sync.loads_cursor
             ),
             included_seq=sync.seq,
-            leader_age_s=0.0,
-            granting=self._allocator.is_granting(now),
+            leader_age_s=self.leader_age_s(now),
+            granting=self._may_grant and self._allocator.is_granting(now),
             grants=grants,
             waits=waits,
             gateways=self._gateway_count,
@@ -412,6 +422,8 @@
         self, needed: dict[str, float], prefetch: dict[str, float], now: float
     ) -> tuple[dict[str, float], dict[str, float]]:
         """Return grants, and the waits of exhausted limits."""
+        if not self._may_grant:
+            return {}, {}
         self._allocator.set_gateway_count(self._gateway_count)
         grants = self._allocator.grant(
             self._customers, needed, prefetch, self._silent_share, now
--- a/chervilshift/core/fleet/presence.py
+++ b/chervilshift/core/fleet/presence.py
@@ -88,14 +88,14 @@
         taken as none.
         """
         gateway = sync.gateway
-        report = self._reports.setdefault(gateway.id, _Report())
-        previous = report.sync
         ended_at = self._ended.get((gateway.id, gateway.incarnation))
         if (
             ended_at is not None
             and now - ended_at < ENDED_INCARNATION_MEMORY_S
         ):
             return False
+        report = self._reports.setdefault(gateway.id, _Report())
+        previous = report.sync
         if previous is not None:
             if previous.gateway.incarnation != gateway.incarnation:
                 ended = (gateway.id, previous.gateway.incarnation)
--- a/tests/core/fleet/test_distribution.py
+++ b/tests/core/fleet/test_distribution.py
@@ -304,6 +304,34 @@
     assert not follower.core.make_relay(grants_only=True).needed
 
 
+def test_leader_whose_lease_lapses_for_a_moment_keeps_limits_and_gateways():
+    """Each save beside a commit does that; grants stopped for 0.8 s."""
+    world = World(8, rate=36_000.0)
+    world.run(3.0)
+    core = world.controls["c0"].core
+
+    def news(*, has_lease: bool):
+        core.configure(
+            world.customers,
+            world.recorded,
+            9,
+            world.now,
+            leads=True,
+            has_lease=has_lease,
+        )
+        message = world.gateways[0].request()
+        core.observe(message, world.now)
+        return core.news(message, world.now)
+
+    assert news(has_lease=True).granting
+    world.now += 0.1
+    lapsed = news(has_lease=False)
+    assert not lapsed.granting
+    assert not lapsed.grants
+    assert lapsed.leader_age_s < 0.2
+    assert news(has_lease=True).granting
+
+
 def test_gateways_with_long_intervals_stay_served():
     world = World(8)
     core = world.controls["c1"].core
