Log requests that endpoints break off, with their prompt parts

The request lines name endpoints and reasons, but not what the requests had in common, so a part that crashes endpoints could not be told from overload or from retries. Each break is now one line (request_broken_off) with the shared parts, and whether the answer had not begun, and is counted.

--- a/chervilshift/errors.py
+++ b/chervilshift/errors.py
@@ -168,6 +168,11 @@
         """Whether the request may have reached the endpoint."""
         return bool(self.fields.get("sent", True))
 
+    @property
+    def broken(self) -> bool:
+        """Whether the endpoint broke off the reply or the connection."""
+        return bool(self.fields.get("broken", False))
+
 
 class StreamLost(Failure):
     """A stream could not be completed at any endpoint."""
--- a/chervilshift/gateway/dispatch.py
+++ b/chervilshift/gateway/dispatch.py
@@ -185,6 +185,8 @@
         reason = str(exc.fields.get("reason", ""))
         exchange.failures.append(f"{choice.endpoint.id}: {reason}")
         exchange.failed_ids.add(choice.endpoint.id)
+        if exc.broken:
+            self._outcomes.record_break(exchange, choice.endpoint)
         self._metrics.count("attempts_failed")
 
     async def _attempt(
--- a/chervilshift/gateway/exchange.py
+++ b/chervilshift/gateway/exchange.py
@@ -9,6 +9,9 @@
 
 # The least urgent priority that endpoints know; 0 is the most urgent.
 LEAST_URGENT_PRIORITY = 9
+# A part that crashes endpoints does so as the answer begins. A request whose
+# answer has gone on for this long is not to blame for a crash.
+BEGUN_AFTER_S = 0.1
 
 
 class Exchange:
@@ -21,7 +24,8 @@
     `failed_connects` the connections that could not be opened. `failed_ids`
     are the endpoints at which an attempt failed; `attempts` and `failures`
     describe the sent and the failed attempts for logs. `longest_gap_s` is the
-    longest pause between the events of a stream.
+    longest pause between the events of a stream. `shared_parts` are the ids
+    and positions of the prompt parts that other requests may have too.
     """
 
     __slots__ = (
@@ -44,6 +48,7 @@
         "request",
         "route",
         "service",
+        "shared_parts",
         "usage_counted",
         "work",
     )
@@ -73,6 +78,11 @@
             output_tokens=request.output_tokens or 0,
             parts=tuple((p.id, p.tokens) for p in request.prompt_parts),
         )
+        # The last part belongs to the request itself.
+        self.shared_parts = tuple(
+            (part.id, position)
+            for position, part in enumerate(request.prompt_parts[:-1])
+        )
         self.limit_cost = _limit_cost(request, customer)
         self.charged = False
         self.usage_counted = False
@@ -102,6 +112,15 @@
             )
         self.last_event_at = now
 
+    def is_suspect(self, now: float) -> bool:
+        """Whether the request may be why its endpoint crashed just now."""
+        return bool(self.shared_parts) and not self.has_begun(now)
+
+    def has_begun(self, now: float) -> bool:
+        """Whether the answer began long enough ago not to be suspect."""
+        first_at = self.first_event_at
+        return first_at is not None and now - first_at >= BEGUN_AFTER_S
+
     def is_late(self, now: float) -> bool:
         """Whether the reply missed its objective or paused too long.
 
--- a/chervilshift/gateway/outcomes.py
+++ b/chervilshift/gateway/outcomes.py
@@ -1,7 +1,7 @@
 """Reports how requests ended: counters, and log events for the bad ends."""
 
 from chervilshift.clock import Clock
-from chervilshift.core.fleet.placement import Choice
+from chervilshift.core.fleet.placement import Choice, Endpoint
 from chervilshift.events import EventLog
 from chervilshift.gateway.exchange import Exchange
 from chervilshift.gateway.state import GatewayState
@@ -69,6 +69,22 @@
             version=self._state.version,
         )
 
+    def record_break(self, exchange: Exchange, endpoint: Endpoint) -> None:
+        """Log that an endpoint broke off a request.
+
+        A suspect is a request that may be why the endpoint crashed.
+        """
+        self._metrics.count("requests_broken_off")
+        self._events.emit(
+            "request_broken_off",
+            urgent=True,
+            request=exchange.id,
+            endpoint=endpoint.id,
+            state=endpoint.record.state,
+            suspect=exchange.is_suspect(self._clock.monotonic()),
+            parts=[part for part, _ in exchange.shared_parts],
+        )
+
 
 def describe_choice(choice: Choice, elapsed_s: float) -> str:
     """Return why an attempt's endpoint was chosen, for logs.
--- a/chervilshift/gateway/upstream.py
+++ b/chervilshift/gateway/upstream.py
@@ -155,7 +155,7 @@
             with anyio.move_on_after(progress.head_s):
                 response = await self._conn.http.handle_async_request(request)
         except HTTP_ERRORS as exc:
-            raise self.failure(_describe(exc)) from exc
+            raise self._broken(exc) from exc
         if response is None:
             raise self.failure(
                 f"no whole reply head within {progress.head_s:.3f} s"
@@ -198,7 +198,7 @@
             async for chunk in reply.chunks():
                 yield chunk
         except HTTP_ERRORS as exc:
-            raise self.failure(_describe(exc)) from exc
+            raise self._broken(exc) from exc
 
     async def _check_head(
         self, head: ReplyHead, status: int, request_id: bytes
@@ -224,12 +224,22 @@
                 f"reply is unsigned or re-encoded, status {status}"
             )
 
-    def failure(self, reason: str) -> EndpointFailed:
-        """Return the failure of an attempt that may have run."""
+    def failure(self, reason: str, *, broken: bool = False) -> EndpointFailed:
+        """Return the failure of an attempt that may have run.
+
+        It is `broken` if the endpoint ended it, not a bound of the gateway.
+        """
         return EndpointFailed(
-            endpoint=self._endpoint_id, reason=reason, sent=True
+            endpoint=self._endpoint_id,
+            reason=reason,
+            sent=True,
+            broken=broken,
         )
 
+    def _broken(self, exc: Exception) -> EndpointFailed:
+        broken = not isinstance(exc, httpcore.TimeoutException)
+        return self.failure(_describe(exc), broken=broken)
+
 
 def _length_header(method: str, body: bytes) -> Headers:
     if not body and method in ("GET", "HEAD", "DELETE", "OPTIONS"):
