Take a stream that ends inside an event for broken off

An endpoint's reply may have neither a length nor chunks and end with its connection. When the endpoint broke off, its clients got the part as a whole stream, with an incomplete event at its end, and it was not resumed. Cause: the relay passed on whatever was left when the body had ended, whichever way it had. Change: an incomplete event at the end is a broken stream, however the reply is framed, and so is an end without any event where only the connection's end tells it; both are resumed where that is allowed. Other readers: replies of services are read whole, and a reset is an error there (tested); the entry's engines send a final marker, calls between processes are framed.

--- a/chervilshift/gateway/dispatch.py
+++ b/chervilshift/gateway/dispatch.py
@@ -370,6 +370,13 @@
                 )
                 self._metrics.observe("first_event", now - exchange.arrived_at)
                 self._count_usage(exchange)
+        if relay.incomplete_bytes:
+            raise upstream.failure("stream ended inside an event", broken=True)
+        if first and not reply.framed:
+            raise upstream.failure(
+                "stream ended with its connection before its first event",
+                broken=True,
+            )
         await relay.finish()
         self._outcomes.record(exchange, "whole")
 
--- a/chervilshift/gateway/relay.py
+++ b/chervilshift/gateway/relay.py
@@ -58,4 +58,4 @@
         """End the response after the endpoint has ended the stream."""
         if not self.started:
             await self._downstream.start(*self._head)
-        await self._downstream.finish(self._splitter.incomplete)
+        await self._downstream.finish()
--- a/chervilshift/gateway/upstream.py
+++ b/chervilshift/gateway/upstream.py
@@ -42,6 +42,12 @@
         """Whether the endpoint reports success."""
         return 200 <= self.status < 300
 
+    @property
+    def framed(self) -> bool:
+        """Whether the body's end is told apart from the connection's."""
+        names = {name.lower() for name, _ in self.headers}
+        return bool(names & {b"content-length", b"transfer-encoding"})
+
     def chunks(self) -> AsyncIterator[bytes]:
         """Return the body's chunks as they arrive."""
         return self._response.stream.__aiter__()
