Decide which prompt parts crash endpoints, from reports of all gateways

Change: the decisions, not used yet. A gateway reports crashes with the shared parts of the requests that were not begun (crashreports.py); the leader turns the reports into commands (inquiry.py); the replicated table names the part that explains most crashes, after all gateways had time to report and to clear parts by answers (crashes.py). A part that is quarantined by mistake is freed by one trial at one gateway.

--- a/chervilshift/core/commands.py
+++ b/chervilshift/core/commands.py
@@ -3,11 +3,18 @@
 from chervilshift.core.fleet.commands import (
     AcceptServing,
     AnnounceEndpoint,
+    ClearParts,
     CommitUsage,
+    CrashesNoted,
     EndpointKnown,
+    ExonerateParts,
     GatewaysNoted,
+    NoteCrashes,
     NoteGateways,
+    QuarantineParts,
+    ReleaseParts,
     ServingAccepted,
+    StartTrial,
     UsageCommitted,
 )
 from chervilshift.core.message import Message
@@ -153,6 +160,12 @@
     | AnnounceEndpoint
     | CommitUsage
     | NoteGateways
+    | NoteCrashes
+    | ClearParts
+    | QuarantineParts
+    | ExonerateParts
+    | ReleaseParts
+    | StartTrial
 )
 CommandReply = (
     Applied
@@ -165,4 +178,5 @@
     | EndpointKnown
     | UsageCommitted
     | GatewaysNoted
+    | CrashesNoted
 )
--- a/chervilshift/core/fleet/commands.py
+++ b/chervilshift/core/fleet/commands.py
@@ -1,16 +1,24 @@
 """Commands of the replicated log that change `FleetState`, and replies."""
 
+from chervilshift.core.fleet.crashes import Crash
 from chervilshift.core.fleet.model import EndpointRecord
 from chervilshift.core.message import Message
 
 __all__ = [
     "AcceptServing",
     "AnnounceEndpoint",
+    "ClearParts",
     "CommitUsage",
+    "CrashesNoted",
     "EndpointKnown",
+    "ExonerateParts",
     "GatewaysNoted",
+    "NoteCrashes",
     "NoteGateways",
+    "QuarantineParts",
+    "ReleaseParts",
     "ServingAccepted",
+    "StartTrial",
     "UsageCommitted",
 ]
 
@@ -49,6 +57,52 @@
     ids: tuple[str, ...]
 
 
+class NoteCrashes(Message):
+    """Add crashes of endpoints and the prompt parts suspected of them."""
+
+    crashes: tuple[Crash, ...]
+
+
+class ClearParts(Message):
+    """Clear prompt parts of the crashes before the Unix times by part."""
+
+    answered: dict[str, float]
+
+
+class QuarantineParts(Message):
+    """Refuse requests with these prompt parts; `now_s` is Unix time."""
+
+    parts: tuple[str, ...]
+    now_s: float
+
+
+class ExonerateParts(Message):
+    """Accept requests with these prompt parts: others are to blame."""
+
+    parts: tuple[str, ...]
+
+
+class ReleaseParts(Message):
+    """Accept requests with these prompt parts until the next crash."""
+
+    parts: tuple[str, ...]
+    now_s: float
+
+
+class StartTrial(Message):
+    """Let one gateway send one request with a quarantined prompt part."""
+
+    part: str
+    gateway: str
+    now_s: float
+
+
+class CrashesNoted(Message):
+    """The log position of the last change to crashes and quarantine."""
+
+    revision: int
+
+
 class GatewaysNoted(Message):
     """The number of recorded gateways."""
 
--- /dev/null
+++ b/chervilshift/core/fleet/crashes.py
@@ -0,0 +1,430 @@
+"""Crashes of endpoints, and the prompt parts that caused them.
+
+An endpoint that crashes takes all its requests with it. The part that made it
+crash is in one of the requests that it had not begun to answer; those of all
+gateways are the crash's suspects. A part is cleared of the crashes before an
+answer to a request with it: a part that crashes endpoints is never answered.
+What stays a suspect in several crashes is quarantined, which means that
+requests with it are refused.
+
+`CrashTable` is replicated: `note`, `clear`, `quarantine`, `release` and
+`start_trial` are applied in log order, and `verdict` is what the leader
+proposes next. Times are Unix times.
+"""
+
+from collections.abc import Iterable
+from itertools import chain
+
+import msgspec
+
+from chervilshift.core.message import Message
+
+__all__ = [
+    "Crash",
+    "CrashSnapshot",
+    "CrashTable",
+    "Quarantined",
+    "Suspicion",
+    "Verdict",
+]
+
+# A part is quarantined once it is a suspect in this many crashes, one that was
+# answered before only after more of them, one that was quarantined before
+# after the first.
+MIN_CRASHES = 3
+MIN_CRASHES_AFTER_ANSWERS = 5
+# Crashes this close together count as one: the loss of a failure domain ends
+# many endpoints at once, and a popular part may be waiting at several.
+SIMULTANEOUS_S = 0.1
+# All gateways have reported a crash within this time. Before, the part to
+# blame may be missing among the suspects.
+REPORTED_S = 0.8
+# Answers to requests with a part that is in use are reported within this time
+# from its first crash.
+CLEARING_S = 1.5
+# Bounds of what is kept; the oldest is dropped.
+MAX_CRASHES = 128
+MAX_PARTS_PER_CRASH = 128
+MAX_QUARANTINED = 256
+MAX_RELEASED = 256
+MAX_SUSPECTS = 256
+CRASH_MAX_AGE_S = 3600.0
+# After this time one request with a quarantined part is let through, to free
+# a part that is quarantined by mistake. It is repeated only if no endpoint
+# crashed: the request may not have been sent.
+TRIAL_AFTER_S = 5.0
+REPEATED_TRIAL_AFTER_S = 30.0
+MAX_TRIALS = 2
+NEVER = float("-inf")
+
+
+class Crash(Message, tag=False, array_like=True):
+    """The end of one endpoint incarnation, and its suspects.
+
+    `parts` are the positions of the suspected parts in their prompts, by id.
+    """
+
+    endpoint: str
+    born_ms: int
+    at_s: float
+    parts: dict[str, int]
+
+
+class Quarantined(Message, tag=False, array_like=True):
+    """A quarantined part.
+
+    `trial_gateway` may let one request through for trial number `trial`,
+    which began at `trial_s`.
+    """
+
+    since_s: float
+    trial: int = 0
+    trial_s: float = 0.0
+    trial_gateway: str = ""
+
+
+class Suspicion(Message):
+    """What gateways have to know of a `CrashTable`.
+
+    `revision` is the log position of its last change, and `suspects` the
+    number of crashes by part.
+    """
+
+    revision: int
+    suspects: dict[str, int] = {}
+    quarantined: dict[str, Quarantined] = {}
+
+
+class CrashSnapshot(Message):
+    """Snapshot of a `CrashTable`."""
+
+    revision: int = 0
+    crashes: tuple[Crash, ...] = ()
+    answered: dict[str, float] = {}
+    quarantined: dict[str, Quarantined] = {}
+    released: dict[str, float] = {}
+
+
+class Verdict:
+    """Parts to quarantine, and quarantined ones to release."""
+
+    __slots__ = ("guilty", "released")
+
+    def __init__(self, *, guilty: tuple[str, ...], released: tuple[str, ...]):
+        self.guilty = guilty
+        self.released = released
+
+
+class _Accused:
+    """A suspect: the numbers of its crashes, the first one, its position."""
+
+    __slots__ = ("crashes", "first_s", "position")
+
+    def __init__(self, *, first_s: float):
+        self.crashes: set[int] = set()
+        self.first_s = first_s
+        self.position = 0
+
+
+class CrashTable:
+    """The newest crashes, and the parts in quarantine.
+
+    `revision` is the log position of the last change.
+    """
+
+    __slots__ = (
+        "_answered",
+        "_crashes",
+        "_quarantined",
+        "_released",
+        "_suspicion",
+        "revision",
+    )
+
+    def __init__(self, *, snapshot: CrashSnapshot | None = None):
+        stored = snapshot or CrashSnapshot()
+        self.revision = stored.revision
+        self._crashes = {_key(crash): crash for crash in stored.crashes}
+        # The last known answers to requests with parts of these crashes.
+        self._answered = dict(stored.answered)
+        self._quarantined = dict(stored.quarantined)
+        # When parts that nobody asked for any more were released.
+        self._released = dict(stored.released)
+        self._suspicion: Suspicion | None = None
+
+    def snapshot(self) -> CrashSnapshot:
+        """Return a snapshot of the whole table."""
+        return CrashSnapshot(
+            revision=self.revision,
+            crashes=tuple(self._crashes.values()),
+            answered=self._answered,
+            quarantined=self._quarantined,
+            released=self._released,
+        )
+
+    @property
+    def quarantined(self) -> dict[str, Quarantined]:
+        """The quarantined parts by id."""
+        return self._quarantined
+
+    def counts(self) -> dict[str, int]:
+        """Return the number of crashes by suspected part."""
+        accused = self._accused(self._crashes.values())
+        return {part: len(held.crashes) for part, held in accused.items()}
+
+    def suspicion(self) -> Suspicion:
+        """Return what gateways have to know."""
+        if self._suspicion is None:
+            counts = self.counts()
+            newest_first = sorted(
+                self._crashes.values(), key=_at_s, reverse=True
+            )
+            parts = chain.from_iterable(c.parts for c in newest_first)
+            suspects = [
+                part
+                for part in dict.fromkeys(parts)
+                if part in counts and part not in self._quarantined
+            ]
+            self._suspicion = Suspicion(
+                revision=self.revision,
+                suspects={p: counts[p] for p in suspects[:MAX_SUSPECTS]},
+                quarantined=dict(self._quarantined),
+            )
+        return self._suspicion
+
+    def unknown(self, reported: Iterable[Crash]) -> tuple[Crash, ...]:
+        """Return the reports that add a crash or a suspect."""
+        return tuple(
+            crash
+            for crash in reported
+            if crash.parts.keys() - self._parts(_key(crash)).keys()
+            and self._has_room(crash)
+        )
+
+    def unknown_answers(self, answered: dict[str, float]) -> dict[str, float]:
+        """Return the answers, by part, that change what is known of it."""
+        suspects = self.suspicion()
+        return {
+            part: at_s
+            for part, at_s in answered.items()
+            if (part in suspects.suspects or part in self._quarantined)
+            and (
+                part not in self._answered
+                or self._is_cleared_of_more(part, at_s)
+            )
+        }
+
+    def verdict(self, now_s: float) -> Verdict:
+        """Return which parts to quarantine and to release.
+
+        The part that is a suspect in most crashes explains them; the others
+        are judged by the crashes that it doesn't explain. Among equals it is
+        the part that comes last in prompts: what precedes it occurs without it
+        more often than the reverse. Parts that were answered before are judged
+        after the others.
+        """
+        accused = self._accused(
+            crash
+            for crash in self._crashes.values()
+            if now_s - crash.at_s >= REPORTED_S
+        )
+        ripe = {
+            part: held
+            for part, held in accused.items()
+            if part in self._quarantined
+            or part in self._released
+            or now_s - held.first_s >= CLEARING_S
+        }
+        explained: set[int] = set()
+        guilty: list[str] = []
+        while True:
+            eligible = (
+                (part not in self._answered, count, held.position, part)
+                for part, held in ripe.items()
+                if (count := len(held.crashes - explained))
+                and count >= self._threshold(part)
+            )
+            *_, worst = max(eligible, default=(False, 0, 0, ""))
+            if not worst:
+                break
+            guilty.append(worst)
+            explained |= ripe[worst].crashes
+        return Verdict(
+            guilty=tuple(p for p in guilty if p not in self._quarantined),
+            released=tuple(
+                part
+                for part in self._quarantined
+                if part not in guilty
+                and part in accused
+                and accused[part].crashes <= explained
+            ),
+        )
+
+    def next_trials(self, now_s: float) -> tuple[str, ...]:
+        """Return the quarantined parts that are due for their trial."""
+        return tuple(
+            part
+            for part, held in self._quarantined.items()
+            if self._is_due(part, held, now_s)
+        )
+
+    # Applied in log order
+
+    def note(self, crashes: Iterable[Crash], index: int) -> None:
+        """Add crashes and suspects."""
+        for crash in crashes:
+            key = _key(crash)
+            known = self._parts(key)
+            room = max(0, MAX_PARTS_PER_CRASH - len(known))
+            added = [p for p in crash.parts.items() if p[0] not in known]
+            stored = self._crashes.get(key, crash)
+            self._crashes[key] = msgspec.structs.replace(
+                stored, parts=known | dict(added[:room])
+            )
+        newest_s = max((c.at_s for c in self._crashes.values()), default=0.0)
+        kept = sorted(self._crashes.values(), key=_at_s)[-MAX_CRASHES:]
+        self._crashes = {
+            _key(crash): crash
+            for crash in kept
+            if newest_s - crash.at_s < CRASH_MAX_AGE_S
+        }
+        suspects = set(
+            chain.from_iterable(c.parts for c in self._crashes.values())
+        )
+        self._answered = {
+            part: at_s
+            for part, at_s in self._answered.items()
+            if part in suspects
+        }
+        self._changed(index)
+
+    def clear(self, answered: dict[str, float], index: int) -> None:
+        """Clear parts of the crashes before the times of their answers."""
+        for part, at_s in answered.items():
+            self._answered[part] = max(at_s, self._answered.get(part, at_s))
+            held = self._quarantined.get(part)
+            if held is not None and at_s > held.since_s:
+                del self._quarantined[part]
+        self._changed(index)
+
+    def quarantine(
+        self, parts: Iterable[str], now_s: float, index: int
+    ) -> None:
+        """Put parts into quarantine; the oldest leave if there are many."""
+        for part in parts:
+            self._released.pop(part, None)
+            self._quarantined.setdefault(part, Quarantined(since_s=now_s))
+        excess = len(self._quarantined) - MAX_QUARANTINED
+        for oldest in tuple(self._quarantined)[: max(0, excess)]:
+            del self._quarantined[oldest]
+            self._release_unused(oldest, now_s)
+        self._changed(index)
+
+    def exonerate(self, parts: Iterable[str], index: int) -> None:
+        """Release parts whose crashes another part explains."""
+        for part in parts:
+            self._quarantined.pop(part, None)
+        self._changed(index)
+
+    def release(self, parts: Iterable[str], now_s: float, index: int) -> None:
+        """Release unused parts; the next crash quarantines them again."""
+        for part in parts:
+            if self._quarantined.pop(part, None) is not None:
+                self._release_unused(part, now_s)
+        self._changed(index)
+
+    def start_trial(
+        self, part: str, gateway_id: str, now_s: float, index: int
+    ) -> None:
+        """Allow one gateway one request with a quarantined part."""
+        held = self._quarantined.get(part)
+        if held is not None:
+            self._quarantined[part] = msgspec.structs.replace(
+                held,
+                trial=held.trial + 1,
+                trial_s=now_s,
+                trial_gateway=gateway_id,
+            )
+        self._changed(index)
+
+    def _release_unused(self, part: str, now_s: float) -> None:
+        self._released[part] = now_s
+        while len(self._released) > MAX_RELEASED:
+            del self._released[next(iter(self._released))]
+
+    def _changed(self, index: int) -> None:
+        self.revision = index
+        self._suspicion = None
+
+    def _parts(self, key: tuple[str, int]) -> dict[str, int]:
+        held = self._crashes.get(key)
+        return held.parts if held else {}
+
+    def _has_room(self, crash: Crash) -> bool:
+        """Whether `note` would keep what a report adds."""
+        held = self._crashes.get(_key(crash))
+        if held is not None:
+            return len(held.parts) < MAX_PARTS_PER_CRASH
+        times = [c.at_s for c in self._crashes.values()]
+        if times and max(times) - crash.at_s >= CRASH_MAX_AGE_S:
+            return False
+        return len(times) < MAX_CRASHES or crash.at_s > min(times)
+
+    def _is_cleared_of_more(self, part: str, at_s: float) -> bool:
+        """Whether an answer clears a part of another crash."""
+        held = self._quarantined.get(part)
+        if held is not None and at_s > held.since_s:
+            return True
+        known_s = self._answered[part]
+        return any(
+            part in crash.parts and known_s <= crash.at_s < at_s
+            for crash in self._crashes.values()
+        )
+
+    def _is_due(self, part: str, held: Quarantined, now_s: float) -> bool:
+        if not held.trial:
+            return now_s - held.since_s > TRIAL_AFTER_S
+        return (
+            held.trial < MAX_TRIALS
+            and now_s - held.trial_s > REPEATED_TRIAL_AFTER_S
+            and not any(
+                crash.at_s > held.trial_s and part in crash.parts
+                for crash in self._crashes.values()
+            )
+        )
+
+    def _threshold(self, part: str) -> int:
+        if part in self._released:
+            return 1
+        if part in self._answered:
+            return MIN_CRASHES_AFTER_ANSWERS
+        return MIN_CRASHES
+
+    def _accused(self, crashes: Iterable[Crash]) -> dict[str, _Accused]:
+        """Return the suspects by part; simultaneous crashes count once."""
+        accused: dict[str, _Accused] = {}
+        number, began_s = 0, float("-inf")
+        for crash in sorted(crashes, key=_at_s):
+            if crash.at_s - began_s > SIMULTANEOUS_S:
+                number, began_s = number + 1, crash.at_s
+            for part, position in crash.parts.items():
+                cleared_s = max(
+                    self._answered.get(part, NEVER),
+                    self._released.get(part, NEVER),
+                )
+                if cleared_s >= crash.at_s:
+                    continue
+                held = accused.get(part)
+                if held is None:
+                    held = accused[part] = _Accused(first_s=crash.at_s)
+                held.crashes.add(number)
+                held.position = max(held.position, position)
+        return accused
+
+
+def _key(crash: Crash) -> tuple[str, int]:
+    return crash.endpoint, crash.born_ms
+
+
+def _at_s(crash: Crash) -> float:
+    return crash.at_s
--- /dev/null
+++ b/chervilshift/core/fleet/crashreports.py
@@ -0,0 +1,280 @@
+"""What one gateway knows of crashes of endpoints, and its quarantine.
+
+A connection that breaks off during a request is a crash only if the endpoint
+can't be connected to any more; a reset, a cut reply and a refusing endpoint
+are not. Until that is known, the break is unsettled. Crashes are reported to
+control again and again for some time, so that a new leader gets them too.
+
+`now` is monotonic time, `wall_s` Unix time.
+"""
+
+from collections import OrderedDict
+from collections.abc import Collection, Iterable
+
+from chervilshift.core.fleet.crashes import (
+    MAX_PARTS_PER_CRASH,
+    Crash,
+    CrashTable,
+    Suspicion,
+)
+
+__all__ = ["CrashReports"]
+
+# Longer than the election of a leader, and the repair of a cut, take.
+REPORT_S = 30.0
+MAX_REPORTS = 16
+# A break of an endpoint that could be connected to is settled as a crash if
+# control reports within this time that the incarnation has ended.
+MAX_RESTART_S = 5.0
+# A part that was answered here this shortly before a crash is no suspect: many
+# requests have it, and the next answer would clear it.
+RECENT_ANSWER_S = 1.0
+# Newest answered parts whose time is kept.
+MAX_ANSWERED = 4096
+# An answer reported to control is replaced by a later one after this time.
+ANSWER_REPORT_INTERVAL_S = 1.0
+# Quarantined parts whose requests came this recently are reported as in use.
+REFUSED_REPORT_S = 10.0
+# A request that was cut off is not repeated if a part of it is a suspect in
+# this many crashes already.
+MAX_REPEATED_CRASHES = 2
+
+Incarnation = tuple[str, int]
+
+
+class _Break:
+    """Requests broken off at one endpoint; `parts` as in `Crash`."""
+
+    __slots__ = ("at", "parts", "wall_s")
+
+    def __init__(self, *, at: float, wall_s: float):
+        self.at = at
+        self.wall_s = wall_s
+        self.parts: dict[str, int] = {}
+
+    def add(self, parts: Iterable[tuple[str, int]]) -> None:
+        """Add suspects."""
+        for part, position in parts:
+            if len(self.parts) < MAX_PARTS_PER_CRASH:
+                self.parts.setdefault(part, position)
+
+
+class CrashReports:
+    """Crashes seen by one gateway, and the parts that control suspects.
+
+    `gateway_id` is this gateway's, for trials; `count` is the number of
+    crashes so far.
+    """
+
+    __slots__ = (
+        "_answered",
+        "_crashes",
+        "_gateway_id",
+        "_refused",
+        "_reported_answers",
+        "_suspicion",
+        "_trials",
+        "_unsettled",
+        "count",
+    )
+
+    def __init__(self, *, gateway_id: str):
+        self._gateway_id = gateway_id
+        self._unsettled: dict[Incarnation, _Break] = {}
+        self._crashes: OrderedDict[Incarnation, _Break] = OrderedDict()
+        # Unix times of the last answers by part, the oldest first.
+        self._answered: OrderedDict[str, float] = OrderedDict()
+        self._reported_answers: dict[str, float] = {}
+        self._refused: dict[str, float] = {}
+        # The trials used up: part, begin of its quarantine and number.
+        self._trials: set[tuple[str, float, int]] = set()
+        self._suspicion = Suspicion(revision=0)
+        self.count = 0
+
+    @property
+    def revision(self) -> int:
+        """The log position of the known suspicion."""
+        return self._suspicion.revision
+
+    @property
+    def quarantined(self) -> Collection[str]:
+        """The quarantined parts."""
+        return self._suspicion.quarantined.keys()
+
+    def apply(self, suspicion: Suspicion) -> None:
+        """Take over what control suspects, unless it is older."""
+        if suspicion.revision <= self._suspicion.revision:
+            return
+        self._suspicion = suspicion
+        watched = suspicion.suspects.keys() | suspicion.quarantined.keys()
+        self._reported_answers = {
+            part: at_s
+            for part, at_s in self._reported_answers.items()
+            if part in watched
+        }
+        self._trials = {t for t in self._trials if t[0] in watched}
+
+    # Crashes
+
+    def record_break(
+        self,
+        incarnation: Incarnation,
+        parts: Iterable[tuple[str, int]],
+        now: float,
+        wall_s: float,
+    ) -> bool:
+        """Record that a request was broken off before it was answered.
+
+        `parts` are the request's parts that others may share, with their
+        positions. Returns whether it has to be found out if the endpoint
+        has crashed; `settle` takes the result.
+        """
+        crash = self._crashes.get(incarnation)
+        if crash is not None:
+            crash.add(parts)
+            return False
+        held = self._unsettled.get(incarnation)
+        is_new = held is None or now - held.at > MAX_RESTART_S
+        if is_new:
+            held = self._unsettled[incarnation] = _Break(at=now, wall_s=wall_s)
+        held.add(parts)
+        return is_new
+
+    def settle(self, incarnation: Incarnation) -> Crash | None:
+        """Record that an endpoint has crashed; return the crash if new."""
+        crash = self._unsettled.pop(incarnation, None)
+        if crash is None:
+            return None
+        self._crashes[incarnation] = crash
+        self.count += 1
+        while len(self._crashes) > MAX_REPORTS:
+            self._crashes.popitem(last=False)
+        return self._message(incarnation, crash)
+
+    def settle_ended(
+        self, running: Collection[Incarnation]
+    ) -> tuple[Crash, ...]:
+        """Settle breaks of endpoints that are no longer running."""
+        ended = [key for key in self._unsettled if key not in running]
+        settled = (self.settle(incarnation) for incarnation in ended)
+        return tuple(crash for crash in settled if crash is not None)
+
+    def expire(self, now: float) -> None:
+        """Forget what is no longer reported."""
+        self._unsettled = {
+            key: held
+            for key, held in self._unsettled.items()
+            if now - held.at <= MAX_RESTART_S
+        }
+        while self._crashes:
+            oldest = next(iter(self._crashes))
+            if now - self._crashes[oldest].at <= REPORT_S:
+                break
+            del self._crashes[oldest]
+        self._refused = {
+            part: at
+            for part, at in self._refused.items()
+            if now - at <= REFUSED_REPORT_S
+        }
+
+    # Answers
+
+    def record_answer(self, parts: Iterable[str], wall_s: float) -> None:
+        """Record that a request with these parts was answered."""
+        for part in parts:
+            self._answered[part] = wall_s
+            self._answered.move_to_end(part)
+        while len(self._answered) > MAX_ANSWERED:
+            self._answered.popitem(last=False)
+
+    # Reports to control
+
+    def crashes(self) -> tuple[Crash, ...]:
+        """Return the crashes with the suspects that are left."""
+        messages = (
+            self._message(incarnation, crash)
+            for incarnation, crash in self._crashes.items()
+        )
+        return tuple(message for message in messages if message.parts)
+
+    def answers(self) -> dict[str, float]:
+        """Return when suspects were last answered here, by part.
+
+        A later time replaces the one reported before only if it is some time
+        later, so that reports seldom change.
+        """
+        watched = (*self._suspicion.suspects, *self._suspicion.quarantined)
+        for part in watched:
+            at_s = self._answered.get(part)
+            if at_s is None:
+                continue
+            reported_s = self._reported_answers.get(part, float("-inf"))
+            if at_s - reported_s >= ANSWER_REPORT_INTERVAL_S:
+                self._reported_answers[part] = at_s
+        return dict(self._reported_answers)
+
+    def refused(self) -> tuple[str, ...]:
+        """Return the quarantined parts whose requests still come."""
+        return tuple(sorted(self._refused))
+
+    # Decisions
+
+    def blocking_part(
+        self, parts: Iterable[str], now: float, wall_s: float, *, alone: bool
+    ) -> str:
+        """Return the part because of which a request is refused, or "".
+
+        With `alone`, control can't be reached, and the crashes that this
+        gateway has seen itself count too. Uses up a trial of the part.
+        """
+        quarantined = self._suspicion.quarantined
+        blocking = [part for part in parts if part in quarantined]
+        for part in blocking:
+            self._refused[part] = now
+        if len(blocking) == 1 and self._use_trial(blocking[0]):
+            return ""
+        if blocking:
+            return blocking[0]
+        if not alone or not self._crashes:
+            return ""
+        guilty = self._own_verdict(wall_s)
+        return next((part for part in parts if part in guilty), "")
+
+    def may_repeat(self, parts: Iterable[str]) -> bool:
+        """Whether a request that was broken off may be sent once more."""
+        suspects = self._suspicion.suspects
+        return all(
+            suspects.get(part, 0) < MAX_REPEATED_CRASHES
+            and part not in self._suspicion.quarantined
+            for part in parts
+        )
+
+    def _own_verdict(self, wall_s: float) -> tuple[str, ...]:
+        """Return the parts that this gateway's own crashes tell against."""
+        table = CrashTable()
+        table.note(self.crashes(), 0)
+        return table.verdict(wall_s).guilty
+
+    def _use_trial(self, part: str) -> bool:
+        """Return whether a request is this gateway's trial of a part."""
+        held = self._suspicion.quarantined[part]
+        trial = (part, held.since_s, held.trial)
+        if held.trial_gateway != self._gateway_id or trial in self._trials:
+            return False
+        self._trials.add(trial)
+        return True
+
+    def _message(self, incarnation: Incarnation, crash: _Break) -> Crash:
+        """Return a crash without the parts answered about then or since."""
+        endpoint_id, born_ms = incarnation
+        recent_s = crash.wall_s - RECENT_ANSWER_S
+        return Crash(
+            endpoint=endpoint_id,
+            born_ms=born_ms,
+            at_s=crash.wall_s,
+            parts={
+                part: position
+                for part, position in crash.parts.items()
+                if self._answered.get(part, 0.0) < recent_s
+            },
+        )
--- a/chervilshift/core/fleet/distribution.py
+++ b/chervilshift/core/fleet/distribution.py
@@ -473,5 +473,8 @@
         old.gateway == new.gateway
         and old.loads == new.loads
         and old.reading == new.reading
+        and old.crashes == new.crashes
+        and old.answers == new.answers
+        and old.refused == new.refused
         and not new.usage
     )
--- /dev/null
+++ b/chervilshift/core/fleet/inquiry.py
@@ -0,0 +1,109 @@
+"""What the leader does about crashes, from the reports of all gateways."""
+
+from collections.abc import Iterable, Iterator
+from itertools import chain
+
+from chervilshift.core.fleet.commands import (
+    ClearParts,
+    ExonerateParts,
+    NoteCrashes,
+    QuarantineParts,
+    ReleaseParts,
+    StartTrial,
+)
+from chervilshift.core.fleet.crashes import CrashTable
+from chervilshift.core.fleet.sync import GatewaySync
+
+__all__ = ["Inquiry", "QuarantineCommand"]
+
+# A quarantined part without requests is released after this time.
+QUARANTINE_IDLE_S = 900.0
+
+QuarantineCommand = (
+    NoteCrashes
+    | ClearParts
+    | QuarantineParts
+    | ExonerateParts
+    | ReleaseParts
+    | StartTrial
+)
+
+
+class Inquiry:
+    """Turns reports into commands of the replicated log.
+
+    It decides from the replicated table and from what gateways report again
+    and again, so that a new leader decides the same.
+    """
+
+    __slots__ = ("_used_at",)
+
+    def __init__(self):
+        # When requests with a quarantined part last came, by part.
+        self._used_at: dict[str, float] = {}
+
+    def commands(
+        self,
+        table: CrashTable,
+        reports: Iterable[GatewaySync],
+        now_s: float,
+        now: float,
+    ) -> Iterator[QuarantineCommand]:
+        """Yield commands; each has to be applied before the next is asked for.
+
+        `now_s` is Unix time, `now` monotonic time.
+        """
+        reports = tuple(reports)
+        crashes = table.unknown(
+            chain.from_iterable(report.crashes for report in reports)
+        )
+        if crashes:
+            yield NoteCrashes(crashes=crashes)
+        answered = table.unknown_answers(_latest(r.answers for r in reports))
+        if answered:
+            yield ClearParts(answered=answered)
+        verdict = table.verdict(now_s)
+        if verdict.guilty:
+            yield QuarantineParts(parts=verdict.guilty, now_s=now_s)
+        if verdict.released:
+            yield ExonerateParts(parts=verdict.released)
+        gateways = {
+            part: report.gateway.id
+            for report in reports
+            for part in report.refused
+        }
+        yield from _trials(table, gateways, now_s)
+        unused = self._unused(table, gateways, now)
+        if unused:
+            yield ReleaseParts(parts=unused, now_s=now_s)
+
+    def _unused(
+        self, table: CrashTable, used: Iterable[str], now: float
+    ) -> tuple[str, ...]:
+        """Return the quarantined parts that no requests have come with."""
+        self._used_at = {
+            part: now if part in used else self._used_at.get(part, now)
+            for part in table.quarantined
+        }
+        return tuple(
+            part
+            for part, at in self._used_at.items()
+            if now - at > QUARANTINE_IDLE_S
+        )
+
+
+def _trials(
+    table: CrashTable, gateways: dict[str, str], now_s: float
+) -> Iterator[StartTrial]:
+    """Yield the trials that are due, at gateways that got such requests."""
+    for part in table.next_trials(now_s):
+        if part in gateways:
+            yield StartTrial(part=part, gateway=gateways[part], now_s=now_s)
+
+
+def _latest(answers: Iterable[dict[str, float]]) -> dict[str, float]:
+    """Return the latest time by part."""
+    latest: dict[str, float] = {}
+    for part, at_s in chain.from_iterable(a.items() for a in answers):
+        latest[part] = max(at_s, latest.get(part, at_s))
+    return latest
--- a/chervilshift/core/fleet/presence.py
+++ b/chervilshift/core/fleet/presence.py
@@ -6,7 +6,7 @@
 """
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 import msgspec
 
@@ -153,6 +153,10 @@
         report = self._reports.get(gateway_id)
         return report.sync if report else None
 
+    def reports(self) -> Iterator[GatewaySync]:
+        """Return the newest report of each gateway."""
+        return (report.sync for report in self._reports.values())
+
     def heard_at(self, gateway_id: str) -> float:
         """Return when a gateway last reported, minus infinity if never."""
         report = self._reports.get(gateway_id)
--- a/chervilshift/core/fleet/state.py
+++ b/chervilshift/core/fleet/state.py
@@ -1,4 +1,4 @@
-"""Replicated state: serving document, endpoints, gateways and usage."""
+"""Replicated state: document, endpoints, gateways, usage and quarantine."""
 
 from functools import singledispatchmethod
 from itertools import islice, takewhile
@@ -6,13 +6,21 @@
 from chervilshift.core.fleet.commands import (
     AcceptServing,
     AnnounceEndpoint,
+    ClearParts,
     CommitUsage,
+    CrashesNoted,
     EndpointKnown,
+    ExonerateParts,
     GatewaysNoted,
+    NoteCrashes,
     NoteGateways,
+    QuarantineParts,
+    ReleaseParts,
     ServingAccepted,
+    StartTrial,
     UsageCommitted,
 )
+from chervilshift.core.fleet.crashes import CrashSnapshot, CrashTable
 from chervilshift.core.fleet.model import (
     GONE,
     READY,
@@ -41,6 +49,7 @@
     endpoints: tuple[EndpointRecord, ...] = ()
     usage: dict[int, dict[str, int]] = {}
     gateways: tuple[str, ...] = ()
+    crashes: CrashSnapshot = CrashSnapshot()
 
 
 class FleetState:
@@ -54,6 +63,7 @@
         "_changes_since",
         "_endpoints",
         "_usage",
+        "crashes",
         "document",
         "gateways",
         "revision",
@@ -72,6 +82,7 @@
         self._changes_since = stored.revision
         self._usage = dict(stored.usage)
         self.gateways = stored.gateways
+        self.crashes = CrashTable(snapshot=stored.crashes)
 
     def snapshot(self) -> FleetSnapshot:
         """Return a snapshot of the whole state."""
@@ -82,6 +93,7 @@
             endpoints=tuple(self._endpoints.values()),
             usage=self._usage,
             gateways=self.gateways,
+            crashes=self.crashes.snapshot(),
         )
 
     def endpoint(self, endpoint_id: str) -> EndpointRecord | None:
@@ -141,6 +153,38 @@
         self.gateways = command.ids
         return GatewaysNoted(count=len(self.gateways))
 
+    @apply.register
+    def _(self, command: NoteCrashes, index: int) -> CrashesNoted:
+        self.crashes.note(command.crashes, index)
+        return CrashesNoted(revision=index)
+
+    @apply.register
+    def _(self, command: ClearParts, index: int) -> CrashesNoted:
+        self.crashes.clear(command.answered, index)
+        return CrashesNoted(revision=index)
+
+    @apply.register
+    def _(self, command: QuarantineParts, index: int) -> CrashesNoted:
+        self.crashes.quarantine(command.parts, command.now_s, index)
+        return CrashesNoted(revision=index)
+
+    @apply.register
+    def _(self, command: ExonerateParts, index: int) -> CrashesNoted:
+        self.crashes.exonerate(command.parts, index)
+        return CrashesNoted(revision=index)
+
+    @apply.register
+    def _(self, command: ReleaseParts, index: int) -> CrashesNoted:
+        self.crashes.release(command.parts, command.now_s, index)
+        return CrashesNoted(revision=index)
+
+    @apply.register
+    def _(self, command: StartTrial, index: int) -> CrashesNoted:
+        self.crashes.start_trial(
+            command.part, command.gateway, command.now_s, index
+        )
+        return CrashesNoted(revision=index)
+
     @apply.register
     def _(self, command: AnnounceEndpoint, index: int) -> EndpointKnown:
         announced = command.endpoint
--- a/chervilshift/core/fleet/sync.py
+++ b/chervilshift/core/fleet/sync.py
@@ -1,5 +1,6 @@
 """Messages that synchronize gateways, control replicas and the leader."""
 
+from chervilshift.core.fleet.crashes import Crash, Suspicion
 from chervilshift.core.fleet.model import EndpointRecord
 from chervilshift.core.message import Message
 
@@ -88,7 +89,10 @@
     reports. `reading` is the uncached prompt tokens per second sent to
     engines, by service. `needed` is the amount of each customer's limit that
     requests wait for, `prefetch` the amount that may be granted in advance.
-    `wall_s` is the gateway's Unix time.
+    `wall_s` is the gateway's Unix time. `suspicion_revision` is that of the
+    last `Suspicion`; `crashes` are crashes of endpoints that the gateway saw,
+    `answers` the Unix times of the last answers to requests with suspected
+    prompt parts, and `refused` the quarantined parts that are still asked for.
     """
 
     gateway: GatewayInfo
@@ -105,6 +109,10 @@
     wall_s: float = 0.0
     needed: dict[str, float] = {}
     prefetch: dict[str, float] = {}
+    suspicion_revision: int = 0
+    crashes: tuple[Crash, ...] = ()
+    answers: dict[str, float] = {}
+    refused: tuple[str, ...] = ()
 
 
 class SyncReply(Message):
@@ -112,10 +120,10 @@
 
     `leader` is the leader's RPC address, empty if unknown, and `leader_age_s`
     the time since the leader had the state that the reply is made from, 0 from
-    the leader itself. `document`, which is packed, and `endpoints` are None
-    if the gateway has the current ones; with `partial` the endpoints are those
-    that have changed since the gateway's revision. `controls` is empty if the
-    gateway knows the control processes.
+    the leader itself. `document`, which is packed, `endpoints` and `suspicion`
+    are None if the gateway has the current ones; with `partial` the endpoints
+    are those that have changed since the gateway's revision. `controls` is
+    empty if the gateway knows the control processes.
     `loads` counts all gateways, this one as of its report `included_seq`.
     While `granting` is false, gateways continue with their fallback shares.
     `waits` is the seconds until an exhausted limit has room, by customer.
@@ -141,6 +149,7 @@
     grants: dict[str, float] = {}
     waits: dict[str, float] = {}
     interval_s: float = 0.25
+    suspicion: Suspicion | None = None
 
 
 class Heartbeat(Message):
--- a/chervilshift/core/machine.py
+++ b/chervilshift/core/machine.py
@@ -25,8 +25,14 @@
 from chervilshift.core.fleet.commands import (
     AcceptServing,
     AnnounceEndpoint,
+    ClearParts,
     CommitUsage,
+    ExonerateParts,
+    NoteCrashes,
     NoteGateways,
+    QuarantineParts,
+    ReleaseParts,
+    StartTrial,
 )
 from chervilshift.core.fleet.state import FleetSnapshot, FleetState
 from chervilshift.core.ledger import Ledger, LedgerState
@@ -156,8 +162,14 @@
 
     @_apply.register(AcceptServing)
     @_apply.register(AnnounceEndpoint)
+    @_apply.register(ClearParts)
     @_apply.register(CommitUsage)
+    @_apply.register(ExonerateParts)
+    @_apply.register(NoteCrashes)
     @_apply.register(NoteGateways)
+    @_apply.register(QuarantineParts)
+    @_apply.register(ReleaseParts)
+    @_apply.register(StartTrial)
     def _(self, command: Command, index: int) -> CommandReply:
         return self.fleet.apply(command, index)
 
--- a/tests/core/fleet/test_distribution.py
+++ b/tests/core/fleet/test_distribution.py
@@ -9,9 +9,11 @@
 from random import Random
 from time import process_time
 
+import msgspec
 import pytest
 
 from chervilshift.core.fleet.controls import ControlChooser
+from chervilshift.core.fleet.crashes import Crash
 from chervilshift.core.fleet.distribution import Distributor
 from chervilshift.core.fleet.intervals import (
     MIN_LISTING_TIMEOUT_S,
@@ -291,6 +293,32 @@
     assert leader.load_sums.get("e1").active == 1
 
 
+def test_crashes_reach_the_leader_and_the_next_one():
+    """A relay that takes a crash for an unchanged report loses it."""
+    world = World(60)
+    world.run(3.0)
+    gateway = world.gateways[0]
+    crash = Crash(endpoint="e1", born_ms=1, at_s=1.0, parts={"bad": 1})
+    follower = world.controls["c1"].core
+
+    def leaders_crashes(address: str) -> set[Crash]:
+        presence = world.controls[address].core.presence
+        return {c.endpoint for r in presence.reports() for c in r.crashes}
+
+    for _ in range(2):
+        report = msgspec.structs.replace(gateway.request(), crashes=(crash,))
+        follower.observe(report, world.now)
+        world.relay("c1")
+    assert leaders_crashes("c0") == {"e1"}
+    world.leader = "c2"
+    world.controls["c2"].update(leads=True)
+    for _ in range(2):
+        report = msgspec.structs.replace(gateway.request(), crashes=(crash,))
+        follower.observe(report, world.now)
+        world.relay("c1")
+    assert leaders_crashes("c2") == {"e1"}
+
+
 def test_needs_of_a_gateway_that_ended_are_forgotten():
     world = World(60, rate=36_000.0)
     world.run(3.0)
--- a/tests/core/fleet/test_state.py
+++ b/tests/core/fleet/test_state.py
@@ -7,7 +7,10 @@
     AcceptServing,
     AnnounceEndpoint,
     CommitUsage,
+    NoteCrashes,
+    QuarantineParts,
 )
+from chervilshift.core.fleet.crashes import Crash
 from chervilshift.core.fleet.model import (
     DRAINING,
     GONE,
@@ -112,8 +115,12 @@
     announce(state, 4, state=state_name)
     state.apply(AcceptServing(version=2, document=b"doc"), 5)
     state.apply(CommitUsage(window=1, counts={"a": 1}), 6)
+    crash = Crash(endpoint="e1", born_ms=1, at_s=1.0, parts={"bad": 1})
+    state.apply(NoteCrashes(crashes=(crash,)), 7)
+    state.apply(QuarantineParts(parts=("bad",), now_s=2.0), 8)
     data = msgspec.msgpack.encode(state.snapshot())
     decoded = msgspec.msgpack.decode(data, type=type(state.snapshot()))
     restored = FleetState(snapshot=decoded)
     assert restored.snapshot() == state.snapshot()
     assert restored.revision == 4
+    assert set(restored.crashes.suspicion().quarantined) == {"bad"}
