Quarantine prompt parts that crash endpoints

Evidence: each crash had the same part among the requests that were not begun, and no answered request had it. Change: a gateway probes an endpoint that broke off a request. If nothing listens there, it reports the crash with its next sync, at once; the leader commits the verdict, and replies carry it to all gateways, which refuse requests with the part with 503, not run. A request that was cut off is not repeated if a part of it is a suspect of two crashes. Without news of the leader for a second, a gateway judges by its own crashes.

--- a/chervilshift/control/fleet.py
+++ b/chervilshift/control/fleet.py
@@ -11,6 +11,7 @@
 
 from chervilshift.clock import Clock
 from chervilshift.control.node import Node
+from chervilshift.control.quarantine import Quarantine
 from chervilshift.control.relay import LeaderRelay
 from chervilshift.core.commands import (
     AcceptServing,
@@ -108,6 +109,13 @@
             limit_policy=limit_policy,
         )
         self.presence = self._distributor.presence
+        self._quarantine = Quarantine(
+            node=node,
+            presence=self.presence,
+            wall_s=self.wall_s,
+            clock=clock,
+            events=events,
+        )
         self.relay = LeaderRelay(
             leader=self._leader_to_relay_to,
             make=self._make_relay,
@@ -295,6 +303,9 @@
             changed = fleet.endpoints_since(message.revision)
             endpoints = fleet.endpoints() if changed is None else changed
         newer = fleet.version > message.version
+        suspicion = None
+        if fleet.crashes.revision > message.suspicion_revision:
+            suspicion = fleet.crashes.suspicion()
         return SyncReply(
             leader=self._node.leader_address(),
             leader_age_s=min(news.leader_age_s, MAX_AGE_S),
@@ -313,6 +324,7 @@
             grants=news.grants,
             waits=news.waits,
             interval_s=news.interval_s,
+            suspicion=suspicion,
         )
 
     def receive_relay(self, message: Relay) -> RelayReply:
@@ -394,6 +406,7 @@
                 self._configure()
                 self._distributor.sweep(self._clock.monotonic())
                 if self._node.has_lease():
+                    await self._quarantine.step()
                     await self._expire_endpoints()
                     await self._update_gateways()
                 else:
--- a/chervilshift/control/routed.py
+++ b/chervilshift/control/routed.py
@@ -123,6 +123,14 @@
         metrics.gauge(
             "endpoints_known", lambda: len(node.machine.fleet.endpoints())
         )
+        metrics.gauge(
+            "parts_suspected",
+            lambda: len(node.machine.fleet.crashes.suspicion().suspects),
+        )
+        metrics.gauge(
+            "parts_quarantined",
+            lambda: len(node.machine.fleet.crashes.quarantined),
+        )
         metrics.gauge(
             "gateways_listed",
             lambda: len(self.fleet.listed_gateways()),
--- a/chervilshift/errors.py
+++ b/chervilshift/errors.py
@@ -31,6 +31,7 @@
     "OutcomeDiffers",
     "OutcomeUnknown",
     "PeerUnreachable",
+    "Quarantined",
     "SettingsRefused",
     "StorageFailed",
     "StreamLost",
@@ -357,6 +358,14 @@
     remedy = "retry after the time in Retry-After"
 
 
+class Quarantined(Failure):
+    """A part of the prompt crashes endpoints; the request did not run."""
+
+    status, not_run = 503, True
+    template = "prompt part {part} is in quarantine: endpoints crashed on it"
+    remedy = "leave the part out, or retry after the time in Retry-After"
+
+
 class UpstreamFailed(Failure):
     """An endpoint failed during the request, which may have run."""
 
--- a/chervilshift/gateway/connections.py
+++ b/chervilshift/gateway/connections.py
@@ -11,6 +11,8 @@
 __all__ = ["Connection", "ConnectionPool"]
 
 CONNECT_TIMEOUT_S = 1.0
+# A refusal takes a round trip, also between regions.
+REFUSAL_TIMEOUT_S = 0.3
 # A connection whose peer leaves sent data unacknowledged for this long is
 # closed by the kernel: the peer is unreachable.
 UNACKED_TIMEOUT_MS = 2000
@@ -171,13 +173,29 @@
                 conn.reused = True
                 return conn
             await self.discard(conn)
+        return await self._connect(endpoint_id, address, CONNECT_TIMEOUT_S)
+
+    async def is_refused(self, endpoint_id: str, address: str) -> bool:
+        """Return whether nothing listens at an endpoint's address."""
+        try:
+            conn = await self._connect(endpoint_id, address, REFUSAL_TIMEOUT_S)
+        except httpcore.ConnectTimeout:
+            return False
+        except (httpcore.ConnectError, OSError):
+            return True
+        await self.discard(conn)
+        return False
+
+    async def _connect(
+        self, endpoint_id: str, address: str, timeout_s: float
+    ) -> Connection:
         host, port = split_address(address)
         self._open_counts[endpoint_id] += 1
         try:
             stream = await self._backend.connect_tcp(
                 host,
                 port,
-                timeout=CONNECT_TIMEOUT_S,
+                timeout=timeout_s,
                 socket_options=SOCKET_OPTIONS,
             )
         except BaseException:
--- a/chervilshift/gateway/dispatch.py
+++ b/chervilshift/gateway/dispatch.py
@@ -12,6 +12,7 @@
     EndpointFailed,
     Failure,
     OverLimit,
+    Quarantined,
     Unserved,
     UpstreamFailed,
     UpstreamTimeout,
@@ -19,6 +20,7 @@
 from chervilshift.events import EventLog
 from chervilshift.gateway.admission import TRANSIENT_RETRY_AFTER_S, RateLimiter
 from chervilshift.gateway.connections import ConnectionPool
+from chervilshift.gateway.crashprobe import CrashProbe
 from chervilshift.gateway.downstream import Downstream
 from chervilshift.gateway.exchange import Exchange
 from chervilshift.gateway.outcomes import Outcomes, describe_choice
@@ -51,6 +53,9 @@
 # Larger than any event of a stream; an endpoint that sends more without
 # ending the event sends no event stream.
 MAX_EVENT_BYTES = 256 << 10
+# Retry-After of requests with a prompt part in quarantine. Parts that still
+# come are not released.
+QUARANTINE_RETRY_AFTER_S = 60.0
 
 
 class Dispatcher:
@@ -62,6 +67,7 @@
         state: GatewayState,
         sync: ControlSync,
         pool: ConnectionPool,
+        crash_probe: CrashProbe,
         codec: HeaderCodec,
         clock: Clock,
         events: EventLog,
@@ -71,6 +77,7 @@
         self._state = state
         self._limiter = RateLimiter(state=state, sync=sync, clock=clock)
         self._pool = pool
+        self._crash_probe = crash_probe
         self._codec = codec
         self._clock = clock
         self._metrics = metrics
@@ -120,6 +127,15 @@
             self._limiter.refund_if_not_run(exchange)
 
     async def _serve(self, exchange: Exchange, downstream: Downstream) -> None:
+        part = self._blocking_part(exchange)
+        if part:
+            await self._refuse(
+                exchange,
+                downstream,
+                Quarantined(part=part),
+                QUARANTINE_RETRY_AFTER_S,
+            )
+            return
         if not await self._limiter.admit(exchange):
             retry_after_s = self._limiter.available_in_s(exchange)
             failure = OverLimit(
@@ -150,6 +166,11 @@
                 if not self._may_retry(exchange, exc):
                     await self._fail(exchange, downstream, str(exc))
                     return
+                part = self._blocking_part(exchange)
+                if part:
+                    reason = f"prompt part {part} is in quarantine"
+                    await self._fail(exchange, downstream, reason)
+                    return
 
     # Attempts
 
@@ -167,6 +188,20 @@
             choice = choose(spec, exchange.work, now)
         return choice
 
+    def _blocking_part(self, exchange: Exchange) -> str:
+        if not exchange.shared_parts:
+            return ""
+        parts = [part for part, _ in exchange.shared_parts]
+        return self._state.blocking_part(parts)
+
+    def _record_answer(self, exchange: Exchange) -> None:
+        if exchange.shared_parts and not exchange.answer_recorded:
+            exchange.answer_recorded = True
+            self._state.crashes.record_answer(
+                (part for part, _ in exchange.shared_parts),
+                self._state.wall_s(),
+            )
+
     def _spend_retry(self, exchange: Exchange) -> bool:
         return self._state.retry_budget(exchange.service).withdraw(
             self._state.gateway_count, self._clock.monotonic()
@@ -177,6 +212,10 @@
             return exchange.failed_connects < MAX_FAILED_CONNECTS
         if exchange.attempts_sent >= exchange.route.attempts:
             return False
+        if exc.broken and exchange.is_suspect(self._clock.monotonic()):
+            parts = (part for part, _ in exchange.shared_parts)
+            if not self._state.crashes.may_repeat(parts):
+                return False
         return exchange.route.repeatable or not exchange.maybe_ran
 
     def _record_failure(
@@ -187,6 +226,7 @@
         exchange.failed_ids.add(choice.endpoint.id)
         if exc.broken:
             self._outcomes.record_break(exchange, choice.endpoint)
+            self._crash_probe.record_break(exchange, choice.endpoint)
         self._metrics.count("attempts_failed")
 
     async def _attempt(
@@ -306,6 +346,7 @@
         else:
             placed.endpoint.health.record_success(now)
             self._state.placement.observe(placed.choice, now - sent_at, now)
+            self._record_answer(exchange)
         retry = (
             failed
             and exchange.route.repeatable
@@ -360,6 +401,8 @@
             progress_at = now
             endpoint.health.record_activity(now)
             exchange.record_events(now)
+            if exchange.has_begun(now):
+                self._record_answer(exchange)
             if first:
                 first = False
                 placed.prefill_done()
@@ -377,6 +420,8 @@
                 "stream ended with its connection before its first event",
                 broken=True,
             )
+        if reply.framed:
+            self._record_answer(exchange)
         await relay.finish()
         self._outcomes.record(exchange, "whole")
 
--- a/chervilshift/gateway/exchange.py
+++ b/chervilshift/gateway/exchange.py
@@ -25,10 +25,12 @@
     are the endpoints at which an attempt failed; `attempts` and `failures`
     describe the sent and the failed attempts for logs. `longest_gap_s` is the
     longest pause between the events of a stream. `shared_parts` are the ids
-    and positions of the prompt parts that other requests may have too.
+    and positions of the prompt parts that other requests may have too, and
+    `answer_recorded` tells whether they are recorded as answered.
     """
 
     __slots__ = (
+        "answer_recorded",
         "arrived_at",
         "attempts",
         "attempts_sent",
@@ -83,6 +85,7 @@
             (part.id, position)
             for position, part in enumerate(request.prompt_parts[:-1])
         )
+        self.answer_recorded = False
         self.limit_cost = _limit_cost(request, customer)
         self.charged = False
         self.usage_counted = False
--- a/chervilshift/gateway/process.py
+++ b/chervilshift/gateway/process.py
@@ -16,6 +16,7 @@
 from chervilshift.errors import Failure
 from chervilshift.events import EventLog
 from chervilshift.gateway.connections import ConnectionPool
+from chervilshift.gateway.crashprobe import CrashProbe
 from chervilshift.gateway.dispatch import Dispatcher
 from chervilshift.gateway.ingress import Ingress
 from chervilshift.gateway.protocol import HeaderCodec
@@ -106,10 +107,18 @@
             clock=clock,
             events=events,
         )
+        self._crash_probe = CrashProbe(
+            state=self.state,
+            sync=self._sync,
+            pool=self._pool,
+            clock=clock,
+            metrics=metrics,
+        )
         self._dispatcher = Dispatcher(
             state=self.state,
             sync=self._sync,
             pool=self._pool,
+            crash_probe=self._crash_probe,
             codec=protocol.codec,
             clock=clock,
             events=events,
@@ -131,6 +140,7 @@
         """Serve until `stop` is set, then drain and return."""
         async with anyio.create_task_group() as tg:
             tg.start_soon(self._sync.run)
+            tg.start_soon(self._crash_probe.run)
             self._http = await tg.start(
                 serve_app,
                 self.ingress,
@@ -168,6 +178,7 @@
     def _make_state(self) -> GatewayState:
         settings = self._settings
         return GatewayState(
+            gateway_id=settings.process,
             info=self._info,
             placement=Placement(
                 region=settings.region, regions=settings.regions
@@ -202,6 +213,10 @@
                 for e in placement.endpoints()
             ),
         )
+        metrics.gauge("endpoint_crashes", lambda: state.crashes.count)
+        metrics.gauge(
+            "parts_quarantined", lambda: len(state.crashes.quarantined)
+        )
         metrics.gauge(
             "limits_fallen_back",
             lambda: state.limits.uses_fallback(self._clock.monotonic()),
--- a/chervilshift/gateway/state.py
+++ b/chervilshift/gateway/state.py
@@ -1,7 +1,7 @@
 """The state of a gateway: configuration, endpoints, limits, budgets."""
 
 from collections import defaultdict
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import anyio
 from absl import logging
@@ -9,10 +9,12 @@
 from returns.result import Result
 
 from chervilshift.clock import Clock
+from chervilshift.core.fleet.crashes import Crash
+from chervilshift.core.fleet.crashreports import CrashReports
 from chervilshift.core.fleet.documents import unpack
 from chervilshift.core.fleet.intervals import DIRECT_INTERVAL_S
 from chervilshift.core.fleet.limits import LimitAccount, LimitPolicy
-from chervilshift.core.fleet.model import ServingConfig
+from chervilshift.core.fleet.model import EndpointRecord, ServingConfig
 from chervilshift.core.fleet.otherload import OtherLoads
 from chervilshift.core.fleet.placement import Placement
 from chervilshift.core.fleet.retries import RetryBudget, RetryPolicy
@@ -30,6 +32,11 @@
 # bursts, short enough that a rise shows before a new endpoint would have
 # booted.
 PREFILL_RATE_WINDOW_S = 4.0
+# A control process that has not heard of the leader for longer is replaced by
+# another one.
+MAX_LEADER_AGE_S = 1.0
+# Without news of the leader for this long, the gateway judges by itself.
+ALONE_AFTER_S = 1.0
 # Usage is reported in this interval only; it is needed once per window.
 USAGE_REPORT_INTERVAL_S = 0.5
 
@@ -41,12 +48,14 @@
     first configuration arrives; `revision` is that of the known endpoints,
     and `gateway_count` the number of gateways that control knows.
     `report_interval_s` is the time until the next report to control, as the
-    control process asks.
+    control process asks. `crashes` are crashes of endpoints and the prompt
+    parts in quarantine.
     """
 
     def __init__(
         self,
         *,
+        gateway_id: str,
         info: Callable[[], GatewayInfo],
         placement: Placement,
         limit_policy: LimitPolicy,
@@ -72,6 +81,8 @@
         self._wall_time = WallTime(counts_own=False)
         self._other_loads = OtherLoads()
         self._usage_reported_at = float("-inf")
+        self._leader_heard_at = float("-inf")
+        self.crashes = CrashReports(gateway_id=gateway_id)
         self.report_interval_s = DIRECT_INTERVAL_S
         self.usage = UsageCounter(window_s=usage_window_s)
         self.table: RouteTable | None = None
@@ -97,6 +108,28 @@
             )
         return self._retry_budgets[service]
 
+    def wall_s(self) -> float:
+        """Return the Unix time that control's hosts agree on."""
+        return self._wall_time.correct(
+            self._clock.utcnow().timestamp(), self._clock.monotonic()
+        )
+
+    def blocking_part(self, parts: Iterable[str]) -> str:
+        """Return the prompt part that a request is refused for, or ""."""
+        now = self._clock.monotonic()
+        alone = now - self._leader_heard_at > ALONE_AFTER_S
+        return self.crashes.blocking_part(
+            parts, now, self.wall_s(), alone=alone
+        )
+
+    def record_crash(self, endpoint: EndpointRecord) -> bool:
+        """Record that an endpoint has crashed; return whether that is new."""
+        crash = self.crashes.settle((endpoint.id, endpoint.born_ms))
+        if crash is None:
+            return False
+        self._log_crash(crash)
+        return True
+
     def record_prefill(self, service: str, tokens: int) -> None:
         """Count prompt tokens that an endpoint has to prefill."""
         self._prefill_rates[service].add(self._clock.monotonic(), tokens)
@@ -104,6 +137,7 @@
     def sync_request(self) -> GatewaySync:
         """Return the message that reports this gateway's state to control."""
         now = self._clock.monotonic()
+        self.crashes.expire(now)
         info = self._info()
         loads = self.placement.loads()
         usage = {}
@@ -129,15 +163,15 @@
             },
             needed=self.limits.needed(),
             prefetch=self.limits.prefetch(),
+            suspicion_revision=self.crashes.revision,
+            crashes=self.crashes.crashes(),
+            answers=self.crashes.answers(),
+            refused=self.crashes.refused(),
         )
 
     def count_usage(self, customer: str) -> None:
         """Count a customer's request that an endpoint began to run."""
-        wall_s = self._clock.utcnow().timestamp()
-        now = self._clock.monotonic()
-        self.usage.count_request(
-            customer, self._wall_time.correct(wall_s, now)
-        )
+        self.usage.count_request(customer, self.wall_s())
 
     def apply_reply(self, reply: SyncReply) -> None:
         """Apply the reply of a control process.
@@ -155,6 +189,11 @@
                 self.placement.change_endpoints(reply.endpoints)
             else:
                 self.placement.update_endpoints(reply.endpoints)
+            self._settle_ended()
+        if reply.suspicion is not None:
+            self.crashes.apply(reply.suspicion)
+        if reply.leader_age_s <= MAX_LEADER_AGE_S:
+            self._leader_heard_at = now
         self.gateway_count = max(1, reply.gateways)
         self.report_interval_s = reply.interval_s
         self.limits.set_gateway_count(self.gateway_count, reply.interval_s)
@@ -165,6 +204,24 @@
                 reply.grants, reply.waits, now, reply.leader_age_s
             )
 
+    def _settle_ended(self) -> None:
+        running = {
+            (endpoint.id, endpoint.record.born_ms)
+            for endpoint in self.placement.endpoints()
+        }
+        for crash in self.crashes.settle_ended(running):
+            self._log_crash(crash)
+
+    def _log_crash(self, crash: Crash) -> None:
+        self._events.emit(
+            "endpoint_crashed",
+            urgent=True,
+            endpoint=crash.endpoint,
+            born_ms=crash.born_ms,
+            at_s=round(crash.at_s, 3),
+            suspects=sorted(crash.parts),
+        )
+
     def _apply_document(self, document: bytes) -> None:
         decoded = unpack(document).bind(self._decode)
         if isinstance(decoded, Bad):
--- a/chervilshift/gateway/sync.py
+++ b/chervilshift/gateway/sync.py
@@ -9,7 +9,7 @@
 from chervilshift.core.fleet.controls import ControlChooser
 from chervilshift.core.fleet.sync import SyncReply
 from chervilshift.events import EventLog
-from chervilshift.gateway.state import GatewayState
+from chervilshift.gateway.state import MAX_LEADER_AGE_S, GatewayState
 from chervilshift.wire.rpc import Clients
 
 __all__ = ["ControlSync"]
@@ -22,9 +22,6 @@
 # Two syncs are at least this far apart, also those that waiting requests ask
 # for.
 MIN_INTERVAL_S = 0.03
-# A control process that has not heard of the leader for longer is replaced by
-# another one.
-MAX_LEADER_AGE_S = 1.0
 # Interval of syncs while no control process has heard of a leader. Requests
 # that wait for grants don't shorten it: there is nobody to give them.
 NO_LEADER_INTERVAL_S = 0.1
@@ -75,10 +72,14 @@
         """Replace the seeds, which are known without any reply."""
         self._chooser.set_seeds(seeds)
 
+    def request(self) -> None:
+        """Sync soon."""
+        self._refresh_wanted.set()
+
     async def refresh(self) -> None:
         """Sync soon; return when a control process has replied."""
         replied = self._replied
-        self._refresh_wanted.set()
+        self.request()
         await replied.wait()
 
     async def announce(self, timeout_s: float) -> None:
--- /dev/null
+++ b/tests/platform/crashing.py
@@ -0,0 +1,83 @@
+"""An endpoint that some prompt parts crash, on a raw socket."""
+
+import anyio
+
+from chervilshift.clock import SystemClock
+from tests.platform.rawhttp import read_request
+from tests.platform.standin import Endpoint, Platform
+
+__all__ = ["CrashingEndpoint"]
+
+REBOOT_S = 0.6
+EVENT_INTERVAL_S = 0.04
+EVENTS = 6
+HEAD = (
+    b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: s\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\n"
+)
+
+
+class CrashingEndpoint(Endpoint):
+    """Streams events; a request with a part of `bad` ends the process.
+
+    It is back after a while, as another incarnation at the same address.
+    `bad_arrivals` are the monotonic times of requests with such a part, and
+    `crashed_at` those of the crashes.
+    """
+
+    def __init__(self, *, bad: frozenset[bytes], **fields):
+        super().__init__(service="llm", **fields)
+        self.bad = bad
+        self.born = 1000
+        self.bad_arrivals: list[float] = []
+        self.crashed_at: list[float] = []
+        self._clock = SystemClock()
+        self._process = anyio.CancelScope()
+
+    def announcement(self, state: str = "ready", **changes) -> bytes:
+        """Return the body of the next announcement."""
+        return super().announcement(state, **{"born": self.born} | changes)
+
+    async def run(self, platform: Platform) -> None:
+        """Serve, crash and restart until cancelled."""
+        host, port = self.address.split(":")
+        while True:
+            with anyio.CancelScope() as self._process:
+                listener = await anyio.create_tcp_listener(
+                    local_host=host, local_port=int(port)
+                )
+                async with listener, anyio.create_task_group() as tg:
+                    tg.start_soon(listener.serve, self._handle)
+                    await platform.announce(self, "ready")
+                    while True:
+                        await anyio.sleep(0.4)
+                        await platform.announce(self, "ready")
+            self.crashed_at.append(self._clock.monotonic())
+            self.born += 1
+            self.seq = 0
+            await anyio.sleep(REBOOT_S)
+
+    async def _handle(self, stream) -> None:
+        async with stream:
+            try:
+                while True:
+                    await self._serve_one(stream)
+            except (anyio.EndOfStream, anyio.BrokenResourceError):
+                return
+
+    async def _serve_one(self, stream) -> None:
+        fields = await read_request(stream)
+        prefix = fields.get(b"prompt-prefix", b"").split(b",")
+        parts = {entry.strip().split(b":")[0] for entry in prefix[:-1]}
+        self.arrivals += 1
+        await stream.send(HEAD % fields[b"request-id"])
+        if parts & self.bad:
+            self.bad_arrivals.append(self._clock.monotonic())
+            await anyio.sleep(EVENT_INTERVAL_S / 2)
+            self._process.cancel()
+            await anyio.sleep_forever()
+        for number in range(1, EVENTS + 1):
+            event = b"id: %d\ndata: x\n\n" % number
+            await stream.send(b"%x\r\n%s\r\n" % (len(event), event))
+            await anyio.sleep(EVENT_INTERVAL_S)
+        await stream.send(b"0\r\n\r\n")
--- /dev/null
+++ b/tests/platform/test_quarantine.py
@@ -0,0 +1,121 @@
+"""A prompt part that crashes endpoints, through real sockets and processes.
+
+Without a quarantine, requests with the part crash one endpoint after the
+other, and every request waiting there fails with them.
+"""
+
+from itertools import count
+
+import anyio
+
+from chervilshift.clock import SystemClock
+from tests.cluster import free_address
+from tests.platform.crashing import CrashingEndpoint
+from tests.platform.standin import Platform, Reply, eventually
+
+ENDPOINTS, GATEWAYS = 5, 2
+CONTACT_S = 4.0
+KNOWN_AFTER_CRASHES = 5
+MAX_LATE_REQUESTS = 3
+REQUEST_INTERVAL_S = 0.06
+BAD = "bad0"
+CLOCK = SystemClock()
+
+
+class Traffic:
+    """Requests to all gateways; every sixth one has the bad part."""
+
+    def __init__(self, platform: Platform):
+        self.platform = platform
+        self.numbers = count()
+        self.bad: list[Reply] = []
+        self.sound: list[Reply] = []
+
+    async def send(self, parts: str, replies: list[Reply]) -> None:
+        number = next(self.numbers)
+        prefix = f"{parts},{number:x}:50"
+        headers = (("Prompt-Prefix", prefix), ("Token-Count", "500,20"))
+        reply = await self.platform.send_request(
+            "/stream/a", gateway=number % GATEWAYS, headers=headers
+        )
+        replies.append(reply)
+
+    async def play(self, seconds: float) -> None:
+        async with anyio.create_task_group() as tg:
+            until = CLOCK.monotonic() + seconds
+            for number in count():
+                if CLOCK.monotonic() > until:
+                    return
+                if number % 6 == 5:
+                    parts = f"aa:100,b1:50,{BAD}:20"
+                    tg.start_soon(self.send, parts, self.bad)
+                else:
+                    parts = f"aa:100,b{number % 3}:50"
+                    tg.start_soon(self.send, parts, self.sound)
+                await anyio.sleep(REQUEST_INTERVAL_S)
+
+
+def run_scenario(tmp_path, scenario) -> None:
+    async def run() -> None:
+        async with anyio.create_task_group() as tg:
+            platform = Platform(tmp_path, tg, GATEWAYS)
+            await platform.start()
+            assert await platform.configure() == 200
+            endpoints = [
+                CrashingEndpoint(
+                    name=f"w{n}",
+                    address=free_address(),
+                    bad=frozenset((BAD.encode(),)),
+                )
+                for n in range(ENDPOINTS)
+            ]
+            for endpoint in endpoints:
+                tg.start_soon(endpoint.run, platform)
+            for gateway, _ in platform.gateways:
+                placement = gateway.state.placement
+                await eventually(
+                    lambda p=placement: len(p.endpoints()) == ENDPOINTS
+                )
+            await scenario(platform, endpoints)
+            tg.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
+def late_requests(endpoints: list[CrashingEndpoint]) -> int:
+    crashes = sorted(at for e in endpoints for at in e.crashed_at)
+    arrivals = [at for e in endpoints for at in e.bad_arrivals]
+    if len(crashes) < KNOWN_AFTER_CRASHES:
+        return 0
+    known_at = crashes[KNOWN_AFTER_CRASHES - 1] + CONTACT_S
+    return sum(at > known_at for at in arrivals)
+
+
+def test_part_that_crashes_endpoints_is_refused_and_sound_requests_are_served(
+    tmp_path,
+):
+    async def scenario(platform, endpoints) -> None:
+        traffic = Traffic(platform)
+        await traffic.play(9.0)
+        assert late_requests(endpoints) <= MAX_LATE_REQUESTS
+        refusal = traffic.bad[-1]
+        assert refusal.status == 503
+        assert float(refusal.headers["retry-after"]) > 0
+        assert all(r.status == 200 and r.whole for r in traffic.sound[-30:])
+
+    run_scenario(tmp_path, scenario)
+
+
+def test_part_stays_refused_after_a_restart_of_all_control(tmp_path):
+    async def scenario(platform, endpoints) -> None:
+        traffic = Traffic(platform)
+        await traffic.play(5.0)
+        crashes = sum(len(e.crashed_at) for e in endpoints)
+        await platform.restart_controls()
+        await eventually(lambda: platform.leader() is not None)
+        await traffic.play(5.0)
+        # One request is let through as a trial.
+        assert sum(len(e.crashed_at) for e in endpoints) <= crashes + 1
+        assert traffic.bad[-1].status == 503
+
+    run_scenario(tmp_path, scenario)
