Bound what requests with many or long parts add to crash reports

Found by reading: a request may have thousands of parts, and a crash kept the first 128 suspects, so a part behind many others was never a suspect; ids could be as long as a header. Change: a request counts with 31 parts and one name for all requests with more than 32; long ids are digests; a report to control has 512 suspects at most, those of the newest crashes.

--- a/chervilshift/core/fleet/crashes.py
+++ b/chervilshift/core/fleet/crashes.py
@@ -44,7 +44,7 @@
 CLEARING_S = 1.5
 # Bounds of what is kept; the oldest is dropped.
 MAX_CRASHES = 128
-MAX_PARTS_PER_CRASH = 128
+MAX_PARTS_PER_CRASH = 256
 MAX_QUARANTINED = 256
 MAX_RELEASED = 256
 MAX_SUSPECTS = 256
@@ -87,7 +87,7 @@
     """What gateways have to know of a `CrashTable`.
 
     `revision` is the log position of its last change, and `suspects` the
-    number of crashes by part.
+    number of crashes by part, 0 for one that was answered before.
     """
 
     revision: int
@@ -157,9 +157,9 @@
         return CrashSnapshot(
             revision=self.revision,
             crashes=tuple(self._crashes.values()),
-            answered=self._answered,
-            quarantined=self._quarantined,
-            released=self._released,
+            answered=dict(self._answered),
+            quarantined=dict(self._quarantined),
+            released=dict(self._released),
         )
 
     @property
@@ -187,7 +187,10 @@
             ]
             self._suspicion = Suspicion(
                 revision=self.revision,
-                suspects={p: counts[p] for p in suspects[:MAX_SUSPECTS]},
+                suspects={
+                    part: 0 if part in self._answered else counts[part]
+                    for part in suspects[:MAX_SUSPECTS]
+                },
                 quarantined=dict(self._quarantined),
             )
         return self._suspicion
--- a/chervilshift/core/fleet/crashreports.py
+++ b/chervilshift/core/fleet/crashreports.py
@@ -9,7 +9,8 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Sequence
+from hashlib import blake2b
 
 from chervilshift.core.fleet.crashes import (
     MAX_PARTS_PER_CRASH,
@@ -18,11 +19,20 @@
     Suspicion,
 )
 
-__all__ = ["CrashReports"]
+__all__ = ["CrashReports", "shared_parts"]
 
 # Longer than the election of a leader, and the repair of a cut, take.
 REPORT_S = 30.0
 MAX_REPORTS = 16
+# Suspects in one report to control; those of the oldest crashes are left out.
+MAX_REPORTED_PARTS = 512
+# A request with more parts that others may share is known by the first ones,
+# and by one that stands for all requests with as many.
+MAX_SHARED_PARTS = 32
+MANY_PARTS = "more parts"
+# Longer ids are replaced by a digest of `DIGEST_BYTES`.
+MAX_PART_ID_CHARS = 32
+DIGEST_BYTES = 12
 # A break of an endpoint that could be connected to is settled as a crash if
 # control reports within this time that the incarnation has ended.
 MAX_RESTART_S = 5.0
@@ -45,6 +55,26 @@
 Incarnation = tuple[str, int]
 
 
+def shared_parts(ids: Sequence[str]) -> tuple[tuple[str, int], ...]:
+    """Return the parts of a prompt that others may share, with positions.
+
+    `ids` are those of all its parts in order; the last one belongs to the
+    request itself.
+    """
+    shared = [
+        (_short_id(part), position) for position, part in enumerate(ids[:-1])
+    ]
+    if len(shared) > MAX_SHARED_PARTS:
+        shared[MAX_SHARED_PARTS - 1 :] = [(MANY_PARTS, len(shared))]
+    return tuple(shared)
+
+
+def _short_id(part: str) -> str:
+    if len(part) <= MAX_PART_ID_CHARS:
+        return part
+    return blake2b(part.encode(), digest_size=DIGEST_BYTES).hexdigest()
+
+
 class _Break:
     """Requests broken off at one endpoint; `parts` as in `Crash`."""
 
@@ -197,11 +227,16 @@
 
     def crashes(self) -> tuple[Crash, ...]:
         """Return the crashes with the suspects that are left."""
-        messages = (
-            self._message(incarnation, crash)
-            for incarnation, crash in self._crashes.items()
-        )
-        return tuple(message for message in messages if message.parts)
+        messages = []
+        room = MAX_REPORTED_PARTS
+        for incarnation, crash in reversed(self._crashes.items()):
+            message = self._message(incarnation, crash)
+            room -= len(message.parts)
+            if room < 0:
+                break
+            if message.parts:
+                messages.append(message)
+        return tuple(reversed(messages))
 
     def answers(self) -> dict[str, float]:
         """Return when suspects were last answered here, by part.
--- a/chervilshift/gateway/exchange.py
+++ b/chervilshift/gateway/exchange.py
@@ -1,5 +1,6 @@
 """The state of one request while it is being served."""
 
+from chervilshift.core.fleet.crashreports import shared_parts
 from chervilshift.core.fleet.model import Customer, Route
 from chervilshift.core.fleet.placement import Work
 from chervilshift.gateway.protocol import ClientRequest
@@ -80,10 +81,8 @@
             output_tokens=request.output_tokens or 0,
             parts=tuple((p.id, p.tokens) for p in request.prompt_parts),
         )
-        # The last part belongs to the request itself.
-        self.shared_parts = tuple(
-            (part.id, position)
-            for position, part in enumerate(request.prompt_parts[:-1])
+        self.shared_parts = shared_parts(
+            [part.id for part in request.prompt_parts]
         )
         self.answer_recorded = False
         self.limit_cost = _limit_cost(request, customer)
--- a/tests/core/fleet/test_crashes.py
+++ b/tests/core/fleet/test_crashes.py
@@ -98,6 +98,8 @@
     table = table_of(*crashes)
     table.clear({"head": 9.0, "r": 9.0}, 7)
     assert guilty(table) == {"bad"}
+    suspects = table.suspicion().suspects
+    assert (suspects["head"], suspects["bad"]) == (0, 5)
     table.clear({"bad": 100.0}, 8)
     assert guilty(table) == {"head"}
 
@@ -193,7 +195,7 @@
 def test_memory_is_bounded_under_a_flood():
     table = CrashTable()
     for number in range(3 * MAX_QUARANTINED + 3 * MAX_RELEASED):
-        parts = " ".join(f"p{number}-{n}" for n in range(200))
+        parts = " ".join(f"p{number}-{n}" for n in range(300))
         table.note((crash(number, float(number), parts),), number + 1)
         table.quarantine((f"p{number}-0",), float(number), number + 1)
     snapshot = table.snapshot()
--- a/tests/core/fleet/test_crashreports.py
+++ b/tests/core/fleet/test_crashreports.py
@@ -9,12 +9,15 @@
 from chervilshift.core.fleet.crashes import Quarantined, Suspicion
 from chervilshift.core.fleet.crashreports import (
     MAX_ANSWERED,
+    MAX_REPORTED_PARTS,
     MAX_REPORTS,
     MAX_RESTART_S,
+    MAX_SHARED_PARTS,
     RECENT_ANSWER_S,
     REFUSED_REPORT_S,
     REPORT_S,
     CrashReports,
+    shared_parts,
 )
 
 UNIX_S = 1_700_000_000.0
@@ -146,6 +149,42 @@
     assert not reports.may_repeat(["head", "bad"])
 
 
+def test_part_behind_many_others_is_stopped():
+    def prompt(number: int) -> tuple[tuple[str, int], ...]:
+        junk = [f"j{number}-{n}" for n in range(2 * MAX_SHARED_PARTS)]
+        return shared_parts([*junk, "bad", "own"])
+
+    reports = CrashReports(gateway_id="g1")
+    for number in range(3):
+        incarnation = (f"e{number}", 1)
+        at = float(number)
+        reports.record_break(incarnation, prompt(number), at, UNIX_S + at)
+        reports.settle(incarnation)
+    parts = [part for part, _ in prompt(9)]
+    assert len(parts) == MAX_SHARED_PARTS
+    assert block(reports, " ".join(parts[:-1]), 9.0, alone=True) == ""
+    assert reports.blocking_part(parts, 9.0, UNIX_S + 9.0, alone=True)
+
+
+def test_parts_that_are_not_shared_or_have_long_ids():
+    assert shared_parts(["own"]) == ()
+    assert shared_parts([]) == ()
+    ((part, position),) = shared_parts(["x" * 10_000, "own"])
+    assert (len(part), position) == (24, 0)
+
+
+def test_report_to_control_is_bounded_and_keeps_the_newest_crashes():
+    reports = reports_of(
+        *(
+            (float(n), f"e{n}", " ".join(f"p{n}-{m}" for m in range(100)))
+            for n in range(MAX_REPORTS)
+        )
+    )
+    sent = reports.crashes()
+    assert sum(len(c.parts) for c in sent) <= MAX_REPORTED_PARTS
+    assert sent[-1].endpoint == f"e{MAX_REPORTS - 1}"
+
+
 def test_memory_is_bounded_under_a_flood():
     reports = CrashReports(gateway_id="g1")
     for number in range(3 * MAX_ANSWERED):
