Don't take a commit that is being saved for the loss of the lease

Cause: a replica has its lease only while it has applied everything committed, so for as long as each save takes it has none. Reads refused at once; so did relays of followers, whose gateways then got their news later; and the search for silent endpoints began anew at each lapse that it met, so that an endpoint that is gone could stay in use.

--- a/chervilshift/control/fleet.py
+++ b/chervilshift/control/fleet.py
@@ -10,6 +10,7 @@
 from returns.result import Result, Success
 
 from chervilshift.clock import Clock
+from chervilshift.control.lease import wait_lease
 from chervilshift.control.node import Node
 from chervilshift.control.quarantine import Quarantine
 from chervilshift.control.relay import LeaderRelay
@@ -162,7 +163,7 @@
         with the failure of the call to the leader.
         """
         if self._node.raft.is_leader:
-            serving = self._read_under_lease()
+            serving = await self._read_under_lease()
         else:
             self._update_leader_addresses()
             serving = await self._leader.call(
@@ -327,14 +328,14 @@
             suspicion=suspicion,
         )
 
-    def receive_relay(self, message: Relay) -> RelayReply:
+    async def receive_relay(self, message: Relay) -> RelayReply:
         """Record what a follower relays, and return the reply to it.
 
         Raises NotLeader.
         """
-        self._configure()
-        if not self._node.has_lease():
+        if not await wait_lease(self._node):
             raise NotLeader(leader=self._node.leader_address())
+        self._configure()
         for heartbeat in message.beats:
             self._record_heartbeat(heartbeat)
         self._observe_wall_time(message.sender.address, message.wall_s)
@@ -385,12 +386,12 @@
             self._leader_time.observe("leader", reply.wall_s, wall_s, now)
         self._distributor.apply_relay_reply(relay, reply, sent_at, now)
 
-    def answer_read(self) -> ServingDocument:
+    async def answer_read(self) -> ServingDocument:
         """Return the packed document for another replica.
 
         Raises NotLeader, or NotReady if there is no document yet.
         """
-        document = self._read_under_lease()
+        document = await self._read_under_lease()
         if isinstance(document, Bad):
             raise document.failure()
         return document.unwrap()
@@ -409,16 +410,16 @@
                     await self._quarantine.step()
                     await self._expire_endpoints()
                     await self._update_gateways()
-                else:
+                elif not self._node.raft.is_leader:
                     self._leading_since = None
 
     def _leader_to_relay_to(self) -> str:
         """Return the leader's address, empty if this process leads."""
         return "" if self._node.raft.is_leader else self._node.leader_address()
 
-    def _read_under_lease(self) -> Result[ServingDocument, Failure]:
+    async def _read_under_lease(self) -> Result[ServingDocument, Failure]:
         fleet = self._node.machine.fleet
-        if not self._node.has_lease():
+        if not await wait_lease(self._node):
             return Bad(NotLeader(leader=self._node.leader_address()))
         if not fleet.version:
             return Bad(NotReady(reason="no configuration yet"))
--- a/chervilshift/control/server.py
+++ b/chervilshift/control/server.py
@@ -7,6 +7,7 @@
 from returns.result import Result, Success
 
 from chervilshift.control.fleet import FleetService
+from chervilshift.control.lease import wait_lease
 from chervilshift.control.node import Node
 from chervilshift.core.commands import Command
 from chervilshift.core.fleet.sync import (
@@ -110,13 +111,13 @@
 
     @_serve.register
     async def _(self, message: ReadVersion) -> Version:
-        if not self._node.has_lease():
+        if not await wait_lease(self._node):
             raise NotLeader(leader=self._node.leader_address())
         return Version(version=self._node.machine.version)
 
     @_serve.register
     async def _(self, message: GetHistory) -> History:
-        if not self._node.has_lease():
+        if not await wait_lease(self._node):
             raise NotLeader(leader=self._node.leader_address())
         return History(changes=self._node.machine.history(message.last))
 
@@ -126,11 +127,11 @@
 
     @_serve.register
     async def _(self, message: Relay) -> RelayReply:
-        return self._fleet_service().receive_relay(message)
+        return await self._fleet_service().receive_relay(message)
 
     @_serve.register
     async def _(self, message: ReadServing) -> ServingDocument:
-        return self._fleet_service().answer_read()
+        return await self._fleet_service().answer_read()
 
     def _fleet_service(self) -> FleetService:
         if self._fleet is None:
--- /dev/null
+++ b/tests/control/test_fleet.py
@@ -0,0 +1,131 @@
+"""What the leader does while it has not applied its newest commit.
+
+It has no lease then, for as long as a save takes. A leader that takes this for
+the loss of its lease refuses reads of the configuration, and relays.
+"""
+
+from types import SimpleNamespace
+
+import anyio
+import pytest
+from returns.result import Success
+
+from chervilshift.clock import SystemClock
+from chervilshift.control.fleet import FleetService
+from chervilshift.core.fleet.commands import AcceptServing, AnnounceEndpoint
+from chervilshift.core.fleet.documents import pack
+from chervilshift.core.fleet.limits import LimitPolicy
+from chervilshift.core.fleet.model import (
+    READY,
+    SILENT,
+    EndpointRecord,
+    ServingConfig,
+    ServingLimits,
+)
+from chervilshift.core.fleet.state import FleetState
+from chervilshift.core.fleet.sync import ControlInfo, Relay
+from chervilshift.errors import NotLeader
+from chervilshift.events import EventLog, HybridClock
+
+DOCUMENT = b"{}"
+ANNOUNCE_INTERVAL_S = 0.4
+
+
+class StubNode:
+    """A replica whose lease is missing for the next `misses` questions."""
+
+    def __init__(self, *, misses: float, is_leader: bool = True):
+        fleet = FleetState()
+        fleet.apply(AcceptServing(version=3, document=pack(DOCUMENT)), 1)
+        self.machine = SimpleNamespace(fleet=fleet)
+        self.raft = SimpleNamespace(
+            is_leader=is_leader, log=SimpleNamespace(voters=())
+        )
+        self.submitted = []
+        self._misses = misses
+
+    def has_lease(self) -> bool:
+        self._misses -= 1
+        return self._misses < 0
+
+    async def submit(self, command):
+        self.submitted.append(command)
+        return Success(None)
+
+    def leader_address(self) -> str:
+        return "c1"
+
+
+def service(node: StubNode) -> FleetService:
+    clock = SystemClock()
+    cfg = ServingConfig(
+        version=3, routes=(), services={}, limits=ServingLimits()
+    )
+    return FleetService(
+        node=node,
+        clients=None,
+        decode=lambda document: Success(cfg),
+        announce_interval_s=ANNOUNCE_INTERVAL_S,
+        limit_policy=LimitPolicy(window_s=8.0, tolerance=0.1, slack=0.0),
+        info=ControlInfo(address="c1"),
+        clock=clock,
+        events=EventLog(process="c1", hlc=HybridClock(clock=clock)),
+    )
+
+
+def test_read_amid_a_commit_waits_for_it():
+    fleet = service(StubNode(misses=3))
+    serving = anyio.run(fleet.read_document).unwrap()
+    assert (serving.version, serving.document) == (3, DOCUMENT)
+
+
+def test_relay_amid_a_commit_waits_for_it():
+    fleet = service(StubNode(misses=3))
+    relay = Relay(sender=ControlInfo(address="c2"))
+    assert anyio.run(fleet.receive_relay, relay).loads.full
+
+
+def test_leader_without_a_lease_refuses_a_read_in_bounded_time():
+    fleet = service(StubNode(misses=float("inf")))
+
+    async def read():
+        with anyio.fail_after(5.0):
+            return await fleet.read_document()
+
+    assert isinstance(anyio.run(read).failure(), NotLeader)
+
+
+def test_silent_endpoint_is_found_though_the_lease_lapses_now_and_then():
+    node = StubNode(misses=0)
+    record = EndpointRecord(
+        id="e1",
+        born_ms=1,
+        seq=1,
+        state=READY,
+        service="llm",
+        address="e1",
+        failure_domain="a",
+        slots=1,
+    )
+    node.machine.fleet.apply(AnnounceEndpoint(endpoint=record), 2)
+    clock = SystemClock()
+    # Without the lease half of the time, and so at every second look or so.
+    node.has_lease = lambda: clock.monotonic() % 0.5 < 0.25
+    fleet = service(node)
+
+    async def run() -> None:
+        with anyio.move_on_after(8.0):
+            async with anyio.create_task_group() as tg:
+                tg.start_soon(fleet.run)
+                while not node.submitted:
+                    await anyio.sleep(0.05)
+                tg.cancel_scope.cancel()
+
+    anyio.run(run)
+    assert [c.endpoint.state for c in node.submitted] == [SILENT]
+
+
+def test_replica_that_does_not_lead_refuses_a_relay_at_once():
+    fleet = service(StubNode(misses=float("inf"), is_leader=False))
+    with pytest.raises(NotLeader):
+        anyio.run(fleet.receive_relay, Relay(sender=ControlInfo(address="c2")))
