Use the field's terms for the diagnosis of crashes

Reading the whole change: verdicts, guilt and inquiries are a metaphor; it is a diagnosis of causes, and a table's analysis. Renamed, with the commands and events (ExpireParts, ReleaseParts; parts_expired, parts_released).

--- a/chervilshift/control/quarantine.py
+++ b/chervilshift/control/quarantine.py
@@ -9,13 +9,16 @@
 from chervilshift.control.node import Node
 from chervilshift.core.fleet.commands import (
     ClearParts,
-    ExonerateParts,
+    ExpireParts,
     NoteCrashes,
     QuarantineParts,
     ReleaseParts,
     StartTrial,
 )
-from chervilshift.core.fleet.inquiry import Inquiry, QuarantineCommand
+from chervilshift.core.fleet.crashanalysis import (
+    CrashAnalysis,
+    QuarantineCommand,
+)
 from chervilshift.core.fleet.presence import Presence
 from chervilshift.events import EventLog
 
@@ -39,11 +42,11 @@
         self._wall_s = wall_s
         self._clock = clock
         self._events = events
-        self._inquiry = Inquiry()
+        self._analysis = CrashAnalysis()
 
     async def step(self) -> None:
         """Commit what follows from the gateways' reports; called as leader."""
-        commands = self._inquiry.commands(
+        commands = self._analysis.commands(
             self._node.machine.fleet.crashes,
             self._presence.reports(),
             self._wall_s(),
@@ -52,7 +55,7 @@
         for command in commands:
             if isinstance(await self._node.submit(command), Bad):
                 # Reports that have not changed are looked at again.
-                self._inquiry = Inquiry()
+                self._analysis = CrashAnalysis()
                 return
             self._log(command)
 
@@ -86,14 +89,14 @@
             suspects=len(table.suspicion().suspects),
         )
 
-    @_log.register
-    def _(self, command: ExonerateParts) -> None:
-        self._events.emit("parts_exonerated", parts=command.parts)
-
     @_log.register
     def _(self, command: ReleaseParts) -> None:
         self._events.emit("parts_released", parts=command.parts)
 
+    @_log.register
+    def _(self, command: ExpireParts) -> None:
+        self._events.emit("parts_expired", parts=command.parts)
+
     @_log.register
     def _(self, command: StartTrial) -> None:
         self._events.emit(
--- a/chervilshift/core/commands.py
+++ b/chervilshift/core/commands.py
@@ -7,7 +7,7 @@
     CommitUsage,
     CrashesNoted,
     EndpointKnown,
-    ExonerateParts,
+    ExpireParts,
     GatewaysNoted,
     NoteCrashes,
     NoteGateways,
@@ -163,8 +163,8 @@
     | NoteCrashes
     | ClearParts
     | QuarantineParts
-    | ExonerateParts
     | ReleaseParts
+    | ExpireParts
     | StartTrial
 )
 CommandReply = (
--- a/chervilshift/core/fleet/commands.py
+++ b/chervilshift/core/fleet/commands.py
@@ -11,12 +11,12 @@
     "CommitUsage",
     "CrashesNoted",
     "EndpointKnown",
-    "ExonerateParts",
+    "ReleaseParts",
     "GatewaysNoted",
     "NoteCrashes",
     "NoteGateways",
     "QuarantineParts",
-    "ReleaseParts",
+    "ExpireParts",
     "ServingAccepted",
     "StartTrial",
     "UsageCommitted",
@@ -76,13 +76,13 @@
     now_s: float
 
 
-class ExonerateParts(Message):
-    """Accept requests with these prompt parts: others are to blame."""
+class ReleaseParts(Message):
+    """Accept requests with these prompt parts: others cause the crashes."""
 
     parts: tuple[str, ...]
 
 
-class ReleaseParts(Message):
+class ExpireParts(Message):
     """Accept requests with these prompt parts until the next crash."""
 
     parts: tuple[str, ...]
--- a/chervilshift/core/fleet/inquiry.py
+++ b/chervilshift/core/fleet/crashanalysis.py
@@ -5,7 +5,7 @@
 
 from chervilshift.core.fleet.commands import (
     ClearParts,
-    ExonerateParts,
+    ExpireParts,
     NoteCrashes,
     QuarantineParts,
     ReleaseParts,
@@ -14,7 +14,7 @@
 from chervilshift.core.fleet.crashes import Crash, CrashTable
 from chervilshift.core.fleet.sync import GatewaySync
 
-__all__ = ["Inquiry", "QuarantineCommand"]
+__all__ = ["CrashAnalysis", "QuarantineCommand"]
 
 # A quarantined part without requests is released after this time.
 QUARANTINE_IDLE_S = 900.0
@@ -23,26 +23,26 @@
     NoteCrashes
     | ClearParts
     | QuarantineParts
-    | ExonerateParts
     | ReleaseParts
+    | ExpireParts
     | StartTrial
 )
 
 
-class Inquiry:
+class CrashAnalysis:
     """Turns reports into commands of the replicated log.
 
     It decides from the replicated table and from what gateways report again
     and again, so that a new leader decides the same.
     """
 
-    __slots__ = ("_judged_revision", "_noted", "_used_at")
+    __slots__ = ("_diagnosed_revision", "_noted", "_used_at")
 
     def __init__(self):
         # The crashes of each gateway's report that were looked at.
         self._noted: dict[str, tuple[Crash, ...]] = {}
-        # The revision of the table that was judged for good.
-        self._judged_revision = -1
+        # The revision of the table that was diagnosed for good.
+        self._diagnosed_revision = -1
         # When requests with a quarantined part last came, by part.
         self._used_at: dict[str, float] = {}
 
@@ -64,7 +64,7 @@
         answered = table.unknown_answers(_latest(r.answers for r in reports))
         if answered:
             yield ClearParts(answered=answered)
-        yield from self._judge(table, now_s)
+        yield from self._diagnose(table, now_s)
         gateways = {
             part: report.gateway.id
             for report in reports
@@ -73,7 +73,7 @@
         yield from _trials(table, gateways, now_s)
         unused = self._unused(table, gateways, now)
         if unused:
-            yield ReleaseParts(parts=unused, now_s=now_s)
+            yield ExpireParts(parts=unused, now_s=now_s)
 
     def _new_crashes(
         self, reports: tuple[GatewaySync, ...]
@@ -88,19 +88,19 @@
         )
         return tuple(chain.from_iterable(changed))
 
-    def _judge(
+    def _diagnose(
         self, table: CrashTable, now_s: float
     ) -> Iterator[QuarantineCommand]:
         """Yield what follows from the crashes, if that may have changed."""
-        if self._judged_revision == table.revision:
+        if self._diagnosed_revision == table.revision:
             return
-        verdict = table.verdict(now_s)
-        if verdict.guilty:
-            yield QuarantineParts(parts=verdict.guilty, now_s=now_s)
-        if verdict.released:
-            yield ExonerateParts(parts=verdict.released)
+        diagnosis = table.diagnose(now_s)
+        if diagnosis.causes:
+            yield QuarantineParts(parts=diagnosis.causes, now_s=now_s)
+        if diagnosis.released:
+            yield ReleaseParts(parts=diagnosis.released)
         if table.is_final(now_s):
-            self._judged_revision = table.revision
+            self._diagnosed_revision = table.revision
 
     def _unused(
         self, table: CrashTable, used: Iterable[str], now: float
--- a/chervilshift/core/fleet/crashes.py
+++ b/chervilshift/core/fleet/crashes.py
@@ -8,7 +8,7 @@
 requests with it are refused.
 
 `CrashTable` is replicated: `note`, `clear`, `quarantine`, `release` and
-`start_trial` are applied in log order, and `verdict` is what the leader
+`start_trial` are applied in log order, and `diagnose` is what the leader
 proposes next. Times are Unix times.
 """
 
@@ -25,7 +25,7 @@
     "CrashTable",
     "Quarantined",
     "Suspicion",
-    "Verdict",
+    "Diagnosis",
 ]
 
 # A part is quarantined once it is a suspect in this many crashes, one that was
@@ -36,8 +36,8 @@
 # Crashes this close together count as one: the loss of a failure domain ends
 # many endpoints at once, and a popular part may be waiting at several.
 SIMULTANEOUS_S = 0.1
-# All gateways have reported a crash within this time. Before, the part to
-# blame may be missing among the suspects.
+# All gateways have reported a crash within this time. Before, the part
+# that caused it may be missing among the suspects.
 REPORTED_S = 0.8
 # Answers to requests with a part that is in use are reported within this time
 # from its first crash.
@@ -46,7 +46,7 @@
 MAX_CRASHES = 64
 MAX_PARTS_PER_CRASH = 256
 MAX_QUARANTINED = 256
-MAX_RELEASED = 256
+MAX_EXPIRED = 256
 MAX_SUSPECTS = 256
 CRASH_MAX_AGE_S = 3600.0
 # After this time one request with a quarantined part is let through, to free
@@ -102,20 +102,20 @@
     crashes: tuple[Crash, ...] = ()
     answered: dict[str, float] = {}
     quarantined: dict[str, Quarantined] = {}
-    released: dict[str, float] = {}
+    expired: dict[str, float] = {}
 
 
-class Verdict:
+class Diagnosis:
     """Parts to quarantine, and quarantined ones to release."""
 
-    __slots__ = ("guilty", "released")
+    __slots__ = ("causes", "released")
 
-    def __init__(self, *, guilty: tuple[str, ...], released: tuple[str, ...]):
-        self.guilty = guilty
+    def __init__(self, *, causes: tuple[str, ...], released: tuple[str, ...]):
+        self.causes = causes
         self.released = released
 
 
-class _Accused:
+class _Suspect:
     """A suspect: the numbers of its crashes, the first one, its position."""
 
     __slots__ = ("crashes", "first_s", "position")
@@ -136,7 +136,7 @@
         "_answered",
         "_crashes",
         "_quarantined",
-        "_released",
+        "_expired",
         "_suspicion",
         "revision",
     )
@@ -149,7 +149,7 @@
         self._answered = dict(stored.answered)
         self._quarantined = dict(stored.quarantined)
         # When parts that nobody asked for any more were released.
-        self._released = dict(stored.released)
+        self._expired = dict(stored.expired)
         self._suspicion: Suspicion | None = None
 
     def snapshot(self) -> CrashSnapshot:
@@ -159,7 +159,7 @@
             crashes=tuple(self._crashes.values()),
             answered=dict(self._answered),
             quarantined=dict(self._quarantined),
-            released=dict(self._released),
+            expired=dict(self._expired),
         )
 
     @property
@@ -169,8 +169,8 @@
 
     def counts(self) -> dict[str, int]:
         """Return the number of crashes by suspected part."""
-        accused = self._accused(self._crashes.values())
-        return {part: len(held.crashes) for part, held in accused.items()}
+        suspects = self._find_suspects(self._crashes.values())
+        return {part: len(held.crashes) for part, held in suspects.items()}
 
     def suspicion(self) -> Suspicion:
         """Return what gateways have to know."""
@@ -217,29 +217,29 @@
             )
         }
 
-    def verdict(self, now_s: float) -> Verdict:
+    def diagnose(self, now_s: float) -> Diagnosis:
         """Return which parts to quarantine and to release.
 
         The part that is a suspect in most crashes explains them; the others
-        are judged by the crashes that it doesn't explain. Among equals it is
-        the part that comes last in prompts: what precedes it occurs without it
-        more often than the reverse. Parts that were answered before are judged
+        are diagnosed by the crashes that it doesn't explain. Among equals it
+        is the part that comes last in prompts: what precedes it occurs without
+        it more often than the reverse. Parts that were answered before come
         after the others.
         """
-        accused = self._accused(
+        suspects = self._find_suspects(
             crash
             for crash in self._crashes.values()
             if now_s - crash.at_s >= REPORTED_S
         )
         ripe = {
             part: held
-            for part, held in accused.items()
+            for part, held in suspects.items()
             if part in self._quarantined
-            or part in self._released
+            or part in self._expired
             or now_s - held.first_s >= CLEARING_S
         }
         explained: set[int] = set()
-        guilty: list[str] = []
+        causes: list[str] = []
         while True:
             eligible = (
                 (part not in self._answered, count, held.position, part)
@@ -250,21 +250,21 @@
             *_, worst = max(eligible, default=(False, 0, 0, ""))
             if not worst:
                 break
-            guilty.append(worst)
+            causes.append(worst)
             explained |= ripe[worst].crashes
-        return Verdict(
-            guilty=tuple(p for p in guilty if p not in self._quarantined),
+        return Diagnosis(
+            causes=tuple(p for p in causes if p not in self._quarantined),
             released=tuple(
                 part
                 for part in self._quarantined
-                if part not in guilty
-                and part in accused
-                and accused[part].crashes <= explained
+                if part not in causes
+                and part in suspects
+                and suspects[part].crashes <= explained
             ),
         )
 
     def is_final(self, now_s: float) -> bool:
-        """Whether the verdict stays until the table changes."""
+        """Whether the diagnosis stays until the table changes."""
         newest_s = max((c.at_s for c in self._crashes.values()), default=0.0)
         return now_s - newest_s >= max(REPORTED_S, CLEARING_S)
 
@@ -320,25 +320,25 @@
     ) -> None:
         """Put parts into quarantine; the oldest leave if there are many."""
         for part in parts:
-            self._released.pop(part, None)
+            self._expired.pop(part, None)
             self._quarantined.setdefault(part, Quarantined(since_s=now_s))
         excess = len(self._quarantined) - MAX_QUARANTINED
         for oldest in tuple(self._quarantined)[: max(0, excess)]:
             del self._quarantined[oldest]
-            self._release_unused(oldest, now_s)
+            self._record_expired(oldest, now_s)
         self._changed(index)
 
-    def exonerate(self, parts: Iterable[str], index: int) -> None:
+    def release(self, parts: Iterable[str], index: int) -> None:
         """Release parts whose crashes another part explains."""
         for part in parts:
             self._quarantined.pop(part, None)
         self._changed(index)
 
-    def release(self, parts: Iterable[str], now_s: float, index: int) -> None:
+    def expire(self, parts: Iterable[str], now_s: float, index: int) -> None:
         """Release unused parts; the next crash quarantines them again."""
         for part in parts:
             if self._quarantined.pop(part, None) is not None:
-                self._release_unused(part, now_s)
+                self._record_expired(part, now_s)
         self._changed(index)
 
     def start_trial(
@@ -355,10 +355,10 @@
             )
         self._changed(index)
 
-    def _release_unused(self, part: str, now_s: float) -> None:
-        self._released[part] = now_s
-        while len(self._released) > MAX_RELEASED:
-            del self._released[next(iter(self._released))]
+    def _record_expired(self, part: str, now_s: float) -> None:
+        self._expired[part] = now_s
+        while len(self._expired) > MAX_EXPIRED:
+            del self._expired[next(iter(self._expired))]
 
     def _changed(self, index: int) -> None:
         self.revision = index
@@ -402,15 +402,15 @@
         )
 
     def _threshold(self, part: str) -> int:
-        if part in self._released:
+        if part in self._expired:
             return 1
         if part in self._answered:
             return MIN_CRASHES_AFTER_ANSWERS
         return MIN_CRASHES
 
-    def _accused(self, crashes: Iterable[Crash]) -> dict[str, _Accused]:
+    def _find_suspects(self, crashes: Iterable[Crash]) -> dict[str, _Suspect]:
         """Return the suspects by part; simultaneous crashes count once."""
-        accused: dict[str, _Accused] = {}
+        suspects: dict[str, _Suspect] = {}
         number, began_s = 0, float("-inf")
         for crash in sorted(crashes, key=_at_s):
             if crash.at_s - began_s > SIMULTANEOUS_S:
@@ -418,16 +418,16 @@
             for part, position in crash.parts.items():
                 cleared_s = max(
                     self._answered.get(part, NEVER),
-                    self._released.get(part, NEVER),
+                    self._expired.get(part, NEVER),
                 )
                 if cleared_s >= crash.at_s:
                     continue
-                held = accused.get(part)
+                held = suspects.get(part)
                 if held is None:
-                    held = accused[part] = _Accused(first_s=crash.at_s)
+                    held = suspects[part] = _Suspect(first_s=crash.at_s)
                 held.crashes.add(number)
                 held.position = max(held.position, position)
-        return accused
+        return suspects
 
 
 def _key(crash: Crash) -> tuple[str, int]:
--- a/chervilshift/core/fleet/crashreports.py
+++ b/chervilshift/core/fleet/crashreports.py
@@ -49,8 +49,8 @@
 # this many crashes already.
 MAX_REPEATED_CRASHES = 2
 
-# A gateway without control judges its own crashes at most this often.
-OWN_VERDICT_INTERVAL_S = 0.1
+# A gateway without control diagnoses its own crashes at most this often.
+OWN_DIAGNOSIS_INTERVAL_S = 0.1
 
 Incarnation = tuple[str, int]
 
@@ -103,7 +103,7 @@
         "_answered",
         "_crashes",
         "_gateway_id",
-        "_own_verdict",
+        "_own_causes",
         "_refused",
         "_reported_answers",
         "_suspicion",
@@ -123,8 +123,8 @@
         # The trials used up: part, begin of its quarantine and number.
         self._trials: set[tuple[str, float, int]] = set()
         self._suspicion = Suspicion(revision=0)
-        # The last verdict by this gateway's own crashes, and its Unix time.
-        self._own_verdict: tuple[float, tuple[str, ...]] = (0.0, ())
+        # The last diagnosis by this gateway's own crashes, and its Unix time.
+        self._own_causes: tuple[float, tuple[str, ...]] = (0.0, ())
         self.count = 0
 
     @property
@@ -278,8 +278,8 @@
             return blocking[0]
         if not alone or not self._crashes:
             return ""
-        guilty = self._judge(wall_s)
-        return next((part for part in parts if part in guilty), "")
+        causes = self._diagnose(wall_s)
+        return next((part for part in parts if part in causes), "")
 
     def may_repeat(self, parts: Iterable[str]) -> bool:
         """Whether a request that was broken off may be sent once more."""
@@ -290,15 +290,15 @@
             for part in parts
         )
 
-    def _judge(self, wall_s: float) -> tuple[str, ...]:
+    def _diagnose(self, wall_s: float) -> tuple[str, ...]:
         """Return the parts that this gateway's own crashes tell against."""
-        judged_s, guilty = self._own_verdict
-        if abs(wall_s - judged_s) > OWN_VERDICT_INTERVAL_S:
+        diagnosed_s, causes = self._own_causes
+        if abs(wall_s - diagnosed_s) > OWN_DIAGNOSIS_INTERVAL_S:
             table = CrashTable()
             table.note(self.crashes(), 0)
-            guilty = table.verdict(wall_s).guilty
-            self._own_verdict = (wall_s, guilty)
-        return guilty
+            causes = table.diagnose(wall_s).causes
+            self._own_causes = (wall_s, causes)
+        return causes
 
     def _use_trial(self, part: str) -> bool:
         """Return whether a request is this gateway's trial of a part."""
--- a/chervilshift/core/fleet/state.py
+++ b/chervilshift/core/fleet/state.py
@@ -10,7 +10,7 @@
     CommitUsage,
     CrashesNoted,
     EndpointKnown,
-    ExonerateParts,
+    ExpireParts,
     GatewaysNoted,
     NoteCrashes,
     NoteGateways,
@@ -169,13 +169,13 @@
         return CrashesNoted(revision=index)
 
     @apply.register
-    def _(self, command: ExonerateParts, index: int) -> CrashesNoted:
-        self.crashes.exonerate(command.parts, index)
+    def _(self, command: ReleaseParts, index: int) -> CrashesNoted:
+        self.crashes.release(command.parts, index)
         return CrashesNoted(revision=index)
 
     @apply.register
-    def _(self, command: ReleaseParts, index: int) -> CrashesNoted:
-        self.crashes.release(command.parts, command.now_s, index)
+    def _(self, command: ExpireParts, index: int) -> CrashesNoted:
+        self.crashes.expire(command.parts, command.now_s, index)
         return CrashesNoted(revision=index)
 
     @apply.register
--- a/chervilshift/core/machine.py
+++ b/chervilshift/core/machine.py
@@ -27,7 +27,7 @@
     AnnounceEndpoint,
     ClearParts,
     CommitUsage,
-    ExonerateParts,
+    ExpireParts,
     NoteCrashes,
     NoteGateways,
     QuarantineParts,
@@ -164,11 +164,11 @@
     @_apply.register(AnnounceEndpoint)
     @_apply.register(ClearParts)
     @_apply.register(CommitUsage)
-    @_apply.register(ExonerateParts)
+    @_apply.register(ReleaseParts)
     @_apply.register(NoteCrashes)
     @_apply.register(NoteGateways)
     @_apply.register(QuarantineParts)
-    @_apply.register(ReleaseParts)
+    @_apply.register(ExpireParts)
     @_apply.register(StartTrial)
     def _(self, command: Command, index: int) -> CommandReply:
         return self.fleet.apply(command, index)
--- a/chervilshift/gateway/exchange.py
+++ b/chervilshift/gateway/exchange.py
@@ -11,7 +11,7 @@
 # The least urgent priority that endpoints know; 0 is the most urgent.
 LEAST_URGENT_PRIORITY = 9
 # A part that crashes endpoints does so as the answer begins. A request whose
-# answer has gone on for this long is not to blame for a crash.
+# answer has gone on for this long did not cause a crash.
 BEGUN_AFTER_S = 0.1
 
 
--- a/chervilshift/gateway/state.py
+++ b/chervilshift/gateway/state.py
@@ -35,7 +35,7 @@
 # A control process that has not heard of the leader for longer is replaced by
 # another one.
 MAX_LEADER_AGE_S = 1.0
-# Without news of the leader for this long, the gateway judges by itself.
+# Without news of the leader for this long, the gateway uses its own diagnosis.
 ALONE_AFTER_S = 1.0
 # Usage is reported in this interval only; it is needed once per window.
 USAGE_REPORT_INTERVAL_S = 0.5
--- a/tests/core/fleet/test_crashreports.py
+++ b/tests/core/fleet/test_crashreports.py
@@ -1,7 +1,7 @@
 """What one gateway takes for a crash, reports, and refuses.
 
-A gateway that takes a reset for a crash accuses sound parts; one that forgets
-a crash when control is away lets the part go on.
+A gateway that takes a reset for a crash suspects harmless parts; one that
+forgets a crash when control is away lets the part go on.
 """
 
 import pytest
@@ -134,7 +134,7 @@
 
 
 @pytest.mark.parametrize("alone", [True, False])
-def test_gateway_without_control_judges_by_its_own_crashes(alone):
+def test_gateway_without_control_uses_its_own_diagnosis(alone):
     crashes = ((float(n), f"e{n}", f"head r{n} bad") for n in range(3))
     reports = reports_of(*crashes)
     expected = "bad" if alone else ""
--- a/tests/core/fleet/test_quarantine.py
+++ b/tests/core/fleet/test_quarantine.py
@@ -1,8 +1,8 @@
 """Prompt parts that crash endpoints, in a fleet under one virtual clock.
 
-Gateways, the leader's inquiry and endpoints are simulated with the delays of
+Gateways, the leader's analysis and endpoints are simulated with the delays of
 the real ones. The bounds are the operator's: of the requests with such a part,
-three at most are sent later than `CONTACT_S` after the fifth crash, and sound
+three at most are sent later than `CONTACT_S` after the fifth crash, and normal
 requests with the same first part or customer begin at least half as often as
 before.
 """
@@ -16,9 +16,12 @@
 import pytest
 
 from chervilshift.core.fleet.commands import NoteCrashes, QuarantineParts
+from chervilshift.core.fleet.crashanalysis import (
+    QUARANTINE_IDLE_S,
+    CrashAnalysis,
+)
 from chervilshift.core.fleet.crashes import Crash
 from chervilshift.core.fleet.crashreports import REPORT_S, CrashReports
-from chervilshift.core.fleet.inquiry import QUARANTINE_IDLE_S, Inquiry
 from chervilshift.core.fleet.intervals import report_interval_s
 from chervilshift.core.fleet.state import FleetState
 from chervilshift.core.fleet.sync import GatewayInfo, GatewaySync
@@ -27,7 +30,7 @@
 STEP_S = 0.05
 CONTACT_S = 4.0
 MAX_LATE_REQUESTS = 3
-# Crashes after which a part is known to be to blame, by the operator's rule.
+# Crashes after which a part is known as the cause, by the operator's rule.
 KNOWN_AFTER_CRASHES = 5
 SWEEP_S = 0.25
 RELAY_S = 0.25
@@ -141,7 +144,7 @@
         self.gateways = [Gateway(n, self) for n in range(gateways)]
         self.fleet = FleetState()
         self.index = 0
-        self.inquiry = Inquiry()
+        self.analysis = CrashAnalysis()
         self.under_way: deque[tuple[float, GatewaySync]] = deque()
         self.reports: dict[str, GatewaySync] = {}
         self.commands: list = []
@@ -174,7 +177,7 @@
 
     def change_leader(self) -> None:
         """Elect another leader, which knows only what is replicated."""
-        self.inquiry = Inquiry()
+        self.analysis = CrashAnalysis()
         self.under_way.clear()
         self.reports = {}
         self.fleet = FleetState(snapshot=self.fleet.snapshot())
@@ -183,7 +186,7 @@
         while self.under_way and self.under_way[0][0] <= self.now:
             _, report = self.under_way.popleft()
             self.reports[report.gateway.id] = report
-        for command in self.inquiry.commands(
+        for command in self.analysis.commands(
             self.fleet.crashes, self.reports.values(), self.wall_s, self.now
         ):
             self.index += 1
@@ -247,7 +250,7 @@
         )
 
     def begun_share(self, first: str, since: float) -> float:
-        """Return the share of sound requests with a first part that go on."""
+        """Return the share of normal requests with a first part that go on."""
         outcomes = [
             sent
             for at, parts, sent in self.sent
@@ -258,9 +261,9 @@
 
 
 def mixed_traffic(
-    world: World, *, sound: int, bad_share: float, bad=("bad",), rest=None
+    world: World, *, normal: int, bad_share: float, bad=("bad",), rest=None
 ):
-    """Return sound requests with four heads and many subjects, and bad ones.
+    """Return normal requests with four heads and many subjects, and bad ones.
 
     `rest` makes the other shared parts of a bad request.
     """
@@ -273,7 +276,7 @@
             return f"{others} {rng.choice(bad)}"
         return f"{head} subject{int(rng.random() ** 2 * 200)}"
 
-    return lambda: [one() for _ in range(sound)]
+    return lambda: [one() for _ in range(normal)]
 
 
 def assert_kept(world: World, *bad: str) -> None:
@@ -285,15 +288,15 @@
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
 @pytest.mark.parametrize(
-    ("gateways", "endpoints", "sound"), [(7, 9, 4), (300, 60, 40)]
+    ("gateways", "endpoints", "normal"), [(7, 9, 4), (300, 60, 40)]
 )
-def test_bad_part_is_stopped_and_sound_requests_go_on(
-    gateways, endpoints, sound, seed
+def test_bad_part_is_stopped_and_other_requests_go_on(
+    gateways, endpoints, normal, seed
 ):
     world = World(gateways=gateways, endpoints=endpoints, seed=seed)
-    world.play(3.0, mixed_traffic(world, sound=sound, bad_share=0.0))
+    world.play(3.0, mixed_traffic(world, normal=normal, bad_share=0.0))
     world.bad = {"bad"}
-    world.play(25.0, mixed_traffic(world, sound=sound, bad_share=0.03))
+    world.play(25.0, mixed_traffic(world, normal=normal, bad_share=0.03))
     assert_kept(world, "bad")
     assert "bad" in world.fleet.crashes.quarantined
     assert world.begun_share("head0", world.now - 12.0) > 0.95
@@ -303,7 +306,7 @@
     world = World(gateways=8, endpoints=12)
     world.bad = {"bad1", "bad2", "bad3"}
     bad = ("bad1", "bad2", "bad3")
-    traffic = mixed_traffic(world, sound=4, bad_share=0.08, bad=bad)
+    traffic = mixed_traffic(world, normal=4, bad_share=0.08, bad=bad)
     world.play(25.0, traffic)
     assert_kept(world, *bad)
     assert set(world.fleet.crashes.quarantined) == world.bad
@@ -318,20 +321,20 @@
     def rest() -> str:
         return f"head{next(numbers) % 4} fresh{next(numbers)}"
 
-    world.play(25.0, mixed_traffic(world, sound=4, bad_share=0.04, rest=rest))
+    world.play(25.0, mixed_traffic(world, normal=4, bad_share=0.04, rest=rest))
     assert_kept(world, "bad")
     assert set(world.fleet.crashes.quarantined) == {"bad"}
 
 
-def test_bad_first_part_is_stopped_though_sound_parts_follow_it():
+def test_bad_first_part_is_stopped_though_other_parts_follow_it():
     world = World(gateways=8, endpoints=12)
     world.bad = {"bad"}
 
     def traffic() -> list[str]:
         rng = world.rng
-        sound = [f"head{rng.randrange(4)} subject{rng.randrange(40)}"] * 3
+        normal = [f"head{rng.randrange(4)} subject{rng.randrange(40)}"] * 3
         bad = [f"bad subject{rng.randrange(40)}"]
-        return sound + bad * (rng.random() < 0.1)
+        return normal + bad * (rng.random() < 0.1)
 
     world.play(25.0, traffic)
     assert_kept(world, "bad")
@@ -339,7 +342,7 @@
 
 def test_part_in_use_that_turns_bad_is_stopped():
     world = World(gateways=8, endpoints=12)
-    traffic = mixed_traffic(world, sound=4, bad_share=0.04)
+    traffic = mixed_traffic(world, normal=4, bad_share=0.04)
     world.play(5.0, traffic)
     assert not world.crashes
     world.bad = {"bad"}
@@ -351,7 +354,7 @@
 
 def test_crashes_of_other_causes_quarantine_nothing():
     world = World(gateways=8, endpoints=12)
-    traffic = mixed_traffic(world, sound=4, bad_share=0.0)
+    traffic = mixed_traffic(world, normal=4, bad_share=0.0)
     for _ in range(40):
         world.play(0.5, traffic)
         world.crash(world.rng.choice(world.endpoints))
@@ -365,7 +368,7 @@
 def test_crashes_of_other_causes_beside_a_bad_part():
     world = World(gateways=8, endpoints=16)
     world.bad = {"bad"}
-    traffic = mixed_traffic(world, sound=4, bad_share=0.03)
+    traffic = mixed_traffic(world, normal=4, bad_share=0.03)
     for _ in range(30):
         world.play(0.7, traffic)
         world.crash(world.rng.choice(world.endpoints))
@@ -376,8 +379,8 @@
 @pytest.mark.parametrize("lost_at_s", [0.5, 1.0, 1.5, 2.0, 3.0])
 def test_leader_lost_amid_the_crashes(lost_at_s):
     world = World(gateways=8, endpoints=16)
-    traffic = mixed_traffic(world, sound=4, bad_share=0.04)
-    world.play(3.0, mixed_traffic(world, sound=4, bad_share=0.0))
+    traffic = mixed_traffic(world, normal=4, bad_share=0.04)
+    world.play(3.0, mixed_traffic(world, normal=4, bad_share=0.0))
     world.bad = {"bad"}
     world.play(lost_at_s, traffic)
     world.leader_lost = True
@@ -392,7 +395,7 @@
 def test_quarantine_outlasts_restarts_of_all_gateways_and_the_leader():
     world = World(gateways=8, endpoints=16)
     world.bad = {"bad"}
-    traffic = mixed_traffic(world, sound=4, bad_share=0.04)
+    traffic = mixed_traffic(world, normal=4, bad_share=0.04)
     world.play(12.0, traffic)
     crashes = len(world.crashes)
     world.change_leader()
@@ -407,10 +410,10 @@
 def test_slow_series_of_crashes_is_remembered():
     world = World(gateways=8, endpoints=16)
     world.bad = {"bad"}
-    sound = mixed_traffic(world, sound=2, bad_share=0.0)
+    normal = mixed_traffic(world, normal=2, bad_share=0.0)
     for _ in range(10):
         world.send("head0 subject1 bad")
-        world.play(REPORT_S + 5.0, sound)
+        world.play(REPORT_S + 5.0, normal)
     assert_kept(world, "bad")
     assert len(world.crashes) <= KNOWN_AFTER_CRASHES
 
@@ -446,7 +449,7 @@
 
 def test_part_quarantined_by_mistake_is_freed_by_its_trial():
     world = World(gateways=8, endpoints=16)
-    traffic = mixed_traffic(world, sound=4, bad_share=0.0)
+    traffic = mixed_traffic(world, normal=4, bad_share=0.0)
 
     def with_rare_part() -> list[str]:
         rare = ["head0 rare"] if world.rng.random() < 0.2 else []
@@ -470,7 +473,7 @@
 def test_unused_part_is_released_and_caught_again_at_once():
     world = World(gateways=8, endpoints=16)
     world.bad = {"bad"}
-    world.play(12.0, mixed_traffic(world, sound=2, bad_share=0.06))
+    world.play(12.0, mixed_traffic(world, normal=2, bad_share=0.06))
     assert set(world.fleet.crashes.quarantined) == {"bad"}
     world.play(2.0, list)
     steps = int(QUARANTINE_IDLE_S / 5)
@@ -479,9 +482,9 @@
         world.step()
     assert not world.fleet.crashes.quarantined
     crashes = len(world.crashes)
-    sound = mixed_traffic(world, sound=2, bad_share=0.0)
+    normal = mixed_traffic(world, normal=2, bad_share=0.0)
     for _ in range(5):
         world.send("head0 subject0 bad")
-        world.play(2.0, sound)
+        world.play(2.0, normal)
     assert set(world.fleet.crashes.quarantined) == {"bad"}
     assert len(world.crashes) == crashes + 1
--- a/tests/platform/test_quarantine.py
+++ b/tests/platform/test_quarantine.py
@@ -29,7 +29,7 @@
         self.platform = platform
         self.numbers = count()
         self.bad: list[Reply] = []
-        self.sound: list[Reply] = []
+        self.normal: list[Reply] = []
 
     async def send(self, parts: str, replies: list[Reply]) -> None:
         number = next(self.numbers)
@@ -51,7 +51,7 @@
                     tg.start_soon(self.send, parts, self.bad)
                 else:
                     parts = f"aa:100,b{number % 3}:50"
-                    tg.start_soon(self.send, parts, self.sound)
+                    tg.start_soon(self.send, parts, self.normal)
                 await anyio.sleep(REQUEST_INTERVAL_S)
 
 
@@ -91,7 +91,7 @@
     return sum(at > known_at for at in arrivals)
 
 
-def test_part_that_crashes_endpoints_is_refused_and_sound_requests_are_served(
+def test_part_that_crashes_endpoints_is_refused_and_other_requests_are_served(
     tmp_path,
 ):
     async def scenario(platform, endpoints) -> None:
@@ -101,7 +101,7 @@
         refusal = traffic.bad[-1]
         assert refusal.status == 503
         assert float(refusal.headers["retry-after"]) > 0
-        assert all(r.status == 200 and r.whole for r in traffic.sound[-30:])
+        assert all(r.status == 200 and r.whole for r in traffic.normal[-30:])
 
     run_scenario(tmp_path, scenario)
 
