Test that a part of most requests that turns bad is stopped: known red

Cause: half of the requests have the part, so all endpoints end at once; simultaneous crashes count as one, and no other request is answered.

--- a/tests/core/fleet/test_quarantine.py
+++ b/tests/core/fleet/test_quarantine.py
@@ -352,6 +352,17 @@
     assert world.begun_share("head1", world.now - 10.0) > 0.9
 
 
+def test_part_of_most_requests_that_turns_bad_is_stopped():
+    world = World(gateways=8, endpoints=12)
+    traffic = mixed_traffic(world, normal=4, bad_share=0.0)
+    world.play(5.0, traffic)
+    world.bad = {"head0"}
+    world.play(25.0, traffic)
+    assert_kept(world, "head0")
+    assert "head0" in world.fleet.crashes.quarantined
+    assert world.begun_share("head1", world.now - 10.0) > 0.9
+
+
 def test_crashes_of_other_causes_quarantine_nothing():
     world = World(gateways=8, endpoints=12)
     traffic = mixed_traffic(world, normal=4, bad_share=0.0)
