Control: report messages to a peer whose address is not known

They were dropped without a trace. The event peer_unknown names the peer, the message and the last index of the log, once per peer; it tells a learner that cannot answer its leader from one that is behind a slow link.

--- a/chervilshift/control/node.py
+++ b/chervilshift/control/node.py
@@ -125,6 +125,7 @@
             RaftMessage | Proposal
         ](MAX_INBOX_MESSAGES)
         self._outboxes: dict[str, anyio.abc.ObjectSendStream] = {}
+        self._unknown_peers: set[str] = set()
         self._pending: dict[int, Proposal] = {}
         self._config_changed = anyio.Event()
         self._time_advanced_at = clock.monotonic()
@@ -444,6 +445,7 @@
     def _send(self, tg: TaskGroup, message: RaftMessage) -> None:
         address = self._address(message.dst)
         if address is None:
+            self._report_unknown_peer(message)
             return
         if address not in self._outboxes:
             send, receive = anyio.create_memory_object_stream(
@@ -457,6 +459,18 @@
             # The protocol sends lost messages again.
             return
 
+    def _report_unknown_peer(self, message: RaftMessage) -> None:
+        """Report once that messages to a peer are dropped."""
+        if message.dst in self._unknown_peers:
+            return
+        self._unknown_peers.add(message.dst)
+        self._events.emit(
+            "peer_unknown",
+            peer=message.dst,
+            message=type(message).__name__,
+            last_index=self.raft.log.last_index,
+        )
+
     def _address(self, voter_id: str) -> str | None:
         progress = self.raft.progress.get(voter_id)
         if progress is not None:
