--- a/tests/core/test_open_membership.py
+++ b/tests/core/test_open_membership.py
@@ -6,6 +6,7 @@
 import pytest
 
 from chervilshift.core.raft.log import RaftLog
+from chervilshift.core.raft.messages import TimeoutNow
 from chervilshift.core.raft.node import Raft
 from chervilshift.core.raft.state import VOTER_REMOVE_TIMEOUT_S, HardState
 from tests.core.raft_world import Replica, World, voter
@@ -34,6 +35,17 @@
         world.run(0.5)
 
 
+def make_leader(world: World, replica_id: str) -> None:
+    target = world.replicas[replica_id].raft
+    request = TimeoutNow(
+        src=world.leader().local_voter.id, dst=replica_id, term=target.term
+    )
+    target.step(request, world.now)
+    world.replicas[replica_id].process_ready()
+    world.run(1.0)
+    assert world.leader().local_voter.id == replica_id
+
+
 def voter_names(world: World) -> set[str]:
     return {v.name for v in world.leader().raft.log.voters}
 
@@ -75,6 +87,26 @@
     assert voter_names(world) == set("abcde")
 
 
+def test_learner_catches_up_under_a_leader_outside_its_snapshot():
+    world = open_cluster()
+    settle(world, add_replica(world, "d"))
+    make_leader(world, "d~later")
+    learner = add_replica(world, "e")
+    settle(world, learner, seconds=4.0)
+    assert learner.raft.log.last_index == world.leader().raft.log.last_index
+    assert "e" in voter_names(world)
+
+
+def test_replica_outside_the_voter_set_knows_the_leader():
+    world = open_cluster()
+    settle(world, add_replica(world, "d"))
+    make_leader(world, "d~later")
+    learner = add_replica(world, "e")
+    world.join(learner)
+    world.run(0.3)
+    assert learner.raft.leader_voter() == voter("d", "later")
+
+
 def test_half_of_the_voters_is_never_removed():
     """Removing silent voters needs a quorum, which one half is not."""
     world = open_cluster("abcd")
