Raft: reply to leaders and candidates that the own voter set lacks

Callers saw: no configuration after the final fault, for good. A replica that had lost its disk never voted again, so the next lost disk ended the quorum.

Cause: a replica resolved the address of a reply in its own voter set. Its replies to a leader that had joined later were dropped, the leader took it for silent and dropped it after 10 s at the most, and it asked to join again, for ever. It named no leader to other replicas either.

Senders are kept for one term.

--- a/chervilshift/control/node.py
+++ b/chervilshift/control/node.py
@@ -443,10 +443,11 @@
     # Sending
 
     def _send(self, tg: TaskGroup, message: RaftMessage) -> None:
-        address = self._address(message.dst)
-        if address is None:
+        peer = self.raft.peer(message.dst)
+        if peer is None:
             self._report_unknown_peer(message)
             return
+        address = peer.address
         if address not in self._outboxes:
             send, receive = anyio.create_memory_object_stream(
                 MAX_OUTBOX_MESSAGES
@@ -471,15 +472,6 @@
             last_index=self.raft.log.last_index,
         )
 
-    def _address(self, voter_id: str) -> str | None:
-        progress = self.raft.progress.get(voter_id)
-        if progress is not None:
-            return progress.voter.address
-        return next(
-            (v.address for v in self.raft.log.voters if v.id == voter_id),
-            None,
-        )
-
     async def _send_loop(
         self, address: str, outbox: MemoryObjectReceiveStream
     ) -> None:
--- a/chervilshift/core/raft/election.py
+++ b/chervilshift/core/raft/election.py
@@ -28,6 +28,7 @@
             self.term = term
             self.vote = ""
             self.leader_id = None
+            self._senders = {}
             self._reported_lease_age_s = float("inf")
         self.role = FOLLOWER
         self.transferring_to = None
@@ -69,6 +70,7 @@
             RequestVote(
                 src=self.local_voter.id,
                 dst=voter_id,
+                sender=self.local_voter,
                 term=self.term + 1 if pre else self.term,
                 last_index=self.log.last_index,
                 last_term=self.log.last_term,
--- a/chervilshift/core/raft/leadership.py
+++ b/chervilshift/core/raft/leadership.py
@@ -176,6 +176,7 @@
             Append(
                 src=self.local_voter.id,
                 dst=voter_id,
+                sender=self.local_voter,
                 term=self.term,
                 prev_index=prev_index,
                 prev_term=prev_term,
@@ -196,6 +197,7 @@
             InstallSnapshot(
                 src=self.local_voter.id,
                 dst=progress.voter.id,
+                sender=self.local_voter,
                 term=self.term,
                 snapshot=self.log.full_snapshot,
                 sent_at=now,
--- a/chervilshift/core/raft/messages.py
+++ b/chervilshift/core/raft/messages.py
@@ -66,7 +66,17 @@
     term: int
 
 
-class RequestVote(_Addressed):
+class _Introduced(_Addressed, kw_only=True):
+    """A message that opens an exchange.
+
+    `sender` has the address for the reply: the receiver's own voter set may
+    be too old to list the sender. It is None from releases before this field.
+    """
+
+    sender: Voter | None = None
+
+
+class RequestVote(_Introduced):
     """Request for a vote.
 
     `pre` marks a pre-vote: it asks whether a vote would be granted and
@@ -87,7 +97,7 @@
     pre: bool = False
 
 
-class Append(_Addressed):
+class Append(_Introduced):
     """Replicates entries; a heartbeat if there are none.
 
     `sent_at` is the leader's monotonic time in seconds, returned in the
@@ -114,7 +124,7 @@
     sent_at: float
 
 
-class InstallSnapshot(_Addressed):
+class InstallSnapshot(_Introduced):
     """Replaces the log of a replica that is too far behind."""
 
     snapshot: Snapshot
--- a/chervilshift/core/raft/node.py
+++ b/chervilshift/core/raft/node.py
@@ -75,6 +75,7 @@
         )
         self.progress: dict[str, Progress] = {}
         self.transferring_to: str | None = None
+        self._senders: dict[str, Voter] = {}
         self._rng = rng
         self._saved_hard_state = HardState(term=self.term, vote=self.vote)
         self._saved_index = log.last_index
@@ -144,12 +145,19 @@
             0.0, now - self._lease_age_received_at
         )
 
+    def peer(self, voter_id: str) -> Voter | None:
+        """Return a voter, a learner or a sender of this term by its id."""
+        if voter_id in self.progress:
+            return self.progress[voter_id].voter
+        if voter_id in self._senders:
+            return self._senders[voter_id]
+        return next((v for v in self.log.voters if v.id == voter_id), None)
+
     def leader_voter(self) -> Voter | None:
         """Return the current leader, or None if it is not known."""
-        matching = (
-            voter for voter in self.log.voters if voter.id == self.leader_id
-        )
-        return next(matching, None)
+        if self.is_leader:
+            return self.local_voter
+        return self.peer(self.leader_id) if self.leader_id else None
 
     # Input
 
@@ -164,6 +172,9 @@
         )
         if message.term > self.term and not is_prevote:
             self._become_follower(message.term, now)
+        sender = getattr(message, "sender", None)
+        if sender is not None:
+            self._senders[message.src] = sender
         self._handle(message, now)
 
     def tick(self, now: float) -> None:
--- a/tests/core/raft_world.py
+++ b/tests/core/raft_world.py
@@ -191,10 +191,7 @@
     def sender_knows_address(self, message) -> bool:
         """Return whether the sender has the address of the receiver."""
         sender = self.replicas.get(message.src)
-        if sender is None:
-            return True
-        known_ids = {v.id for v in sender.raft.log.voters}
-        return message.dst in known_ids | set(sender.raft.progress)
+        return sender is None or sender.raft.peer(message.dst) is not None
 
     def deliver_all(self) -> None:
         for _ in range(len(self.messages)):
