Raft: replace silent voters so that the set keeps the tolerated losses

Callers saw: no leader for good after the final fault, though never more hosts were lost at once than tolerated.

Cause: a silent voter was removed after 10 s, and only if it was the only silent one. Dead identities accumulated (three of six in the incident: a replaced host stays a dead voter for as long as another one is silent), so a majority needed more live voters with each replacement.

Change: in an even set a silent voter goes as soon as its successor votes, also beside other silent ones; an even set with a silent voter does not grow; an odd set shrinks after 10 s, never below 2 * tolerated_losses + 1. The new setting tolerated_losses comes from the platform's settings. A replica asks to join every 0.3 s instead of every second.

--- a/chervilshift/control/node.py
+++ b/chervilshift/control/node.py
@@ -108,11 +108,13 @@
         events: EventLog,
         rng: Random,
         open_membership: bool = False,
+        tolerated_losses: int = 1,
         timing: Timing | None = None,
     ):
         self.local_voter = local_voter
         self._timing = timing
         self._open_membership = open_membership
+        self._tolerated_losses = tolerated_losses
         self._storage = storage
         self._clients = clients
         self._clock = clock
@@ -248,6 +250,7 @@
             rng=self._rng,
             now=now,
             open_membership=self._open_membership,
+            tolerated_losses=self._tolerated_losses,
             timing=self._timing,
         )
         self._restore(snapshot)
--- a/chervilshift/control/replica.py
+++ b/chervilshift/control/replica.py
@@ -23,7 +23,7 @@
 __all__ = ["INITIAL_INCARNATION", "ReplicaProcess"]
 
 # Time between two checks of membership, and the time limit of a join call.
-JOIN_INTERVAL_S = 1.0
+JOIN_INTERVAL_S = 0.3
 # Time limit of the leadership transfer before a planned stop.
 TRANSFER_TIMEOUT_S = 3.0
 # Incarnation of the first voters of a cluster, which know each other's
@@ -61,6 +61,7 @@
             events=self._events,
             rng=SystemRandom(),
             open_membership=self.open_membership,
+            tolerated_losses=self._settings.tolerated_losses,
             timing=Timing(election_timeout_min_s=self._settings.election_s),
         )
         server = RpcServer(
--- a/chervilshift/core/raft/leadership.py
+++ b/chervilshift/core/raft/leadership.py
@@ -6,12 +6,12 @@
     InstallSnapshot,
     LogEntry,
     TimeoutNow,
+    Voter,
     encode_voters,
 )
 from chervilshift.core.raft.progress import Progress
 from chervilshift.core.raft.state import (
     LEARNER_MAX_LAG_ENTRIES,
-    MIN_VOTERS,
     SNAPSHOT_RETRY_S,
     VOTER_REMOVE_TIMEOUT_S,
 )
@@ -100,44 +100,65 @@
             new_voters = tuple(v for v in voters if v.id != replaced.id)
             self._append_entry(VOTERS, encode_voters(new_voters), now)
             return
-        for voter_id, progress in self.progress.items():
-            lag_entries = self.log.last_index - progress.match_index
-            if (
-                voter_id not in self.voter_ids
+        promoted = self._find_promotable_learner(now)
+        if promoted is not None:
+            new_voters = (*voters, promoted)
+            self._append_entry(VOTERS, encode_voters(new_voters), now)
+        elif self.open_membership:
+            self._remove_silent_voter(now)
+
+    def _find_promotable_learner(self, now: float) -> Voter | None:
+        """Return a learner that has caught up and may vote, if there is one.
+
+        An even voter set with a silent voter loses that one first, or gets
+        the new incarnation of a voter; otherwise lost voters would
+        accumulate in a growing set.
+        """
+        voters = self.log.voters
+        names = {voter.name for voter in voters}
+        may_grow = len(voters) % 2 or all(
+            self._is_responsive(voter.id, now) for voter in voters
+        )
+        return next(
+            (
+                progress.voter
+                for voter_id, progress in self.progress.items()
+                if voter_id not in self.voter_ids
+                and (may_grow or progress.voter.name in names)
                 and self._is_responsive(voter_id, now)
                 and progress.match_index
-                and lag_entries <= LEARNER_MAX_LAG_ENTRIES
-            ):
-                new_voters = (*voters, progress.voter)
-                self._append_entry(VOTERS, encode_voters(new_voters), now)
-                return
-        if self.open_membership:
-            self._remove_silent_voter(now)
+                and self.log.last_index - progress.match_index
+                <= LEARNER_MAX_LAG_ENTRIES
+            ),
+            None,
+        )
 
     def _remove_silent_voter(self, now: float) -> None:
-        """Remove a voter that has not replied for `VOTER_REMOVE_TIMEOUT_S`.
+        """Remove the voter that has been silent for longest, if it is time.
 
-        Only if all others reply: a network partition must not shrink the
-        voter set to the replicas on the leader's side, and a smaller set
-        must not be exposed to the loss of a second voter.
+        An even set tolerates no fewer losses without any one of its voters,
+        so there the first silent voter goes soon, lost or only cut off: its
+        successor votes already. An odd set shrinks after
+        `VOTER_REMOVE_TIMEOUT_S`. No set shrinks below the size that tolerates
+        the stated losses, nor without a responsive quorum.
         """
         voters = self.log.voters
+        responsive = [v for v in voters if self._is_responsive(v.id, now)]
         if (
-            len(voters) <= MIN_VOTERS
-            or now - self._leading_since < VOTER_REMOVE_TIMEOUT_S
-        ):
-            return
-        silent = [
-            v
-            for v in voters
-            if now - self._acked_at(v.id, now) > VOTER_REMOVE_TIMEOUT_S
-        ]
-        others = [v for v in voters if v not in silent]
-        if len(silent) != 1 or not all(
-            self._is_responsive(v.id, now) for v in others
+            len(voters) <= self._min_voters
+            or len(responsive) < self._quorum_size()
         ):
             return
-        self._append_entry(VOTERS, encode_voters(tuple(others)), now)
+        silent = min(voters, key=lambda v: self._acked_at(v.id, now))
+        silent_since = max(self._acked_at(silent.id, now), self._leading_since)
+        timeout_s = (
+            VOTER_REMOVE_TIMEOUT_S
+            if len(voters) % 2
+            else 2 * self.timing.election_timeout_max_s
+        )
+        if now - silent_since > timeout_s:
+            others = tuple(v for v in voters if v is not silent)
+            self._append_entry(VOTERS, encode_voters(others), now)
 
     def _append_entry(self, kind: str, data: bytes, now: float) -> int:
         entry = LogEntry(
--- a/chervilshift/core/raft/node.py
+++ b/chervilshift/core/raft/node.py
@@ -48,7 +48,8 @@
     All times (`now`) are monotonic seconds of its process. With
     `open_membership` any replica that asks to join becomes a voter once it
     has caught up, and a voter that stops replying is removed; it asks to join
-    again when it returns.
+    again when it returns. The voter set does not shrink below the size at
+    which `tolerated_losses` voters may be lost at once.
     """
 
     def __init__(
@@ -60,11 +61,13 @@
         rng: Random,
         now: float,
         open_membership: bool = False,
+        tolerated_losses: int = 1,
         timing: Timing | None = None,
     ):
         self.local_voter = local_voter
         self.timing = timing or Timing()
         self.open_membership = open_membership
+        self._min_voters = 2 * tolerated_losses + 1
         self.log = log
         self.term = hard_state.term
         self.vote = hard_state.vote
--- a/chervilshift/core/raft/state.py
+++ b/chervilshift/core/raft/state.py
@@ -19,9 +19,6 @@
 # A voter that has not replied for this time is considered lost. Longer than
 # restarts and short network partitions.
 VOTER_REMOVE_TIMEOUT_S = 10.0
-# Smallest voter set that tolerates the loss of one voter. No silent voter is
-# removed from a set this small.
-MIN_VOTERS = 3
 
 
 class Timing:
--- a/chervilshift/settings.py
+++ b/chervilshift/settings.py
@@ -37,6 +37,7 @@
 # Shortest election timeout in seconds. At most one second: the time that a new
 # leader waits for its predecessor's lease to expire covers no more.
 ElectionTimeout = Annotated[float, Meta(gt=0, le=1.0)]
+ToleratedLosses = Annotated[int, Meta(ge=1)]
 
 
 class _Section(msgspec.Struct, kw_only=True, frozen=True):
@@ -102,6 +103,7 @@
     entries: list[Address] = []
     rpc_address: Address | None = None
     election_s: ElectionTimeout = 1.0
+    tolerated_losses: ToleratedLosses = 1
 
 
 class RoutedSettings(ProcessSettings, kw_only=True):
@@ -144,6 +146,8 @@
     are then its first voters. `cloud` is the address of the cloud's API.
     Endpoints announce themselves every `announce_interval_ms`. A new leader
     calls the cloud only after its predecessor's lease, `duty_lease_ms`.
+    The voter set stays large enough that `tolerated_losses` of its hosts may
+    be lost at once.
     """
 
     data_folder: Path
@@ -154,6 +158,7 @@
     announce_interval_ms: PositiveFloat
     duty_lease_ms: NonNegativeFloat
     election_s: ElectionTimeout = 1.0
+    tolerated_losses: ToleratedLosses = 1
 
     @property
     def rpc_address(self) -> str:
--- /dev/null
+++ b/tests/core/test_losses_in_series.py
@@ -0,0 +1,16 @@
+"""Disks, hosts and links lost in series, never more at once than tolerated."""
+
+import pytest
+
+from tests.core.loss_simulation import LossSimulation
+
+
+@pytest.mark.parametrize("seed", range(40))
+@pytest.mark.parametrize(
+    ("hosts", "tolerated_losses"), [(3, 1), (5, 1), (5, 2)]
+)
+def test_group_commits_after_losses_in_series(seed, hosts, tolerated_losses):
+    simulation = LossSimulation(
+        seed=seed, hosts=hosts, tolerated_losses=tolerated_losses
+    )
+    simulation.run()
--- a/tests/core/test_open_membership.py
+++ b/tests/core/test_open_membership.py
@@ -76,6 +76,24 @@
     assert index in world.committed
 
 
+def test_lost_voters_do_not_accumulate_in_the_voter_set():
+    world = open_cluster("abcde")
+    world.crash("a~initial")
+    world.crash("b~initial")
+    joining = [add_replica(world, "f"), add_replica(world, "g")]
+    settle(world, *joining, seconds=12.0)
+    assert voter_names(world) == set("cdefg")
+
+
+def test_lost_voter_stays_until_its_successor_votes():
+    raft_type = partial(Raft, open_membership=True, tolerated_losses=2)
+    world = World("abcde", raft_type=raft_type)
+    world.run(3.0)
+    world.crash("a~initial")
+    world.run(VOTER_REMOVE_TIMEOUT_S * 2)
+    assert voter_names(world) == set("abcde")
+
+
 def test_voter_that_was_cut_off_for_long_comes_back():
     world = open_cluster("abcde")
     others = tuple(f"{n}~initial" for n in "bcde")
