Gateways: hold the rate limits that endpoints state

Cause: nothing read the header.

Change: the header is read at the boundary, the newest statement of an endpoint is committed and sent to all gateways, and each request to a limited endpoint costs a credit. Requests above the limits go to other endpoints, wait shortly, or are rejected.

--- a/chervilshift/control/fleet.py
+++ b/chervilshift/control/fleet.py
@@ -10,6 +10,7 @@
 from returns.result import Result, Success
 
 from chervilshift.clock import Clock
+from chervilshift.control.endpointlimits import LimitNotes
 from chervilshift.control.lease import wait_lease
 from chervilshift.control.node import Node
 from chervilshift.control.quarantine import Quarantine
@@ -117,6 +118,12 @@
             clock=clock,
             events=events,
         )
+        self._limit_notes = LimitNotes(
+            node=node,
+            presence=self.presence,
+            wall_s=self.wall_s,
+            events=events,
+        )
         self.relay = LeaderRelay(
             leader=self._leader_to_relay_to,
             make=self._make_relay,
@@ -307,6 +314,9 @@
         suspicion = None
         if fleet.crashes.revision > message.suspicion_revision:
             suspicion = fleet.crashes.suspicion()
+        limits = None
+        if fleet.limits_revision > message.limits_revision:
+            limits = fleet.limits
         return SyncReply(
             leader=self._node.leader_address(),
             leader_age_s=min(news.leader_age_s, MAX_AGE_S),
@@ -326,6 +336,8 @@
             waits=news.waits,
             interval_s=news.interval_s,
             suspicion=suspicion,
+            limits=limits,
+            limits_revision=fleet.limits_revision,
         )
 
     async def receive_relay(self, message: Relay) -> RelayReply:
@@ -356,6 +368,7 @@
             self._clock.monotonic(),
             leads=self._node.raft.is_leader,
             has_lease=self._node.has_lease(),
+            endpoint_limits=self._node.machine.fleet.endpoint_limits(),
         )
 
     def _observe_wall_time(self, peer: str, peer_wall_s: float) -> None:
@@ -407,6 +420,7 @@
                 self._configure()
                 self._distributor.sweep(self._clock.monotonic())
                 if self._node.has_lease():
+                    await self._limit_notes.step()
                     await self._quarantine.step()
                     await self._expire_endpoints()
                     await self._update_gateways()
--- a/chervilshift/core/commands.py
+++ b/chervilshift/core/commands.py
@@ -9,8 +9,10 @@
     EndpointKnown,
     ExpireParts,
     GatewaysNoted,
+    LimitsNoted,
     NoteCrashes,
     NoteGateways,
+    NoteLimits,
     QuarantineParts,
     ReleaseParts,
     ServingAccepted,
@@ -160,6 +162,7 @@
     | AnnounceEndpoint
     | CommitUsage
     | NoteGateways
+    | NoteLimits
     | NoteCrashes
     | ClearParts
     | QuarantineParts
@@ -178,5 +181,6 @@
     | EndpointKnown
     | UsageCommitted
     | GatewaysNoted
+    | LimitsNoted
     | CrashesNoted
 )
--- a/chervilshift/core/fleet/commands.py
+++ b/chervilshift/core/fleet/commands.py
@@ -1,6 +1,7 @@
 """Commands of the replicated log that change `FleetState`, and replies."""
 
 from chervilshift.core.fleet.crashes import Crash
+from chervilshift.core.fleet.endpointlimits import StatedLimit
 from chervilshift.core.fleet.model import EndpointRecord
 from chervilshift.core.message import Message
 
@@ -13,8 +14,10 @@
     "EndpointKnown",
     "ReleaseParts",
     "GatewaysNoted",
+    "LimitsNoted",
     "NoteCrashes",
     "NoteGateways",
+    "NoteLimits",
     "QuarantineParts",
     "ExpireParts",
     "ServingAccepted",
@@ -57,6 +60,18 @@
     ids: tuple[str, ...]
 
 
+class NoteLimits(Message):
+    """Record the rate limits that endpoints stated, by endpoint id."""
+
+    stated: dict[str, StatedLimit]
+
+
+class LimitsNoted(Message):
+    """The log position of the last change to the endpoints' limits."""
+
+    revision: int
+
+
 class NoteCrashes(Message):
     """Add crashes of endpoints and the prompt parts suspected of them."""
 
--- a/chervilshift/core/fleet/distribution.py
+++ b/chervilshift/core/fleet/distribution.py
@@ -18,7 +18,12 @@
     load_expiry_s,
     report_interval_s,
 )
-from chervilshift.core.fleet.limits import LimitAllocator, LimitPolicy
+from chervilshift.core.fleet.limits import (
+    EndpointLimit,
+    Limit,
+    LimitAllocator,
+    LimitPolicy,
+)
 from chervilshift.core.fleet.model import Customer
 from chervilshift.core.fleet.pool import LimitPool
 from chervilshift.core.fleet.presence import Presence
@@ -130,7 +135,7 @@
         self._relayed: dict[str, GatewaySync] = {}
         self._served: dict[str, float] = {}
         self._controls: dict[str, tuple[ControlInfo, float]] = {}
-        self._customers: tuple[Customer, ...] = ()
+        self._limits: tuple[Limit, ...] = ()
         self._recorded: tuple[str, ...] = ()
         self._counted_at = float("-inf")
         self._gateway_count = 0
@@ -150,6 +155,7 @@
         *,
         leads: bool,
         has_lease: bool = True,
+        endpoint_limits: tuple[EndpointLimit, ...] = (),
     ) -> None:
         """Take over the replicated state.
 
@@ -157,7 +163,8 @@
         saved, keeps its limits but does not grant.
         `recorded` are the ids of the gateways in the replicated state.
         """
-        self._customers = tuple(customers)
+        self._limits = (*customers, *endpoint_limits)
+        self._allocator.retain(self._limits)
         self._recorded = recorded
         if self._leads and not leads:
             self._allocator.step_down()
@@ -167,7 +174,7 @@
             self._lease_held_at = now
         if now - self._counted_at >= COUNT_INTERVAL_S:
             self._recount(now)
-        self._pool.configure(self._customers, self._gateway_count, replicas)
+        self._pool.configure(self._limits, self._gateway_count, replicas)
 
     def sweep(self, now: float) -> None:
         """Drop what is no longer reported."""
@@ -426,9 +433,9 @@
             return {}, {}
         self._allocator.set_gateway_count(self._gateway_count)
         grants = self._allocator.grant(
-            self._customers, needed, prefetch, self._silent_share, now
+            self._limits, needed, prefetch, self._silent_share, now
         )
-        return grants, self._allocator.waits(self._customers)
+        return grants, self._allocator.waits(self._limits)
 
     def _recount(self, now: float) -> None:
         self._counted_at = now
@@ -476,5 +483,6 @@
         and old.crashes == new.crashes
         and old.answers == new.answers
         and old.refused == new.refused
+        and old.stated_limits == new.stated_limits
         and not new.usage
     )
--- a/chervilshift/core/fleet/limits.py
+++ b/chervilshift/core/fleet/limits.py
@@ -1,4 +1,4 @@
-"""Rate limits of customers, enforced over the sum of all gateways.
+"""Rate limits of customers and endpoints over the sum of all gateways.
 
 The leader holds one token bucket per customer and grants amounts from it; a
 gateway spends its grants. A gateway that can't reach the leader falls back
@@ -6,10 +6,11 @@
 be in use, so that the sum stays within the limit on both sides of a network
 partition.
 
-Amounts are in the unit of the customer's limit, tokens or requests.
+Amounts are in the unit of the limit, tokens or requests.
 """
 
 from collections.abc import Iterable
+from math import floor
 
 from chervilshift.core.fleet.intervals import (
     DIRECT_FALLBACK_AFTER_S,
@@ -19,7 +20,13 @@
 )
 from chervilshift.core.fleet.model import Customer
 
-__all__ = ["LimitAccount", "LimitAllocator", "LimitPolicy"]
+__all__ = [
+    "EndpointLimit",
+    "Limit",
+    "LimitAccount",
+    "LimitAllocator",
+    "LimitPolicy",
+]
 
 # Part of a gateway's equal share of the rate that it may spend without a
 # leader. Below 1, so that shares reserved too late stay within the tolerance.
@@ -47,6 +54,27 @@
 # Part of the tolerated overshoot that small requests may use, so that many
 # large requests don't starve them; small ones add little to the sum.
 SMALL_REQUEST_SHARE = 0.2
+# How far requests to an endpoint may exceed the rate that it states.
+ENDPOINT_WINDOW_S = 4.0
+ENDPOINT_TOLERANCE = 0.5
+ENDPOINT_SLACK_REQUESTS = 5.0
+
+
+class EndpointLimit:
+    """The rate that an endpoint takes from all gateways together.
+
+    Its grants are whole requests, and none are made in advance.
+    """
+
+    __slots__ = ("burst", "name", "rate_per_s")
+
+    def __init__(self, *, name: str, rate_per_s: float):
+        self.name = name
+        self.rate_per_s = rate_per_s
+        self.burst = 0.0
+
+
+Limit = Customer | EndpointLimit
 
 
 class LimitPolicy:
@@ -81,11 +109,11 @@
         pooled += POOLED_BURST_SHARE * customer.burst
         return pooled / max(1, replicas)
 
-    def bucket_size(self, customer: Customer, gateways: int = 1) -> float:
+    def bucket_size(self, limit: Limit, gateways: int = 1) -> float:
         """Return the capacity of the leader's bucket."""
         share = 1 - POOLED_BURST_SHARE if is_relayed(gateways) else 1.0
-        extra = EXTRA_BURST_SHARE * self._tolerated_overshoot(customer)
-        return share * customer.burst + extra
+        extra = EXTRA_BURST_SHARE * self._tolerated_overshoot(limit)
+        return share * limit.burst + extra
 
     def small_request_cap(self, customer: Customer, gateways: int) -> float:
         """Return what one gateway may spend on small requests in a window."""
@@ -95,9 +123,27 @@
             / max(1, gateways)
         )
 
-    def _tolerated_overshoot(self, customer: Customer) -> float:
-        limit = customer.rate_per_s * self.window_s + customer.burst
-        return limit * self.tolerance + self.slack
+    def _tolerated_overshoot(self, limit: Limit) -> float:
+        allowed = limit.rate_per_s * self.window_s + limit.burst
+        return allowed * self.tolerance + self.slack
+
+    @property
+    def max_debt(self) -> float:
+        """The amount by which a grant may overdraw a bucket."""
+        return DEBT_SHARE * self.slack
+
+
+ENDPOINT_POLICY = LimitPolicy(
+    window_s=ENDPOINT_WINDOW_S,
+    tolerance=ENDPOINT_TOLERANCE,
+    slack=ENDPOINT_SLACK_REQUESTS,
+)
+
+
+def policy_of(limit: Limit, customer_policy: LimitPolicy) -> LimitPolicy:
+    """Return the policy for a limit."""
+    is_endpoint = isinstance(limit, EndpointLimit)
+    return ENDPOINT_POLICY if is_endpoint else customer_policy
 
 
 class _Bucket:
@@ -114,7 +160,7 @@
 
 
 class LimitAllocator:
-    """The leader's part: grants from one bucket per customer.
+    """The leader's part: grants from one bucket per limit.
 
     A gateway asks for the sum of all its waiting requests, which may be
     large, so the debt that one grant may cause is bounded.
@@ -124,14 +170,12 @@
         "_buckets",
         "_gateways",
         "_leader_since",
-        "_max_debt",
         "_policy",
     )
 
     def __init__(self, *, policy: LimitPolicy):
         self._policy = policy
         self._gateways = 1
-        self._max_debt = DEBT_SHARE * policy.slack
         self._buckets: dict[str, _Bucket] = {}
         self._leader_since: float | None = None
 
@@ -157,65 +201,77 @@
 
     def grant(
         self,
-        customers: Iterable[Customer],
+        limits: Iterable[Limit],
         needed: dict[str, float],
         prefetch: dict[str, float],
         silent_share: float,
         now: float,
     ) -> dict[str, float]:
-        """Return the amounts granted to one gateway or pool, by customer.
+        """Return the amounts granted to one gateway or pool, by limit.
 
         `needed` is what waiting requests lack and `prefetch` what it may
-        hold in advance, both by customer. `silent_share` is the part of the
+        hold in advance, both by limit. `silent_share` is the part of the
         known gateways, 0 to 1, that may be spending their fallback shares.
         """
         if not self.is_granting(now):
             return {}
-        limited = (c for c in customers if c.rate_per_s > 0)
         grants = {
-            customer.name: self._grant(
-                customer,
-                needed.get(customer.name, 0.0),
-                prefetch.get(customer.name, 0.0),
+            limit.name: self._grant(
+                limit,
+                needed.get(limit.name, 0.0),
+                prefetch.get(limit.name, 0.0),
                 silent_share,
                 now,
             )
-            for customer in limited
+            for limit in limits
+            if limit.rate_per_s > 0
         }
         return {name: amount for name, amount in grants.items() if amount}
 
-    def waits(self, customers: Iterable[Customer]) -> dict[str, float]:
+    def waits(self, limits: Iterable[Limit]) -> dict[str, float]:
         """Return the seconds until each exhausted limit has room."""
         levels = (
-            (customer, self._buckets[customer.name].level)
-            for customer in customers
-            if customer.rate_per_s > 0 and customer.name in self._buckets
+            (limit, self._buckets[limit.name].level)
+            for limit in limits
+            if limit.rate_per_s > 0 and limit.name in self._buckets
         )
         return {
-            customer.name: -level / customer.rate_per_s
-            for customer, level in levels
+            limit.name: -level / limit.rate_per_s
+            for limit, level in levels
             if level <= 0
         }
 
+    def retain(self, limits: Iterable[Limit]) -> None:
+        """Drop the buckets of all limits but these."""
+        names = {limit.name for limit in limits}
+        self._buckets = {
+            name: bucket
+            for name, bucket in self._buckets.items()
+            if name in names
+        }
+
     def _grant(
         self,
-        customer: Customer,
+        limit: Limit,
         needed: float,
         prefetch: float,
         silent_share: float,
         now: float,
     ) -> float:
+        policy = policy_of(limit, self._policy)
         # The previous leader may have left the bucket in debt.
         bucket = self._buckets.setdefault(
-            customer.name, _Bucket(level=-self._max_debt, refilled_at=now)
+            limit.name, _Bucket(level=-policy.max_debt, refilled_at=now)
         )
         reserved_share = silent_share * FALLBACK_SHARE
-        rate = customer.rate_per_s * max(0.0, 1.0 - reserved_share)
-        size = self._policy.bucket_size(customer, self._gateways)
+        rate = limit.rate_per_s * max(0.0, 1.0 - reserved_share)
+        size = policy.bucket_size(limit, self._gateways)
         bucket.refill(rate, size, now)
         granted = 0.0
         if bucket.level > 0:
-            granted = min(needed, bucket.level + self._max_debt)
+            granted = min(needed, bucket.level + policy.max_debt)
+        if isinstance(limit, EndpointLimit):
+            granted = floor(granted)
         bucket.level -= granted
         remaining = bucket.level - prefetch
         if remaining >= PREFETCH_MIN_LEVEL_SHARE * size:
--- a/chervilshift/core/fleet/pool.py
+++ b/chervilshift/core/fleet/pool.py
@@ -1,9 +1,8 @@
-"""Reserve of customers' limits at a control process of a large fleet."""
+"""Reserve of rate limits at a control process of a large fleet."""
 
 from collections.abc import Iterable
 
-from chervilshift.core.fleet.limits import LimitPolicy
-from chervilshift.core.fleet.model import Customer
+from chervilshift.core.fleet.limits import EndpointLimit, Limit, LimitPolicy
 
 __all__ = ["LimitPool"]
 
@@ -18,7 +17,7 @@
     __slots__ = (
         "_asked",
         "_balances",
-        "_customers",
+        "_limits",
         "_policy",
         "_size",
         "_unmet",
@@ -26,20 +25,20 @@
 
     def __init__(self, *, policy: LimitPolicy):
         self._policy = policy
-        self._customers: dict[str, Customer] = {}
+        self._limits: dict[str, Limit] = {}
         # Numbers of gateways and of control processes.
         self._size = (1, 1)
         self._balances: dict[str, float] = {}
         # What the leader was asked for and has not replied to.
         self._asked: dict[str, float] = {}
-        # What gateways wait for, by gateway id and customer.
+        # What gateways wait for, by gateway id and limit.
         self._unmet: dict[str, dict[str, float]] = {}
 
     def configure(
-        self, customers: Iterable[Customer], gateways: int, replicas: int
+        self, limits: Iterable[Limit], gateways: int, replicas: int
     ) -> None:
-        """Set the customers, and how many processes share their limits."""
-        self._customers = {c.name: c for c in customers if c.rate_per_s > 0}
+        """Set the limits, and how many processes share them."""
+        self._limits = {i.name: i for i in limits if i.rate_per_s > 0}
         self._size = (gateways, replicas)
 
     def add(self, grants: dict[str, float]) -> None:
@@ -53,7 +52,7 @@
         needed: dict[str, float],
         prefetch: dict[str, float],
     ) -> dict[str, float]:
-        """Return the amounts granted to one gateway, by customer.
+        """Return the amounts granted to one gateway, by limit.
 
         What the reserve lacks for `needed` is asked of the leader.
         """
@@ -61,12 +60,12 @@
         grants = {
             name: amount
             for name, amount in needed.items()
-            if name in self._customers and name not in unmet and amount > 0
+            if name in self._limits and name not in unmet and amount > 0
         }
         for name, amount in grants.items():
             self._balances[name] -= amount
         for name, amount in prefetch.items():
-            if name in unmet or name not in self._customers or amount <= 0:
+            if name in unmet or name not in self._limits or amount <= 0:
                 continue
             # The reserve is for requests; only its upper half is prefetched.
             spare = self._balances.get(name, 0.0) - self._cap(name) / 2
@@ -119,7 +118,7 @@
         """Return what the reserve lacks up to its cap."""
         gaps = (
             (name, self._cap(name) - self._balances.get(name, 0.0))
-            for name in self._customers
+            for name in self._limits
         )
         return {name: gap for name, gap in gaps if gap > 0}
 
@@ -127,8 +126,7 @@
         return {
             name: amount
             for name, amount in needed.items()
-            if name in self._customers
-            and amount > self._balances.get(name, 0.0)
+            if name in self._limits and amount > self._balances.get(name, 0.0)
         }
 
     def _note(self, gateway_id: str, unmet: dict[str, float]) -> None:
@@ -137,4 +135,7 @@
             self._unmet[gateway_id] = unmet
 
     def _cap(self, name: str) -> float:
-        return self._policy.pool_cap(self._customers[name], *self._size)
+        limit = self._limits[name]
+        if isinstance(limit, EndpointLimit):
+            return 0.0
+        return self._policy.pool_cap(limit, *self._size)
--- a/chervilshift/core/fleet/state.py
+++ b/chervilshift/core/fleet/state.py
@@ -1,4 +1,4 @@
-"""Replicated state: document, endpoints, gateways, usage and quarantine."""
+"""Replicated state: document, endpoints, limits, gateways, usage, crashes."""
 
 from functools import singledispatchmethod
 from itertools import islice, takewhile
@@ -12,8 +12,10 @@
     EndpointKnown,
     ExpireParts,
     GatewaysNoted,
+    LimitsNoted,
     NoteCrashes,
     NoteGateways,
+    NoteLimits,
     QuarantineParts,
     ReleaseParts,
     ServingAccepted,
@@ -21,6 +23,11 @@
     UsageCommitted,
 )
 from chervilshift.core.fleet.crashes import CrashSnapshot, CrashTable
+from chervilshift.core.fleet.endpointlimits import (
+    StatedLimit,
+    allocated_limits,
+)
+from chervilshift.core.fleet.limits import EndpointLimit
 from chervilshift.core.fleet.model import (
     GONE,
     READY,
@@ -50,22 +57,29 @@
     usage: dict[int, dict[str, int]] = {}
     gateways: tuple[str, ...] = ()
     crashes: CrashSnapshot = CrashSnapshot()
+    limits: dict[str, StatedLimit] = {}
+    limits_revision: int = 0
 
 
 class FleetState:
     """Applies fleet commands in log order, with equal results on all replicas.
 
-    `revision` is the log position of the last change to the endpoints.
+    `revision` is the log position of the last change to the endpoints,
+    `limits_revision` that of the last change to `limits`, the rate limits
+    that endpoints stated.
     """
 
     __slots__ = (
         "_changed_at",
+        "_allocated",
         "_changes_since",
         "_endpoints",
         "_usage",
         "crashes",
         "document",
         "gateways",
+        "limits",
+        "limits_revision",
         "revision",
         "version",
     )
@@ -83,6 +97,8 @@
         self._usage = dict(stored.usage)
         self.gateways = stored.gateways
         self.crashes = CrashTable(snapshot=stored.crashes)
+        self.limits_revision = stored.limits_revision
+        self._set_limits(dict(stored.limits), stored.limits_revision)
 
     def snapshot(self) -> FleetSnapshot:
         """Return a snapshot of the whole state."""
@@ -94,6 +110,8 @@
             usage=self._usage,
             gateways=self.gateways,
             crashes=self.crashes.snapshot(),
+            limits=self.limits,
+            limits_revision=self.limits_revision,
         )
 
     def endpoint(self, endpoint_id: str) -> EndpointRecord | None:
@@ -121,6 +139,10 @@
             )
         )
 
+    def endpoint_limits(self) -> tuple[EndpointLimit, ...]:
+        """Return the limits of endpoints that state one."""
+        return self._allocated
+
     def committed_usage(self, window: int) -> dict[str, int] | None:
         """Return the committed counts of a window by customer, or None."""
         return self._usage.get(window)
@@ -153,6 +175,17 @@
         self.gateways = command.ids
         return GatewaysNoted(count=len(self.gateways))
 
+    @apply.register
+    def _(self, command: NoteLimits, index: int) -> LimitsNoted:
+        newer = {
+            endpoint_id: stated
+            for endpoint_id, stated in command.stated.items()
+            if self._may_note(endpoint_id, stated)
+        }
+        if newer:
+            self._set_limits(self.limits | newer, index)
+        return LimitsNoted(revision=self.limits_revision)
+
     @apply.register
     def _(self, command: NoteCrashes, index: int) -> CrashesNoted:
         self.crashes.note(command.crashes, index)
@@ -214,6 +247,26 @@
         self._endpoints.pop(record.id, None)
         self._endpoints[record.id] = record
         self._changed_at[record.id] = index
+        stated = self.limits.get(record.id)
+        ended = record.state == GONE
+        if stated and (ended or stated.born_ms != record.born_ms):
+            kept = {k: v for k, v in self.limits.items() if k != record.id}
+            self._set_limits(kept, index)
+
+    def _set_limits(self, limits: dict[str, StatedLimit], index: int) -> None:
+        self.limits = limits
+        self.limits_revision = index
+        self._allocated = allocated_limits(limits)
+
+    def _may_note(self, endpoint_id: str, stated: StatedLimit) -> bool:
+        """Return whether a statement is of a running endpoint, and newer."""
+        record = self._endpoints.get(endpoint_id)
+        if record is None or record.state == GONE:
+            return False
+        known = self.limits.get(endpoint_id)
+        return record.born_ms == stated.born_ms and (
+            known is None or stated.at_s > known.at_s
+        )
 
     def _should_replace(
         self, stored: EndpointRecord, announced: EndpointRecord
--- a/chervilshift/core/fleet/sync.py
+++ b/chervilshift/core/fleet/sync.py
@@ -1,6 +1,7 @@
 """Messages that synchronize gateways, control replicas and the leader."""
 
 from chervilshift.core.fleet.crashes import Crash, Suspicion
+from chervilshift.core.fleet.endpointlimits import StatedLimit
 from chervilshift.core.fleet.model import EndpointRecord
 from chervilshift.core.message import Message
 
@@ -88,7 +89,9 @@
     totals, not increments, of this gateway only. `usage` is empty in most
     reports. `reading` is the uncached prompt tokens per second sent to
     engines, by service. `needed` is the amount of each customer's limit that
-    requests wait for, `prefetch` the amount that may be granted in advance.
+    requests wait for, also of endpoints' limits, `prefetch` the amount that
+    may be granted in advance. `stated_limits` are limits of endpoints, by id,
+    that the fleet's of `limits_revision` lack.
     `wall_s` is the gateway's Unix time. `suspicion_revision` is that of the
     last `Suspicion`; `crashes` are crashes of endpoints that the gateway saw,
     `answers` the Unix times of the last answers to requests with suspected
@@ -113,6 +116,8 @@
     crashes: tuple[Crash, ...] = ()
     answers: dict[str, float] = {}
     refused: tuple[str, ...] = ()
+    limits_revision: int = 0
+    stated_limits: dict[str, StatedLimit] = {}
 
 
 class SyncReply(Message):
@@ -120,8 +125,9 @@
 
     `leader` is the leader's RPC address, empty if unknown, and `leader_age_s`
     the time since the leader had the state that the reply is made from, 0 from
-    the leader itself. `document`, which is packed, `endpoints` and `suspicion`
-    are None if the gateway has the current ones; with `partial` the endpoints
+    the leader itself. `document`, which is packed, `endpoints`, `suspicion`
+    and `limits`, those of endpoints, are None if the gateway has the current
+    ones; with `partial` the endpoints
     are those that have changed since the gateway's revision. `controls` is
     empty if the gateway knows the control processes.
     `loads` counts all gateways, this one as of its report `included_seq`.
@@ -150,6 +156,8 @@
     waits: dict[str, float] = {}
     interval_s: float = 0.25
     suspicion: Suspicion | None = None
+    limits: dict[str, StatedLimit] | None = None
+    limits_revision: int = 0
 
 
 class Heartbeat(Message):
--- a/chervilshift/core/machine.py
+++ b/chervilshift/core/machine.py
@@ -30,6 +30,7 @@
     ExpireParts,
     NoteCrashes,
     NoteGateways,
+    NoteLimits,
     QuarantineParts,
     ReleaseParts,
     StartTrial,
@@ -167,6 +168,7 @@
     @_apply.register(ReleaseParts)
     @_apply.register(NoteCrashes)
     @_apply.register(NoteGateways)
+    @_apply.register(NoteLimits)
     @_apply.register(QuarantineParts)
     @_apply.register(ExpireParts)
     @_apply.register(StartTrial)
--- a/chervilshift/gateway/admission.py
+++ b/chervilshift/gateway/admission.py
@@ -1,8 +1,11 @@
-"""Charges requests to their customers' rate limits, with a short wait."""
+"""Charges requests to rate limits, with a short wait."""
+
+from collections.abc import Callable, Iterable
 
 import anyio
 
 from chervilshift.clock import Clock
+from chervilshift.core.fleet.placement import Choice
 from chervilshift.gateway.exchange import Exchange
 from chervilshift.gateway.state import GatewayState
 from chervilshift.gateway.sync import ControlSync
@@ -50,6 +53,32 @@
             limits.remove_waiting(customer.name, exchange.limit_cost)
         return exchange.charged
 
+    async def wait_for_endpoint(
+        self,
+        exchange: Exchange,
+        endpoint_ids: Iterable[str],
+        place: Callable[[], Choice | None],
+    ) -> Choice | None:
+        """Call `place` until it returns a choice; None if it takes too long.
+
+        `endpoint_ids` are the endpoints whose rate limits are spent.
+        """
+        limits = self._state.endpoint_limits
+        wait_until = self._clock.monotonic() + (
+            MAX_LIMIT_WAIT_SHARE * exchange.route.objective_s
+        )
+        choice = None
+        while choice is None:
+            now = self._clock.monotonic()
+            available_at = now + limits.available_in_s(endpoint_ids, now)
+            if now >= wait_until or available_at >= wait_until:
+                return None
+            with anyio.move_on_after(min(wait_until - now, GRANT_TIMEOUT_S)):
+                await anyio.sleep(available_at - now)
+                await self._sync.refresh()
+            choice = place()
+        return choice
+
     def available_in_s(self, exchange: Exchange) -> float:
         """Return the seconds after which the client may retry.
 
--- a/chervilshift/gateway/dispatch.py
+++ b/chervilshift/gateway/dispatch.py
@@ -147,9 +147,9 @@
             return
         self._state.retry_budget(exchange.service).deposit()
         while True:
-            choice = self._choose(exchange)
+            choice = await self._choose(exchange)
             if choice is None:
-                await self._fail(exchange, downstream, "no usable endpoint")
+                await self._fail_unplaced(exchange, downstream)
                 return
             if exchange.attempts_sent and not self._spend_retry(exchange):
                 await self._fail(
@@ -174,20 +174,50 @@
 
     # Attempts
 
-    def _choose(self, exchange: Exchange) -> Choice | None:
-        table = self._state.table
-        spec = table.cfg.services.get(exchange.service)
+    async def _choose(self, exchange: Exchange) -> Choice | None:
+        """Return the endpoint for the next attempt, or None.
+
+        Waits shortly if only rate limits of endpoints prevent the attempt.
+        """
+        choice = self._place(exchange)
+        if choice is None and self._exhausted_ids(exchange):
+            choice = await self._limiter.wait_for_endpoint(
+                exchange,
+                self._exhausted_ids(exchange),
+                lambda: self._place(exchange),
+            )
+        return choice
+
+    def _place(self, exchange: Exchange) -> Choice | None:
+        """Choose an endpoint and spend what its rate limit takes for it."""
+        spec = self._state.table.cfg.services.get(exchange.service)
         if spec is None:
             return None
         now = self._clock.monotonic()
+        limits = self._state.endpoint_limits
         choose = self._state.placement.choose
+        exhausted_ids = self._state.exhausted_endpoints()
         failed_ids = frozenset(exchange.failed_ids)
-        choice = choose(spec, exchange.work, now, failed_ids)
+        choice = choose(spec, exchange.work, now, failed_ids | exhausted_ids)
         if choice is None and exchange.route.repeatable:
             # Only endpoints that failed are left; the failure may have passed.
-            choice = choose(spec, exchange.work, now)
+            choice = choose(spec, exchange.work, now, exhausted_ids)
+        preferred = choice
+        if exhausted_ids:
+            preferred = choose(spec, exchange.work, now, failed_ids) or choice
+        if preferred is not None:
+            limits.want(preferred.endpoint.id, now)
+        if choice is not None:
+            limits.spend(choice.endpoint.id, now)
         return choice
 
+    def _exhausted_ids(self, exchange: Exchange) -> frozenset[str]:
+        """Return the usable endpoints that their rate limits exclude now."""
+        now = self._clock.monotonic()
+        endpoints = self._state.placement.endpoints_of(exchange.service)
+        usable_ids = {e.id for e in endpoints if e.usable(now)}
+        return usable_ids & self._state.exhausted_endpoints()
+
     def _blocking_part(self, exchange: Exchange) -> str:
         if not exchange.shared_parts:
             return ""
@@ -275,6 +305,9 @@
                 if not exc.sent:
                     exchange.maybe_ran = maybe_ran_before
                 raise
+            finally:
+                if upstream.head is not None:
+                    self._state.record_limit(record, upstream.head.limit_per_s)
             if exchange.route.kind == STREAM and reply.ok:
                 await self._relay_stream(
                     exchange, placed, upstream, reply, downstream, sent_at
@@ -434,8 +467,30 @@
 
     # Failures
 
+    async def _fail_unplaced(
+        self, exchange: Exchange, downstream: Downstream
+    ) -> None:
+        exhausted_ids = self._exhausted_ids(exchange)
+        if not exhausted_ids:
+            await self._fail(exchange, downstream, "no usable endpoint")
+            return
+        self._metrics.count("endpoint_limits_spent")
+        wait_s = self._state.endpoint_limits.available_in_s(
+            exhausted_ids, self._clock.monotonic()
+        )
+        await self._fail(
+            exchange,
+            downstream,
+            "rate limits of the endpoints are spent",
+            max(TRANSIENT_RETRY_AFTER_S, wait_s),
+        )
+
     async def _fail(
-        self, exchange: Exchange, downstream: Downstream, reason: str
+        self,
+        exchange: Exchange,
+        downstream: Downstream,
+        reason: str,
+        retry_after_s: float = TRANSIENT_RETRY_AFTER_S,
     ) -> None:
         if exchange.maybe_ran:
             failure = UpstreamFailed(
@@ -443,9 +498,7 @@
             )
         else:
             failure = Unserved(reason=reason)
-        await self._refuse(
-            exchange, downstream, failure, TRANSIENT_RETRY_AFTER_S
-        )
+        await self._refuse(exchange, downstream, failure, retry_after_s)
 
     async def _fail_timed_out(
         self, exchange: Exchange, downstream: Downstream
--- a/chervilshift/gateway/process.py
+++ b/chervilshift/gateway/process.py
@@ -178,6 +178,7 @@
     def _make_state(self) -> GatewayState:
         settings = self._settings
         return GatewayState(
+            rng=SystemRandom(),
             gateway_id=settings.process,
             info=self._info,
             placement=Placement(
@@ -213,6 +214,10 @@
                 for e in placement.endpoints()
             ),
         )
+        metrics.gauge(
+            "endpoints_limited",
+            lambda: len(state.endpoint_limits.limited_ids()),
+        )
         metrics.gauge("endpoint_crashes", lambda: state.crashes.count)
         metrics.gauge(
             "parts_quarantined", lambda: len(state.crashes.quarantined)
--- a/chervilshift/gateway/protocol.py
+++ b/chervilshift/gateway/protocol.py
@@ -127,13 +127,15 @@
     `not_run` is true only when the endpoint states that it did not run the
     request. `signed` is true when the reply carries the endpoint's proof
     that it is its own. `idle_timeout_s` is how long the endpoint keeps an
-    idle connection, where it says so.
+    idle connection, where it says so. `limit_per_s` is the rate of requests
+    that it takes from all gateways together, None without a limit.
     """
 
     __slots__ = (
         "closes_connection",
         "content_encoded",
         "idle_timeout_s",
+        "limit_per_s",
         "not_run",
         "request_id",
         "signed",
@@ -148,6 +150,7 @@
         content_encoded: bool,
         closes_connection: bool,
         idle_timeout_s: float | None,
+        limit_per_s: float | None = None,
     ):
         self.request_id = request_id
         self.not_run = not_run
@@ -155,6 +158,7 @@
         self.content_encoded = content_encoded
         self.closes_connection = closes_connection
         self.idle_timeout_s = idle_timeout_s
+        self.limit_per_s = limit_per_s
 
 
 class HeaderCodec(Protocol):
--- a/chervilshift/gateway/state.py
+++ b/chervilshift/gateway/state.py
@@ -2,6 +2,7 @@
 
 from collections import defaultdict
 from collections.abc import Callable, Iterable
+from random import Random
 
 import anyio
 from absl import logging
@@ -12,6 +13,10 @@
 from chervilshift.core.fleet.crashes import Crash
 from chervilshift.core.fleet.crashreports import CrashReports
 from chervilshift.core.fleet.documents import unpack
+from chervilshift.core.fleet.endpointlimits import (
+    EndpointLimits,
+    without_endpoints,
+)
 from chervilshift.core.fleet.intervals import DIRECT_INTERVAL_S
 from chervilshift.core.fleet.limits import LimitAccount, LimitPolicy
 from chervilshift.core.fleet.model import EndpointRecord, ServingConfig
@@ -49,7 +54,8 @@
     and `gateway_count` the number of gateways that control knows.
     `report_interval_s` is the time until the next report to control, as the
     control process asks. `crashes` are crashes of endpoints and the prompt
-    parts in quarantine.
+    parts in quarantine, `endpoint_limits` the rate limits that endpoints
+    state.
     """
 
     def __init__(
@@ -63,6 +69,7 @@
         usage_window_s: float,
         decode: Callable[[bytes], Result[ServingConfig, Failure]],
         controls_digest: Callable[[], int],
+        rng: Random,
         clock: Clock,
         events: EventLog,
     ):
@@ -83,6 +90,7 @@
         self._usage_reported_at = float("-inf")
         self._leader_heard_at = float("-inf")
         self.crashes = CrashReports(gateway_id=gateway_id)
+        self.endpoint_limits = EndpointLimits(rng=rng)
         self.report_interval_s = DIRECT_INTERVAL_S
         self.usage = UsageCounter(window_s=usage_window_s)
         self.table: RouteTable | None = None
@@ -161,12 +169,30 @@
                 service: rate.value(now)
                 for service, rate in self._prefill_rates.items()
             },
-            needed=self.limits.needed(),
+            needed=self.limits.needed() | self.endpoint_limits.take_needed(),
             prefetch=self.limits.prefetch(),
             suspicion_revision=self.crashes.revision,
             crashes=self.crashes.crashes(),
             answers=self.crashes.answers(),
             refused=self.crashes.refused(),
+            limits_revision=self.endpoint_limits.revision,
+            stated_limits=self.endpoint_limits.news(),
+        )
+
+    def record_limit(
+        self, endpoint: EndpointRecord, per_s: float | None
+    ) -> None:
+        """Record the rate limit that a reply states, None without one."""
+        if self.endpoint_limits.record(endpoint, per_s, self.wall_s()):
+            self._events.emit(
+                "endpoint_limit", endpoint=endpoint.id, per_s=per_s
+            )
+
+    def exhausted_endpoints(self) -> frozenset[str]:
+        """Return the endpoints that their rate limits exclude now."""
+        now = self._clock.monotonic()
+        return self.endpoint_limits.exhausted_ids(
+            now, alone=self.limits.uses_fallback(now)
         )
 
     def count_usage(self, customer: str) -> None:
@@ -197,18 +223,26 @@
         self.gateway_count = max(1, reply.gateways)
         self.report_interval_s = reply.interval_s
         self.limits.set_gateway_count(self.gateway_count, reply.interval_s)
+        self.endpoint_limits.set_gateway_count(self.gateway_count)
+        if reply.limits is not None:
+            self.endpoint_limits.apply(reply.limits, reply.limits_revision)
         self._other_loads.apply(reply.loads, reply.included_seq)
         self.placement.set_other_loads(self._other_loads.loads())
         if reply.granting:
             self.limits.apply_grants(
-                reply.grants, reply.waits, now, reply.leader_age_s
+                without_endpoints(reply.grants),
+                without_endpoints(reply.waits),
+                now,
+                reply.leader_age_s,
             )
+            self.endpoint_limits.apply_grants(reply.grants, reply.waits, now)
 
     def _settle_ended(self) -> None:
         running = {
             (endpoint.id, endpoint.record.born_ms)
             for endpoint in self.placement.endpoints()
         }
+        self.endpoint_limits.retain(dict(running))
         for crash in self.crashes.settle_ended(running):
             self._log_crash(crash)
 
--- a/chervilshift/gateway/upstream.py
+++ b/chervilshift/gateway/upstream.py
@@ -98,6 +98,11 @@
         self._codec = codec
         self._reply: Reply | None = None
 
+    @property
+    def head(self) -> ReplyHead | None:
+        """The reply's head, None without one that is the endpoint's own."""
+        return self._reply.head if self._reply else None
+
     @classmethod
     async def connect(
         cls,
--- a/chervilshift/platform/headers.py
+++ b/chervilshift/platform/headers.py
@@ -1,5 +1,6 @@
 """Decodes and encodes the platform's request and reply headers."""
 
+import math
 from itertools import chain
 
 from returns.result import Failure as Bad
@@ -27,6 +28,8 @@
 NOT_RUN = b"not-run"
 # Proves that a reply is an endpoint's own; it is forwarded unchanged.
 SERVER_STAMP = b"server-stamp"
+# Requests per second that an endpoint takes from all gateways together.
+SERVER_LIMIT = b"server-limit"
 # An endpoint refuses with it, without running it, a request that was meant for
 # another one.
 MISDIRECTED_STATUS = 421
@@ -151,6 +154,7 @@
             content_encoded=b"content-encoding" in fields,
             closes_connection=b"close" in connection,
             idle_timeout_s=_parse_keep_alive_s(fields.get(b"keep-alive", b"")),
+            limit_per_s=_parse_rate(fields.get(SERVER_LIMIT, b"")),
         )
 
     def response_headers(self, headers: Headers) -> Headers:
@@ -191,6 +195,14 @@
         return None
 
 
+def _parse_rate(value: bytes) -> float | None:
+    """Return a stated rate, None if there is none or it makes no sense."""
+    rate = _parse_number(value)
+    if rate is None or not math.isfinite(rate) or rate < 0:
+        return None
+    return rate
+
+
 def _parse_integer(value: bytes) -> int | None:
     return int(value) if value.isdigit() else None
 
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -62,7 +62,8 @@
 
     Behaviours: `ok`, `full` (not run), `error`, `cut` (the reply is cut
     off), `other` (a reply to another request), `unsigned`, `hang`.
-    `events` is the number of events of a whole stream. `arrivals` counts all
+    `events` is the number of events of a whole stream. `limit_per_s` is the
+    rate that its replies state, None for none. `arrivals` counts all
     requests; `runs` holds the headers of those that were run, `bodies` their
     bodies. `cancelled` counts the hanging requests whose client disconnected.
     """
@@ -81,6 +82,7 @@
         self.address = address
         self.events = events
         self.behave = behave
+        self.limit_per_s: float | None = None
         self.runs: list[dict[bytes, bytes]] = []
         self.bodies: list[bytes] = []
         self.arrivals = 0
@@ -128,6 +130,9 @@
             (b"request-id", request_id),
             (b"server-stamp", b"stamp"),
         ]
+        if self.limit_per_s is not None:
+            stated = str(self.limit_per_s).encode()
+            reply_headers.append((b"server-limit", stated))
         if behaviour == "hang":
             await self._hang(receive)
         elif behaviour == "other":
