Raft: remove a lost voter one election timeout after an election

After a power loss the election took 2.5 s, and the new leader took 2 s more to remove the voter of a replaced host from a set of six; 1.2 s after its election two disks were lost, with the power, and three of six were left.

Change: the leader of an even set removes a voter that is silent for the longest election timeout (1 s on the platform), half as long as before. It still needs a responsive quorum.

--- a/chervilshift/core/raft/leadership.py
+++ b/chervilshift/core/raft/leadership.py
@@ -154,7 +154,7 @@
         timeout_s = (
             VOTER_REMOVE_TIMEOUT_S
             if len(voters) % 2
-            else 2 * self.timing.election_timeout_max_s
+            else self.timing.election_timeout_max_s
         )
         if now - silent_since > timeout_s:
             others = tuple(v for v in voters if v is not silent)
--- a/tests/core/test_losses_in_series.py
+++ b/tests/core/test_losses_in_series.py
@@ -14,3 +14,7 @@
         seed=seed, hosts=hosts, tolerated_losses=tolerated_losses
     )
     simulation.run()
+
+
+def test_lost_voter_is_replaced_soon_after_a_slow_election():
+    LossSimulation(seed=4748, hosts=5, tolerated_losses=2).run()
