Gateways: tell a refusal that is sent again from one of the request

Operators of similar systems saw: a faulty endpoint wrote an earlier refusal once more on a kept connection; clients were told that a request had not run while it ran.

Cause: a reply with Not-Run and 503, 429, 421 or 400 was taken for the refusal of the request before its request id was compared.

Change: a refusal counts if it carries the request's id, and this id was not refused on the connection before; without an id, if it is the first reply of its connection.

--- a/chervilshift/gateway/connections.py
+++ b/chervilshift/gateway/connections.py
@@ -7,6 +7,7 @@
 
 from chervilshift.addresses import split_address
 from chervilshift.clock import Clock
+from chervilshift.gateway.protocol import ReplyHead
 
 __all__ = ["Connection", "ConnectionPool"]
 
@@ -95,7 +96,8 @@
     """One connection to an endpoint.
 
     `reused` is true from its second request on. `expires_at` is the monotonic
-    time after which an idle connection is no longer used.
+    time after which an idle connection is no longer used. `refused_id` is the
+    id of the last request that was refused on it.
     """
 
     __slots__ = (
@@ -105,6 +107,7 @@
         "http",
         "idle_timeout_s",
         "origin",
+        "refused_id",
         "reused",
     )
 
@@ -122,9 +125,25 @@
             origin=origin, stream=self._stream
         )
         self.reused = False
+        self.refused_id = b""
         self.idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         self.expires_at = float("inf")
 
+    def is_refusal(self, head: ReplyHead, request_id: bytes) -> bool:
+        """Return whether a reply states that this request did not run.
+
+        A faulty endpoint may send an earlier refusal again. A refusal
+        therefore has to carry the request's id, which was not refused on this
+        connection before; without any id it has to be the first reply.
+        """
+        if not head.not_run:
+            return False
+        if not head.request_id:
+            return not self.reused
+        is_new = request_id != self.refused_id
+        self.refused_id = head.request_id
+        return head.request_id == request_id and is_new
+
     def limit_head(self) -> None:
         """Limit what is read until `lift_limit`."""
         self._stream.remaining_bytes = MAX_HEAD_BYTES
--- a/chervilshift/gateway/upstream.py
+++ b/chervilshift/gateway/upstream.py
@@ -219,7 +219,9 @@
         A bad reply, which is of another request or not the endpoint's own, is
         not read on; its connection is closed.
         """
-        if head.not_run and status in NOT_RUN_STATUSES:
+        if status in NOT_RUN_STATUSES and self._conn.is_refusal(
+            head, request_id
+        ):
             await self.read(self._reply)
             raise EndpointFailed(
                 endpoint=self._endpoint_id,
