Gateways: hold endpoints that leave or refuse for a time

Cause of a breach: nothing read the two headers. A leaving endpoint got requests until its announcement reached the gateway, a refusing one with the next choice.

Change: both are read at the boundary beside Server-Limit, and every placement asks the same function, retries and the last resort included. Leaving is reported and committed as the state draining. Callers are told when the first endpoint takes requests again.

--- a/chervilshift/control/fleet.py
+++ b/chervilshift/control/fleet.py
@@ -10,11 +10,11 @@
 from returns.result import Result, Success
 
 from chervilshift.clock import Clock
-from chervilshift.control.endpointlimits import LimitNotes
 from chervilshift.control.lease import wait_lease
 from chervilshift.control.node import Node
 from chervilshift.control.quarantine import Quarantine
 from chervilshift.control.relay import LeaderRelay
+from chervilshift.control.statements import StatementNotes
 from chervilshift.core.commands import (
     AcceptServing,
     AnnounceEndpoint,
@@ -118,7 +118,7 @@
             clock=clock,
             events=events,
         )
-        self._limit_notes = LimitNotes(
+        self._statement_notes = StatementNotes(
             node=node,
             presence=self.presence,
             wall_s=self.wall_s,
@@ -420,7 +420,7 @@
                 self._configure()
                 self._distributor.sweep(self._clock.monotonic())
                 if self._node.has_lease():
-                    await self._limit_notes.step()
+                    await self._statement_notes.step()
                     await self._quarantine.step()
                     await self._expire_endpoints()
                     await self._update_gateways()
--- a/chervilshift/control/endpointlimits.py
+++ b/chervilshift/control/statements.py
@@ -1,20 +1,20 @@
-"""Commits the rate limits that endpoints state to gateways."""
+"""Commits what endpoints state about themselves to gateways."""
 
 from collections.abc import Callable
 
 from returns.result import Failure as Bad
 
 from chervilshift.control.node import Node
-from chervilshift.core.fleet.commands import NoteLimits
+from chervilshift.core.fleet.commands import NoteLeaving, NoteLimits
 from chervilshift.core.fleet.endpointlimits import newest_statements
 from chervilshift.core.fleet.presence import Presence
 from chervilshift.events import EventLog
 
-__all__ = ["LimitNotes"]
+__all__ = ["StatementNotes"]
 
 
-class LimitNotes:
-    """The leader's part in the distribution of endpoints' limits."""
+class StatementNotes:
+    """The leader's part in the distribution of endpoints' statements."""
 
     __slots__ = ("_events", "_node", "_presence", "_wall_s")
 
@@ -33,6 +33,10 @@
 
     async def step(self) -> None:
         """Commit what gateways report; called as leader."""
+        await self._note_limits()
+        await self._note_leaving()
+
+    async def _note_limits(self) -> None:
         stated = newest_statements(
             (
                 report.stated_limits
@@ -45,12 +49,19 @@
         if not stated:
             return
         reply = await self._node.submit(NoteLimits(stated=stated))
-        if isinstance(reply, Bad):
+        if not isinstance(reply, Bad):
+            per_s = {key: limit.per_s for key, limit in stated.items()}
+            self._events.emit("endpoint_limits", per_s=per_s)
+
+    async def _note_leaving(self) -> None:
+        reported: dict[str, int] = {}
+        for report in self._presence.reports():
+            for endpoint_id, born_ms in report.leaving.items():
+                newest = max(born_ms, reported.get(endpoint_id, born_ms))
+                reported[endpoint_id] = newest
+        leaving = self._node.machine.fleet.staying(reported)
+        if not leaving:
             return
-        self._events.emit(
-            "endpoint_limits",
-            per_s={
-                endpoint_id: limit.per_s
-                for endpoint_id, limit in stated.items()
-            },
-        )
+        reply = await self._node.submit(NoteLeaving(born_ms=leaving))
+        if not isinstance(reply, Bad):
+            self._events.emit("endpoints_leaving", endpoints=sorted(leaving))
--- a/chervilshift/core/commands.py
+++ b/chervilshift/core/commands.py
@@ -9,9 +9,11 @@
     EndpointKnown,
     ExpireParts,
     GatewaysNoted,
+    LeavingNoted,
     LimitsNoted,
     NoteCrashes,
     NoteGateways,
+    NoteLeaving,
     NoteLimits,
     QuarantineParts,
     ReleaseParts,
@@ -162,6 +164,7 @@
     | AnnounceEndpoint
     | CommitUsage
     | NoteGateways
+    | NoteLeaving
     | NoteLimits
     | NoteCrashes
     | ClearParts
@@ -181,6 +184,7 @@
     | EndpointKnown
     | UsageCommitted
     | GatewaysNoted
+    | LeavingNoted
     | LimitsNoted
     | CrashesNoted
 )
--- a/chervilshift/core/fleet/commands.py
+++ b/chervilshift/core/fleet/commands.py
@@ -14,9 +14,11 @@
     "EndpointKnown",
     "ReleaseParts",
     "GatewaysNoted",
+    "LeavingNoted",
     "LimitsNoted",
     "NoteCrashes",
     "NoteGateways",
+    "NoteLeaving",
     "NoteLimits",
     "QuarantineParts",
     "ExpireParts",
@@ -66,6 +68,18 @@
     stated: dict[str, StatedLimit]
 
 
+class NoteLeaving(Message):
+    """Record that incarnations of endpoints, by endpoint id, leave."""
+
+    born_ms: dict[str, int]
+
+
+class LeavingNoted(Message):
+    """The ids of the endpoints that were not known to leave before."""
+
+    ids: tuple[str, ...]
+
+
 class LimitsNoted(Message):
     """The log position of the last change to the endpoints' limits."""
 
--- a/chervilshift/core/fleet/distribution.py
+++ b/chervilshift/core/fleet/distribution.py
@@ -484,5 +484,6 @@
         and old.answers == new.answers
         and old.refused == new.refused
         and old.stated_limits == new.stated_limits
+        and old.leaving == new.leaving
         and not new.usage
     )
--- a/chervilshift/core/fleet/state.py
+++ b/chervilshift/core/fleet/state.py
@@ -12,9 +12,11 @@
     EndpointKnown,
     ExpireParts,
     GatewaysNoted,
+    LeavingNoted,
     LimitsNoted,
     NoteCrashes,
     NoteGateways,
+    NoteLeaving,
     NoteLimits,
     QuarantineParts,
     ReleaseParts,
@@ -29,6 +31,7 @@
 )
 from chervilshift.core.fleet.limits import EndpointLimit
 from chervilshift.core.fleet.model import (
+    DRAINING,
     GONE,
     READY,
     SILENT,
@@ -143,6 +146,16 @@
         """Return the limits of endpoints that state one."""
         return self._allocated
 
+    def staying(self, born_ms: dict[str, int]) -> dict[str, int]:
+        """Return the incarnations, by id, that are not known to leave."""
+        return {
+            endpoint_id: born
+            for endpoint_id, born in born_ms.items()
+            if (record := self._endpoints.get(endpoint_id)) is not None
+            and record.born_ms == born
+            and record.state in (READY, SILENT)
+        }
+
     def committed_usage(self, window: int) -> dict[str, int] | None:
         """Return the committed counts of a window by customer, or None."""
         return self._usage.get(window)
@@ -175,6 +188,15 @@
         self.gateways = command.ids
         return GatewaysNoted(count=len(self.gateways))
 
+    @apply.register
+    def _(self, command: NoteLeaving, index: int) -> LeavingNoted:
+        leaving_ids = tuple(self.staying(command.born_ms))
+        for endpoint_id in leaving_ids:
+            record = with_state(self._endpoints[endpoint_id], DRAINING)
+            self._replace(record, index)
+            self.revision = index
+        return LeavingNoted(ids=leaving_ids)
+
     @apply.register
     def _(self, command: NoteLimits, index: int) -> LimitsNoted:
         newer = {
--- a/chervilshift/core/fleet/sync.py
+++ b/chervilshift/core/fleet/sync.py
@@ -91,7 +91,8 @@
     engines, by service. `needed` is the amount of each customer's limit that
     requests wait for, also of endpoints' limits, `prefetch` the amount that
     may be granted in advance. `stated_limits` are limits of endpoints, by id,
-    that the fleet's of `limits_revision` lack.
+    that the fleet's of `limits_revision` lack, and `leaving` the incarnations
+    of endpoints, by id, that leave.
     `wall_s` is the gateway's Unix time. `suspicion_revision` is that of the
     last `Suspicion`; `crashes` are crashes of endpoints that the gateway saw,
     `answers` the Unix times of the last answers to requests with suspected
@@ -118,6 +119,7 @@
     refused: tuple[str, ...] = ()
     limits_revision: int = 0
     stated_limits: dict[str, StatedLimit] = {}
+    leaving: dict[str, int] = {}
 
 
 class SyncReply(Message):
--- a/chervilshift/core/machine.py
+++ b/chervilshift/core/machine.py
@@ -30,6 +30,7 @@
     ExpireParts,
     NoteCrashes,
     NoteGateways,
+    NoteLeaving,
     NoteLimits,
     QuarantineParts,
     ReleaseParts,
@@ -168,6 +169,7 @@
     @_apply.register(ReleaseParts)
     @_apply.register(NoteCrashes)
     @_apply.register(NoteGateways)
+    @_apply.register(NoteLeaving)
     @_apply.register(NoteLimits)
     @_apply.register(QuarantineParts)
     @_apply.register(ExpireParts)
--- a/chervilshift/gateway/dispatch.py
+++ b/chervilshift/gateway/dispatch.py
@@ -196,15 +196,18 @@
         now = self._clock.monotonic()
         limits = self._state.endpoint_limits
         choose = self._state.placement.choose
+        held_ids = self._state.held_endpoints(exchange.service)
         exhausted_ids = self._state.exhausted_endpoints()
+        barred_ids = held_ids | exhausted_ids
         failed_ids = frozenset(exchange.failed_ids)
-        choice = choose(spec, exchange.work, now, failed_ids | exhausted_ids)
+        choice = choose(spec, exchange.work, now, failed_ids | barred_ids)
         if choice is None and exchange.route.repeatable:
             # Only endpoints that failed are left; the failure may have passed.
-            choice = choose(spec, exchange.work, now, exhausted_ids)
+            choice = choose(spec, exchange.work, now, barred_ids)
         preferred = choice
         if exhausted_ids:
-            preferred = choose(spec, exchange.work, now, failed_ids) or choice
+            willing = choose(spec, exchange.work, now, failed_ids | held_ids)
+            preferred = willing or choice
         if preferred is not None:
             limits.want(preferred.endpoint.id, now)
         if choice is not None:
@@ -216,6 +219,7 @@
         now = self._clock.monotonic()
         endpoints = self._state.placement.endpoints_of(exchange.service)
         usable_ids = {e.id for e in endpoints if e.usable(now)}
+        usable_ids -= self._state.held_endpoints(exchange.service)
         return usable_ids & self._state.exhausted_endpoints()
 
     def _blocking_part(self, exchange: Exchange) -> str:
@@ -307,7 +311,7 @@
                 raise
             finally:
                 if upstream.head is not None:
-                    self._state.record_limit(record, upstream.head.limit_per_s)
+                    self._state.record_statements(record, upstream.head)
             if exchange.route.kind == STREAM and reply.ok:
                 await self._relay_stream(
                     exchange, placed, upstream, reply, downstream, sent_at
@@ -470,19 +474,16 @@
     async def _fail_unplaced(
         self, exchange: Exchange, downstream: Downstream
     ) -> None:
-        exhausted_ids = self._exhausted_ids(exchange)
-        if not exhausted_ids:
-            await self._fail(exchange, downstream, "no usable endpoint")
-            return
-        self._metrics.count("endpoint_limits_spent")
-        wait_s = self._state.endpoint_limits.available_in_s(
-            exhausted_ids, self._clock.monotonic()
-        )
+        reason = "no usable endpoint"
+        if self._exhausted_ids(exchange):
+            self._metrics.count("endpoint_limits_spent")
+            reason = "rate limits of the endpoints are spent"
+        elif self._state.held_endpoints(exchange.service):
+            self._metrics.count("endpoints_held_back")
+            reason = "the endpoints take no requests for now"
+        wait_s = self._state.available_in_s(exchange.service)
         await self._fail(
-            exchange,
-            downstream,
-            "rate limits of the endpoints are spent",
-            max(TRANSIENT_RETRY_AFTER_S, wait_s),
+            exchange, downstream, reason, max(TRANSIENT_RETRY_AFTER_S, wait_s)
         )
 
     async def _fail(
--- a/chervilshift/gateway/process.py
+++ b/chervilshift/gateway/process.py
@@ -218,6 +218,10 @@
             "endpoints_limited",
             lambda: len(state.endpoint_limits.limited_ids()),
         )
+        metrics.gauge(
+            "endpoints_held",
+            lambda: state.holds.held_count(self._clock.monotonic()),
+        )
         metrics.gauge("endpoint_crashes", lambda: state.crashes.count)
         metrics.gauge(
             "parts_quarantined", lambda: len(state.crashes.quarantined)
--- a/chervilshift/gateway/protocol.py
+++ b/chervilshift/gateway/protocol.py
@@ -128,16 +128,21 @@
     request. `signed` is true when the reply carries the endpoint's proof
     that it is its own. `idle_timeout_s` is how long the endpoint keeps an
     idle connection, where it says so. `limit_per_s` is the rate of requests
-    that it takes from all gateways together, None without a limit.
+    that it takes from all gateways together, None without a limit. An endpoint
+    that is `leaving` takes no further requests; `retry_after_s` is the time
+    for which one that refused the request takes none from this gateway, None
+    without one or if it makes no sense.
     """
 
     __slots__ = (
         "closes_connection",
         "content_encoded",
         "idle_timeout_s",
+        "leaving",
         "limit_per_s",
         "not_run",
         "request_id",
+        "retry_after_s",
         "signed",
     )
 
@@ -151,6 +156,8 @@
         closes_connection: bool,
         idle_timeout_s: float | None,
         limit_per_s: float | None = None,
+        leaving: bool = False,
+        retry_after_s: float | None = None,
     ):
         self.request_id = request_id
         self.not_run = not_run
@@ -159,6 +166,8 @@
         self.closes_connection = closes_connection
         self.idle_timeout_s = idle_timeout_s
         self.limit_per_s = limit_per_s
+        self.leaving = leaving
+        self.retry_after_s = retry_after_s
 
 
 class HeaderCodec(Protocol):
--- a/chervilshift/gateway/state.py
+++ b/chervilshift/gateway/state.py
@@ -17,6 +17,7 @@
     EndpointLimits,
     without_endpoints,
 )
+from chervilshift.core.fleet.holds import EndpointHolds
 from chervilshift.core.fleet.intervals import DIRECT_INTERVAL_S
 from chervilshift.core.fleet.limits import LimitAccount, LimitPolicy
 from chervilshift.core.fleet.model import EndpointRecord, ServingConfig
@@ -30,6 +31,7 @@
 from chervilshift.core.rates import DecayingRate
 from chervilshift.errors import Failure
 from chervilshift.events import EventLog
+from chervilshift.gateway.protocol import ReplyHead
 
 __all__ = ["GatewayState"]
 
@@ -55,7 +57,7 @@
     `report_interval_s` is the time until the next report to control, as the
     control process asks. `crashes` are crashes of endpoints and the prompt
     parts in quarantine, `endpoint_limits` the rate limits that endpoints
-    state.
+    state, and `holds` the endpoints that take no requests for now.
     """
 
     def __init__(
@@ -91,6 +93,7 @@
         self._leader_heard_at = float("-inf")
         self.crashes = CrashReports(gateway_id=gateway_id)
         self.endpoint_limits = EndpointLimits(rng=rng)
+        self.holds = EndpointHolds(rng=rng)
         self.report_interval_s = DIRECT_INTERVAL_S
         self.usage = UsageCounter(window_s=usage_window_s)
         self.table: RouteTable | None = None
@@ -177,16 +180,43 @@
             refused=self.crashes.refused(),
             limits_revision=self.endpoint_limits.revision,
             stated_limits=self.endpoint_limits.news(),
+            leaving=self.holds.leaving(),
         )
 
-    def record_limit(
-        self, endpoint: EndpointRecord, per_s: float | None
+    def record_statements(
+        self, endpoint: EndpointRecord, head: ReplyHead
     ) -> None:
-        """Record the rate limit that a reply states, None without one."""
+        """Record what a reply states about its endpoint."""
+        per_s = head.limit_per_s
         if self.endpoint_limits.record(endpoint, per_s, self.wall_s()):
             self._events.emit(
                 "endpoint_limit", endpoint=endpoint.id, per_s=per_s
             )
+        if head.leaving and self.holds.record_leaving(endpoint):
+            self._events.emit(
+                "endpoint_leaving",
+                endpoint=endpoint.id,
+                born_ms=endpoint.born_ms,
+            )
+        if head.retry_after_s is not None:
+            hold_s = self.holds.record_refusal(
+                endpoint, head.retry_after_s, self._clock.monotonic()
+            )
+            self._events.emit(
+                "endpoint_held",
+                endpoint=endpoint.id,
+                stated_s=head.retry_after_s,
+                hold_s=round(hold_s, 3),
+            )
+
+    def held_endpoints(self, service: str) -> frozenset[str]:
+        """Return a service's endpoints that asked for no requests now."""
+        now = self._clock.monotonic()
+        return frozenset(
+            endpoint.id
+            for endpoint in self.placement.endpoints_of(service)
+            if self.holds.excludes(endpoint.record, now)
+        )
 
     def exhausted_endpoints(self) -> frozenset[str]:
         """Return the endpoints that their rate limits exclude now."""
@@ -195,6 +225,25 @@
             now, alone=self.limits.uses_fallback(now)
         )
 
+    def available_in_s(self, service: str) -> float:
+        """Return the seconds until an endpoint that is held takes requests.
+
+        It is 0 if no endpoint is held, or if the time is not known.
+        """
+        now = self._clock.monotonic()
+        exhausted_ids = self.exhausted_endpoints()
+        waits = (
+            max(
+                self.holds.remaining_s(endpoint.record, now),
+                self.endpoint_limits.available_in_s((endpoint.id,), now)
+                if endpoint.id in exhausted_ids
+                else 0.0,
+            )
+            for endpoint in self.placement.endpoints_of(service)
+            if endpoint.usable(now)
+        )
+        return min(waits, default=0.0)
+
     def count_usage(self, customer: str) -> None:
         """Count a customer's request that an endpoint began to run."""
         self.usage.count_request(customer, self.wall_s())
@@ -243,6 +292,7 @@
             for endpoint in self.placement.endpoints()
         }
         self.endpoint_limits.retain(dict(running))
+        self.holds.retain(dict(running))
         for crash in self.crashes.settle_ended(running):
             self._log_crash(crash)
 
--- a/chervilshift/platform/headers.py
+++ b/chervilshift/platform/headers.py
@@ -30,6 +30,12 @@
 SERVER_STAMP = b"server-stamp"
 # Requests per second that an endpoint takes from all gateways together.
 SERVER_LIMIT = b"server-limit"
+# Set by an endpoint that takes no further requests.
+SERVER_LEAVING = b"server-leaving"
+# Seconds for which an endpoint that refuses with this status takes no requests
+# from the gateway.
+RETRY_AFTER = b"retry-after"
+UNAVAILABLE_STATUS = 503
 # An endpoint refuses with it, without running it, a request that was meant for
 # another one.
 MISDIRECTED_STATUS = 421
@@ -154,7 +160,11 @@
             content_encoded=b"content-encoding" in fields,
             closes_connection=b"close" in connection,
             idle_timeout_s=_parse_keep_alive_s(fields.get(b"keep-alive", b"")),
-            limit_per_s=_parse_rate(fields.get(SERVER_LIMIT, b"")),
+            limit_per_s=_parse_positive(fields.get(SERVER_LIMIT, b"")),
+            leaving=fields.get(SERVER_LEAVING, b"").strip() == b"1",
+            retry_after_s=_parse_positive(fields.get(RETRY_AFTER, b""))
+            if status == UNAVAILABLE_STATUS
+            else None,
         )
 
     def response_headers(self, headers: Headers) -> Headers:
@@ -195,12 +205,12 @@
         return None
 
 
-def _parse_rate(value: bytes) -> float | None:
-    """Return a stated rate, None if there is none or it makes no sense."""
-    rate = _parse_number(value)
-    if rate is None or not math.isfinite(rate) or rate < 0:
+def _parse_positive(value: bytes) -> float | None:
+    """Return a number, None if there is none or it makes no sense."""
+    number = _parse_number(value)
+    if number is None or not math.isfinite(number) or number < 0:
         return None
-    return rate
+    return number
 
 
 def _parse_integer(value: bytes) -> int | None:
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -63,7 +63,9 @@
     Behaviours: `ok`, `full` (not run), `error`, `cut` (the reply is cut
     off), `other` (a reply to another request), `unsigned`, `hang`.
     `events` is the number of events of a whole stream. `limit_per_s` is the
-    rate that its replies state, None for none. `arrivals` counts all
+    rate that its replies state, None for none, `retry_after` what its
+    refusals state, and `leaving` whether its replies say that it leaves.
+    `arrivals` counts all
     requests; `runs` holds the headers of those that were run, `bodies` their
     bodies. `cancelled` counts the hanging requests whose client disconnected.
     """
@@ -83,6 +85,8 @@
         self.events = events
         self.behave = behave
         self.limit_per_s: float | None = None
+        self.retry_after = ""
+        self.leaving = False
         self.runs: list[dict[bytes, bytes]] = []
         self.bodies: list[bytes] = []
         self.arrivals = 0
@@ -121,7 +125,13 @@
             await _respond(send, 421, [(b"instance-id", self.name.encode())])
             return
         if behaviour == "full":
-            await _respond(send, 503, [(b"not-run", b"1")])
+            refusal = [
+                (b"request-id", headers[b"request-id"]),
+                (b"not-run", b"1"),
+            ]
+            if self.retry_after:
+                refusal.append((b"retry-after", self.retry_after.encode()))
+            await _respond(send, 503, refusal)
             return
         self.runs.append(headers)
         self.bodies.append(body)
@@ -133,6 +143,8 @@
         if self.limit_per_s is not None:
             stated = str(self.limit_per_s).encode()
             reply_headers.append((b"server-limit", stated))
+        if self.leaving:
+            reply_headers.append((b"server-leaving", b"1"))
         if behaviour == "hang":
             await self._hang(receive)
         elif behaviour == "other":
