Limits of endpoints: less work per report, and no older ones

The leader refilled the buckets of all limits with each report and dropped unused ones each time; it now looks at the limits that a report asks for. A gateway applied the limits of a reply that came late over newer ones.

--- a/chervilshift/core/fleet/distribution.py
+++ b/chervilshift/core/fleet/distribution.py
@@ -163,8 +163,10 @@
         saved, keeps its limits but does not grant.
         `recorded` are the ids of the gateways in the replicated state.
         """
-        self._limits = (*customers, *endpoint_limits)
-        self._allocator.retain(self._limits)
+        limits = (*customers, *endpoint_limits)
+        if limits != self._limits:
+            self._limits = limits
+            self._allocator.retain(limits)
         self._recorded = recorded
         if self._leads and not leads:
             self._allocator.step_down()
--- a/chervilshift/core/fleet/endpointlimits.py
+++ b/chervilshift/core/fleet/endpointlimits.py
@@ -190,7 +190,9 @@
         return stated.differs(known)
 
     def apply(self, stated: dict[str, StatedLimit], revision: int) -> None:
-        """Apply the limits that all gateways know."""
+        """Apply the limits that all gateways know, unless they are older."""
+        if revision <= self.revision:
+            return
         self._fleet = stated
         self.revision = revision
         self._own = {
--- a/chervilshift/core/fleet/holds.py
+++ b/chervilshift/core/fleet/holds.py
@@ -34,6 +34,11 @@
         # The end of the hold, by endpoint id and incarnation.
         self._held_until: dict[tuple[str, int], float] = {}
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether no endpoint is known to leave or to have refused."""
+        return not self._leaving and not self._held_until
+
     def record_leaving(self, endpoint: EndpointRecord) -> bool:
         """Record that an endpoint leaves; return whether that is news."""
         known = self._leaving.get(endpoint.id, -1)
--- a/chervilshift/core/fleet/limits.py
+++ b/chervilshift/core/fleet/limits.py
@@ -225,6 +225,7 @@
             )
             for limit in limits
             if limit.rate_per_s > 0
+            and (limit.name in needed or isinstance(limit, Customer))
         }
         return {name: amount for name, amount in grants.items() if amount}
 
--- a/chervilshift/gateway/state.py
+++ b/chervilshift/gateway/state.py
@@ -211,6 +211,8 @@
 
     def held_endpoints(self, service: str) -> frozenset[str]:
         """Return a service's endpoints that asked for no requests now."""
+        if self.holds.is_empty:
+            return frozenset()
         now = self._clock.monotonic()
         return frozenset(
             endpoint.id
--- a/tests/core/fleet/test_endpoint_limits.py
+++ b/tests/core/fleet/test_endpoint_limits.py
@@ -219,6 +219,13 @@
     assert limits.limited_ids() == ("e1",)
 
 
+def test_reply_that_comes_late_does_not_bring_back_an_older_limit():
+    limits = EndpointLimits(rng=Random(1))
+    limits.apply({"e1": stated(None, 101.0)}, 8)
+    limits.apply({"e1": stated(1.0, 100.0)}, 7)
+    assert limits.limited_ids() == ()
+
+
 def test_newest_statement_of_all_gateways_counts():
     held = {"e1": stated(1.0, 100.0)}
     reported = [{"e1": stated(3.0, 102.0)}, {"e1": stated(2.0, 101.0)}]
