Gateways: choose endpoints in a module of its own

Leaving endpoints no longer count as available at once in the time that callers are told. Tests share the record of an endpoint and the raw server.

--- a/chervilshift/core/fleet/holds.py
+++ b/chervilshift/core/fleet/holds.py
@@ -62,9 +62,11 @@
 
     def excludes(self, endpoint: EndpointRecord, now: float) -> bool:
         """Return whether an endpoint gets no requests now."""
-        if self._leaving.get(endpoint.id) == endpoint.born_ms:
-            return True
-        return self.remaining_s(endpoint, now) > 0
+        return self.is_leaving(endpoint) or self.remaining_s(endpoint, now) > 0
+
+    def is_leaving(self, endpoint: EndpointRecord) -> bool:
+        """Return whether an endpoint said that it leaves."""
+        return self._leaving.get(endpoint.id) == endpoint.born_ms
 
     def leaving(self) -> dict[str, int]:
         """Return the incarnations that leave, by endpoint id."""
--- a/chervilshift/core/fleet/state.py
+++ b/chervilshift/core/fleet/state.py
@@ -73,8 +73,8 @@
     """
 
     __slots__ = (
-        "_changed_at",
         "_allocated",
+        "_changed_at",
         "_changes_since",
         "_endpoints",
         "_usage",
@@ -100,7 +100,6 @@
         self._usage = dict(stored.usage)
         self.gateways = stored.gateways
         self.crashes = CrashTable(snapshot=stored.crashes)
-        self.limits_revision = stored.limits_revision
         self._set_limits(dict(stored.limits), stored.limits_revision)
 
     def snapshot(self) -> FleetSnapshot:
--- /dev/null
+++ b/chervilshift/gateway/chooser.py
@@ -0,0 +1,95 @@
+"""Chooses the endpoint for the next attempt of a request."""
+
+from chervilshift.clock import Clock
+from chervilshift.core.fleet.placement import Choice
+from chervilshift.gateway.admission import RateLimiter
+from chervilshift.gateway.exchange import Exchange
+from chervilshift.gateway.state import GatewayState
+from chervilshift.metrics import Metrics
+
+__all__ = ["EndpointChooser"]
+
+
+class EndpointChooser:
+    """Places requests at endpoints that take them now.
+
+    Endpoints may be held, as they asked for no requests, or exhausted, as
+    their rate limit is spent.
+    """
+
+    __slots__ = ("_clock", "_limiter", "_metrics", "_state")
+
+    def __init__(
+        self,
+        *,
+        state: GatewayState,
+        limiter: RateLimiter,
+        clock: Clock,
+        metrics: Metrics,
+    ):
+        self._state = state
+        self._limiter = limiter
+        self._clock = clock
+        self._metrics = metrics
+
+    async def choose(self, exchange: Exchange) -> Choice | None:
+        """Return the endpoint for the next attempt, or None.
+
+        Waits shortly if only rate limits of endpoints prevent the attempt.
+        """
+        choice = self._place(exchange)
+        if choice is None and self._exhausted_ids(exchange):
+            choice = await self._limiter.wait_for_endpoint(
+                exchange,
+                self._exhausted_ids(exchange),
+                lambda: self._place(exchange),
+            )
+        return choice
+
+    def explain(self, exchange: Exchange) -> tuple[str, float]:
+        """Return why there is no endpoint, and for how many seconds.
+
+        The time is 0 if it is not known.
+        """
+        reason = "no usable endpoint"
+        if self._exhausted_ids(exchange):
+            self._metrics.count("endpoint_limits_spent")
+            reason = "rate limits of the endpoints are spent"
+        elif self._state.held_endpoints(exchange.service):
+            self._metrics.count("endpoints_held_back")
+            reason = "the endpoints take no requests for now"
+        return reason, self._state.available_in_s(exchange.service)
+
+    def _place(self, exchange: Exchange) -> Choice | None:
+        """Choose an endpoint and spend what its rate limit takes for it."""
+        spec = self._state.table.cfg.services.get(exchange.service)
+        if spec is None:
+            return None
+        now = self._clock.monotonic()
+        limits = self._state.endpoint_limits
+        choose = self._state.placement.choose
+        held_ids = self._state.held_endpoints(exchange.service)
+        exhausted_ids = self._state.exhausted_endpoints()
+        barred_ids = held_ids | exhausted_ids
+        failed_ids = frozenset(exchange.failed_ids)
+        choice = choose(spec, exchange.work, now, failed_ids | barred_ids)
+        if choice is None and exchange.route.repeatable:
+            # Only endpoints that failed are left; the failure may have passed.
+            choice = choose(spec, exchange.work, now, barred_ids)
+        preferred = choice
+        if exhausted_ids:
+            willing = choose(spec, exchange.work, now, failed_ids | held_ids)
+            preferred = willing or choice
+        if preferred is not None:
+            limits.want(preferred.endpoint.id, now)
+        if choice is not None:
+            limits.spend(choice.endpoint.id, now)
+        return choice
+
+    def _exhausted_ids(self, exchange: Exchange) -> frozenset[str]:
+        """Return the usable endpoints that their rate limits exclude now."""
+        now = self._clock.monotonic()
+        endpoints = self._state.placement.endpoints_of(exchange.service)
+        usable_ids = {e.id for e in endpoints if e.usable(now)}
+        usable_ids -= self._state.held_endpoints(exchange.service)
+        return usable_ids & self._state.exhausted_endpoints()
--- a/chervilshift/gateway/dispatch.py
+++ b/chervilshift/gateway/dispatch.py
@@ -19,6 +19,7 @@
 )
 from chervilshift.events import EventLog
 from chervilshift.gateway.admission import TRANSIENT_RETRY_AFTER_S, RateLimiter
+from chervilshift.gateway.chooser import EndpointChooser
 from chervilshift.gateway.connections import ConnectionPool
 from chervilshift.gateway.crashprobe import CrashProbe
 from chervilshift.gateway.downstream import Downstream
@@ -76,6 +77,9 @@
     ):
         self._state = state
         self._limiter = RateLimiter(state=state, sync=sync, clock=clock)
+        self._chooser = EndpointChooser(
+            state=state, limiter=self._limiter, clock=clock, metrics=metrics
+        )
         self._pool = pool
         self._crash_probe = crash_probe
         self._codec = codec
@@ -147,9 +151,11 @@
             return
         self._state.retry_budget(exchange.service).deposit()
         while True:
-            choice = await self._choose(exchange)
+            choice = await self._chooser.choose(exchange)
             if choice is None:
-                await self._fail_unplaced(exchange, downstream)
+                reason, wait_s = self._chooser.explain(exchange)
+                retry_after_s = max(TRANSIENT_RETRY_AFTER_S, wait_s)
+                await self._fail(exchange, downstream, reason, retry_after_s)
                 return
             if exchange.attempts_sent and not self._spend_retry(exchange):
                 await self._fail(
@@ -174,54 +180,6 @@
 
     # Attempts
 
-    async def _choose(self, exchange: Exchange) -> Choice | None:
-        """Return the endpoint for the next attempt, or None.
-
-        Waits shortly if only rate limits of endpoints prevent the attempt.
-        """
-        choice = self._place(exchange)
-        if choice is None and self._exhausted_ids(exchange):
-            choice = await self._limiter.wait_for_endpoint(
-                exchange,
-                self._exhausted_ids(exchange),
-                lambda: self._place(exchange),
-            )
-        return choice
-
-    def _place(self, exchange: Exchange) -> Choice | None:
-        """Choose an endpoint and spend what its rate limit takes for it."""
-        spec = self._state.table.cfg.services.get(exchange.service)
-        if spec is None:
-            return None
-        now = self._clock.monotonic()
-        limits = self._state.endpoint_limits
-        choose = self._state.placement.choose
-        held_ids = self._state.held_endpoints(exchange.service)
-        exhausted_ids = self._state.exhausted_endpoints()
-        barred_ids = held_ids | exhausted_ids
-        failed_ids = frozenset(exchange.failed_ids)
-        choice = choose(spec, exchange.work, now, failed_ids | barred_ids)
-        if choice is None and exchange.route.repeatable:
-            # Only endpoints that failed are left; the failure may have passed.
-            choice = choose(spec, exchange.work, now, barred_ids)
-        preferred = choice
-        if exhausted_ids:
-            willing = choose(spec, exchange.work, now, failed_ids | held_ids)
-            preferred = willing or choice
-        if preferred is not None:
-            limits.want(preferred.endpoint.id, now)
-        if choice is not None:
-            limits.spend(choice.endpoint.id, now)
-        return choice
-
-    def _exhausted_ids(self, exchange: Exchange) -> frozenset[str]:
-        """Return the usable endpoints that their rate limits exclude now."""
-        now = self._clock.monotonic()
-        endpoints = self._state.placement.endpoints_of(exchange.service)
-        usable_ids = {e.id for e in endpoints if e.usable(now)}
-        usable_ids -= self._state.held_endpoints(exchange.service)
-        return usable_ids & self._state.exhausted_endpoints()
-
     def _blocking_part(self, exchange: Exchange) -> str:
         if not exchange.shared_parts:
             return ""
@@ -471,21 +429,6 @@
 
     # Failures
 
-    async def _fail_unplaced(
-        self, exchange: Exchange, downstream: Downstream
-    ) -> None:
-        reason = "no usable endpoint"
-        if self._exhausted_ids(exchange):
-            self._metrics.count("endpoint_limits_spent")
-            reason = "rate limits of the endpoints are spent"
-        elif self._state.held_endpoints(exchange.service):
-            self._metrics.count("endpoints_held_back")
-            reason = "the endpoints take no requests for now"
-        wait_s = self._state.available_in_s(exchange.service)
-        await self._fail(
-            exchange, downstream, reason, max(TRANSIENT_RETRY_AFTER_S, wait_s)
-        )
-
     async def _fail(
         self,
         exchange: Exchange,
--- a/chervilshift/gateway/state.py
+++ b/chervilshift/gateway/state.py
@@ -243,6 +243,7 @@
             )
             for endpoint in self.placement.endpoints_of(service)
             if endpoint.usable(now)
+            and not self.holds.is_leaving(endpoint.record)
         )
         return min(waits, default=0.0)
 
--- a/tests/core/fleet/test_endpoint_limits.py
+++ b/tests/core/fleet/test_endpoint_limits.py
@@ -20,7 +20,7 @@
     DIRECT_RESERVE_AFTER_S,
 )
 from chervilshift.core.fleet.limits import LimitAllocator, LimitPolicy
-from chervilshift.core.fleet.model import READY, EndpointRecord
+from tests.core.fleet.records import ready_endpoint
 
 WINDOW_S = 4.0
 STEP_S = 0.05
@@ -29,19 +29,6 @@
 POLICY = LimitPolicy(window_s=8.0, tolerance=0.1, slack=72_000.0)
 
 
-def endpoint(born_ms: int = 1) -> EndpointRecord:
-    return EndpointRecord(
-        id="e1",
-        born_ms=born_ms,
-        seq=1,
-        state=READY,
-        service="pool",
-        address="10.0.0.1:80",
-        failure_domain="a",
-        slots=8,
-    )
-
-
 def stated(per_s: float | None, at_s: float = 1.0, born_ms: int = 1):
     return StatedLimit(per_s=per_s, at_s=at_s, born_ms=born_ms)
 
@@ -192,7 +179,7 @@
 def test_own_statement_limits_a_gateway_without_control():
     limits = EndpointLimits(rng=Random(1))
     limits.set_gateway_count(8)
-    assert limits.record(endpoint(), 1.0, 100.0)
+    assert limits.record(ready_endpoint(), 1.0, 100.0)
     assert limits.news() == {"e1": stated(1.0, 100.0)}
     now, sent = 0.0, 0
     while now < 40.0:
@@ -207,7 +194,7 @@
     limits = EndpointLimits(rng=Random(1))
     limits.apply({"e1": stated(1.0, 100.0)}, 7)
     assert limits.limited_ids() == ("e1",)
-    assert limits.record(endpoint(), None, 101.0)
+    assert limits.record(ready_endpoint(), None, 101.0)
     assert limits.limited_ids() == ()
     assert limits.news() == {"e1": stated(None, 101.0)}
 
@@ -215,7 +202,7 @@
 def test_statement_of_an_ended_incarnation_is_ignored():
     limits = EndpointLimits(rng=Random(1))
     limits.apply({"e1": stated(1.0, 100.0, born_ms=2)}, 7)
-    assert not limits.record(endpoint(born_ms=1), None, 101.0)
+    assert not limits.record(ready_endpoint(born_ms=1), None, 101.0)
     assert limits.limited_ids() == ("e1",)
 
 
--- a/tests/platform/rawhttp.py
+++ b/tests/platform/rawhttp.py
@@ -1,6 +1,22 @@
 """Reads requests from a raw stream, for endpoints that break the protocol."""
 
-__all__ = ["read_request"]
+import anyio
+
+from tests.platform.standin import Endpoint, Platform, eventually
+
+__all__ = ["read_request", "serve_raw"]
+
+
+async def serve_raw(platform: Platform, tg, endpoint: Endpoint) -> None:
+    """Serve an endpoint's `handle` and announce it to one gateway."""
+    host, port = endpoint.address.split(":")
+    listener = await anyio.create_tcp_listener(
+        local_host=host, local_port=int(port)
+    )
+    tg.start_soon(listener.serve, endpoint.handle)
+    await platform.announce(endpoint, "ready")
+    placement = platform.gateways[0][0].state.placement
+    await eventually(lambda: bool(placement.endpoints()))
 
 
 async def read_request(stream) -> dict[bytes, bytes]:
--- a/tests/platform/test_faulty_endpoints.py
+++ b/tests/platform/test_faulty_endpoints.py
@@ -9,7 +9,7 @@
 import pytest
 
 from tests.cluster import free_address
-from tests.platform.rawhttp import read_request
+from tests.platform.rawhttp import read_request, serve_raw
 from tests.platform.standin import Endpoint, Platform
 from tests.platform.test_path import (
     ALL_EVENT_IDS,
@@ -75,17 +75,6 @@
             await stream.send(reply[: self._size])
 
 
-async def serve(platform: Platform, tg, endpoint: Endpoint) -> None:
-    host, port = endpoint.address.split(":")
-    listener = await anyio.create_tcp_listener(
-        local_host=host, local_port=int(port)
-    )
-    tg.start_soon(listener.serve, endpoint.handle)
-    await platform.announce(endpoint, "ready")
-    while not platform.gateways[0][0].state.placement.endpoints():
-        await anyio.sleep(0.02)
-
-
 @pytest.mark.parametrize("with_id", [True, False])
 def test_repeated_refusal_is_not_taken_for_that_of_the_next_request(
     tmp_path, with_id
@@ -94,7 +83,7 @@
 
     async def scenario(platform: Platform) -> None:
         async with anyio.create_task_group() as tg:
-            await serve(platform, tg, endpoint)
+            await serve_raw(platform, tg, endpoint)
             first = await platform.send_request("/write/a")
             assert first.status == 503
             second = await platform.send_request("/write/a")
--- a/tests/platform/test_unframed.py
+++ b/tests/platform/test_unframed.py
@@ -11,7 +11,7 @@
 import pytest
 
 from tests.cluster import free_address
-from tests.platform.rawhttp import read_request
+from tests.platform.rawhttp import read_request, serve_raw
 from tests.platform.standin import Endpoint, Platform
 from tests.platform.test_path import ALL_EVENT_IDS, event_ids, run_scenario
 
@@ -56,14 +56,7 @@
 def play(tmp_path, endpoint: UnframedEndpoint, path: str, check) -> None:
     async def scenario(platform: Platform) -> None:
         async with anyio.create_task_group() as tg:
-            host, port = endpoint.address.split(":")
-            listener = await anyio.create_tcp_listener(
-                local_host=host, local_port=int(port)
-            )
-            tg.start_soon(listener.serve, endpoint.handle)
-            await platform.announce(endpoint, "ready")
-            while not platform.gateways[0][0].state.placement.endpoints():
-                await anyio.sleep(0.02)
+            await serve_raw(platform, tg, endpoint)
             check(await platform.send_request(path))
             tg.cancel_scope.cancel()
 
