Raft: candidates that begin together let one go first

Two of five voters had lost their disks; the other three needed all of each other's votes and split them in six elections, 4.2 s, longer than a host counts as lost.

Cause: two candidates got pre-votes of all, raised the term and voted for themselves.

Change: a replica that grants a pre-vote waits half a shortest election timeout before it campaigns itself, and one that campaigns refuses pre-votes of candidates with an older log, or the same and a lower id, for that time.

--- a/chervilshift/core/raft/election.py
+++ b/chervilshift/core/raft/election.py
@@ -59,6 +59,7 @@
         self._reset_election_timer(now)
         if self.local_voter.id not in self.voter_ids:
             return
+        self._campaign_began_at = now
         self.role = CANDIDATE
         self.leader_id = None
         self._in_prevote = pre
@@ -82,6 +83,27 @@
         ]
         self._count_votes(now)
 
+    def _yield_to(self, message: RequestVote, now: float) -> bool:
+        """Let another candidate go first; return False if this one does.
+
+        Candidates that begin together would split the votes. The one with
+        the newer log or the higher id goes on, for `campaign_s`.
+        """
+        rank = (self.log.last_term, self.log.last_index, self.local_voter.id)
+        other_rank = (message.last_term, message.last_index, message.src)
+        is_campaigning = (
+            self.role == CANDIDATE
+            and now - self._campaign_began_at < self.timing.campaign_s
+        )
+        if is_campaigning and rank > other_rank:
+            return False
+        if self.role == CANDIDATE and self._in_prevote:
+            self.role = FOLLOWER
+        self._election_due_at = max(
+            self._election_due_at, now + self.timing.campaign_s
+        )
+        return True
+
     def _count_votes(self, now: float) -> None:
         granting_ids = {
             voter_id for voter_id, vote in self._votes.items() if vote
--- a/chervilshift/core/raft/node.py
+++ b/chervilshift/core/raft/node.py
@@ -87,6 +87,7 @@
         self._append_due: dict[str, float] = {}
         self._votes: dict[str, bool] = {}
         self._in_prevote = False
+        self._campaign_began_at = float("-inf")
         # Before a restart this voter may have supported a leader's lease, so
         # it refuses candidates as if it had just heard from a leader.
         self._leader_contact_at = now
@@ -286,6 +287,8 @@
         can_vote = message.pre or self.vote in ("", message.src)
         term_is_current = message.term >= self.term
         granted = log_is_current and can_vote and term_is_current
+        if message.pre and granted:
+            granted = self._yield_to(message, now)
         if granted and not message.pre:
             self.vote = message.src
             self._reset_election_timer(now)
--- a/chervilshift/core/raft/state.py
+++ b/chervilshift/core/raft/state.py
@@ -28,12 +28,14 @@
     refuses other candidates; it starts an election itself after at most twice
     that time. The lease is shorter than the time for which voters refuse
     candidates, so two leaders never hold one at once. Several heartbeats fit
-    into a lease, so losing one message does not end it. A replica that hears
-    from no leader for `rejoin_after_s`, longer than an election takes, asks
-    to join again, as it may have been removed from the voter set.
+    into a lease, so losing one message does not end it. A campaign takes
+    `campaign_s`, two round trips, for which other candidates wait. A replica
+    that hears from no leader for `rejoin_after_s`, longer than an election
+    takes, asks to join again, as it may have been removed from the voter set.
     """
 
     __slots__ = (
+        "campaign_s",
         "election_timeout_max_s",
         "election_timeout_min_s",
         "heartbeat_interval_s",
@@ -46,6 +48,7 @@
     ):
         self.election_timeout_min_s = election_timeout_min_s
         self.election_timeout_max_s = 2 * election_timeout_min_s
+        self.campaign_s = 0.5 * election_timeout_min_s
         self.heartbeat_interval_s = 0.2 * election_timeout_min_s
         self.lease_duration_s = 0.8 * election_timeout_min_s
         self.rejoin_after_s = 2 * self.election_timeout_max_s
