--- a/tests/core/fleet/test_state.py
+++ b/tests/core/fleet/test_state.py
@@ -8,9 +8,12 @@
     AnnounceEndpoint,
     CommitUsage,
     NoteCrashes,
+    NoteLeaving,
+    NoteLimits,
     QuarantineParts,
 )
 from chervilshift.core.fleet.crashes import Crash
+from chervilshift.core.fleet.endpointlimits import StatedLimit
 from chervilshift.core.fleet.model import (
     DRAINING,
     GONE,
@@ -100,6 +103,46 @@
     assert state.endpoint("e1").state == READY
 
 
+def note_limit(state: FleetState, index: int, *stated) -> None:
+    per_s, at_s, born_ms = stated
+    limit = StatedLimit(per_s=per_s, at_s=at_s, born_ms=born_ms)
+    state.apply(NoteLimits(stated={"e1": limit}), index)
+
+
+def test_newest_stated_limit_of_the_running_incarnation_counts():
+    state = FleetState()
+    announce(state, 1)
+    note_limit(state, 2, 5.0, 20.0, 1000)
+    note_limit(state, 3, 9.0, 10.0, 1000)
+    note_limit(state, 4, 9.0, 30.0, 999)
+    assert (state.limits["e1"].per_s, state.limits_revision) == (5.0, 2)
+    assert [limit.rate_per_s for limit in state.endpoint_limits()] == [5.0]
+    restored = FleetState(snapshot=state.snapshot())
+    assert (restored.limits, restored.limits_revision) == (state.limits, 2)
+    assert len(restored.endpoint_limits()) == 1
+
+
+@pytest.mark.parametrize("change", [{"born_ms": 2000}, {"state": GONE}])
+def test_stated_limit_ends_with_its_incarnation(change):
+    state = FleetState()
+    announce(state, 1)
+    note_limit(state, 2, 5.0, 20.0, 1000)
+    announce(state, 3, seq=2, **change)
+    assert (state.limits, state.limits_revision) == ({}, 3)
+    assert state.endpoint_limits() == ()
+
+
+def test_endpoint_that_was_noted_as_leaving_does_not_become_ready_again():
+    state = FleetState()
+    announce(state, 1)
+    state.apply(NoteLeaving(born_ms={"e1": 999, "e2": 1000}), 2)
+    assert state.endpoint("e1").state == READY
+    state.apply(NoteLeaving(born_ms={"e1": 1000}), 3)
+    assert (state.endpoint("e1").state, state.revision) == (DRAINING, 3)
+    assert announce(state, 4, seq=5) == DRAINING
+    assert announce(state, 5, born_ms=2000) == READY
+
+
 def test_first_committed_usage_of_a_window_stays():
     state = FleetState()
     first = CommitUsage(window=7, counts={"acme": 3})
