Gateways: log the digest of requests that are broken off

Endpoints crash under requests without a prompt, or whose prompt parts are all sound elsewhere, and the logs can't tell whether it is the same request each time: request_broken_off named shared prompt parts only. It now has a digest of method, host, path, customer and body. No decision changes.

--- a/chervilshift/core/fleet/crashes.py
+++ b/chervilshift/core/fleet/crashes.py
@@ -26,8 +26,12 @@
     "Quarantined",
     "Suspicion",
     "Diagnosis",
+    "is_request",
 ]
 
+# Ids that begin with it are digests of whole requests; no other id does.
+REQUEST_PREFIX = "="
+
 # A part is quarantined once it is a suspect in this many crashes, one that was
 # answered before only after more of them, one that was quarantined before
 # after the first.
@@ -430,6 +434,11 @@
         return suspects
 
 
+def is_request(part: str) -> bool:
+    """Whether an id stands for a whole request, not for a prompt part."""
+    return part.startswith(REQUEST_PREFIX)
+
+
 def _key(crash: Crash) -> tuple[str, int]:
     return crash.endpoint, crash.born_ms
 
--- a/chervilshift/core/fleet/crashreports.py
+++ b/chervilshift/core/fleet/crashreports.py
@@ -14,12 +14,14 @@
 
 from chervilshift.core.fleet.crashes import (
     MAX_PARTS_PER_CRASH,
+    REQUEST_PREFIX,
     Crash,
     CrashTable,
     Suspicion,
+    is_request,
 )
 
-__all__ = ["CrashReports", "shared_parts"]
+__all__ = ["CrashReports", "request_part", "shared_parts"]
 
 # Longer than the election of a leader, and the repair of a cut, take.
 REPORT_S = 30.0
@@ -33,6 +35,7 @@
 # Longer ids are replaced by a digest of `DIGEST_BYTES`.
 MAX_PART_ID_CHARS = 32
 DIGEST_BYTES = 12
+REQUEST_DIGEST_BYTES = 8
 # A break of an endpoint that could be connected to is settled as a crash if
 # control reports within this time that the incarnation has ended.
 MAX_RESTART_S = 5.0
@@ -69,8 +72,20 @@
     return tuple(shared)
 
 
+def request_part(customer: str, place: bytes, body: bytes) -> str:
+    """Return the id of what only equal requests share: the whole request.
+
+    `place` is the method, host and target, `customer` who sent it.
+    """
+    digest = blake2b(digest_size=REQUEST_DIGEST_BYTES)
+    for field in (customer.encode(), place, body):
+        digest.update(len(field).to_bytes(8, "big"))
+        digest.update(field)
+    return REQUEST_PREFIX + digest.hexdigest()
+
+
 def _short_id(part: str) -> str:
-    if len(part) <= MAX_PART_ID_CHARS:
+    if len(part) <= MAX_PART_ID_CHARS and not is_request(part):
         return part
     return blake2b(part.encode(), digest_size=DIGEST_BYTES).hexdigest()
 
--- a/chervilshift/gateway/exchange.py
+++ b/chervilshift/gateway/exchange.py
@@ -1,6 +1,6 @@
 """The state of one request while it is being served."""
 
-from chervilshift.core.fleet.crashreports import shared_parts
+from chervilshift.core.fleet.crashreports import request_part, shared_parts
 from chervilshift.core.fleet.model import Customer, Route
 from chervilshift.core.fleet.placement import Work
 from chervilshift.gateway.protocol import ClientRequest
@@ -27,7 +27,8 @@
     describe the sent and the failed attempts for logs. `longest_gap_s` is the
     longest pause between the events of a stream. `shared_parts` are the ids
     and positions of the prompt parts that other requests may have too, and
-    `answer_recorded` tells whether they are recorded as answered.
+    `answer_recorded` tells whether they are recorded as answered;
+    `request_part` is the id that only equal requests share.
     """
 
     __slots__ = (
@@ -49,6 +50,7 @@
         "maybe_ran",
         "relay",
         "request",
+        "request_part",
         "route",
         "service",
         "shared_parts",
@@ -84,6 +86,9 @@
         self.shared_parts = shared_parts(
             [part.id for part in request.prompt_parts]
         )
+        self.request_part = request_part(
+            customer.name if customer else "", request.place, body
+        )
         self.answer_recorded = False
         self.limit_cost = _limit_cost(request, customer)
         self.charged = False
--- a/chervilshift/gateway/outcomes.py
+++ b/chervilshift/gateway/outcomes.py
@@ -83,6 +83,7 @@
             state=endpoint.record.state,
             suspect=exchange.is_suspect(self._clock.monotonic()),
             parts=[part for part, _ in exchange.shared_parts],
+            digest=exchange.request_part,
         )
 
 
--- a/chervilshift/gateway/protocol.py
+++ b/chervilshift/gateway/protocol.py
@@ -89,6 +89,13 @@
         self.prompt_parts = prompt_parts
         self.last_event_id = last_event_id
 
+    @property
+    def place(self) -> bytes:
+        """The method, host and target, as one text."""
+        return b" ".join(
+            (self.method.encode(), self.host.encode(), self.target)
+        )
+
 
 class Attempt:
     """What the gateway tells an endpoint about one attempt of a request.
