Quarantine: whole requests are suspects of crashes

The quarantine knew shared parts of prompts only; a request without a prompt had none, and one whose parts are sound elsewhere got these refused instead.

A digest of method, host, path, customer and body now counts as the last part of each request, in the same table, diagnosis, trial and refusal. Its crashes count one by one, as a request is at one endpoint at a time. Gateways are told of it from its second crash on, and the suspects of most crashes first, so that the news stays within its bound; it has room of its own in a crash. A request that explains crashes is one crash more for parts that these share, so that a part that turns bad is found though its requests are repeated. The trial of a part is not given to a request that is a suspect itself.

--- a/chervilshift/control/quarantine.py
+++ b/chervilshift/control/quarantine.py
@@ -26,7 +26,7 @@
 
 
 class Quarantine:
-    """The leader's part in the quarantine of prompt parts."""
+    """The leader's part in the quarantine of requests and prompt parts."""
 
     def __init__(
         self,
--- a/chervilshift/core/fleet/crashes.py
+++ b/chervilshift/core/fleet/crashes.py
@@ -1,19 +1,20 @@
-"""Crashes of endpoints, and the prompt parts that caused them.
+"""Crashes of endpoints, and the requests or prompt parts that caused them.
 
 An endpoint that crashes takes all its requests with it. The part that made it
 crash is in one of the requests that it had not begun to answer; those of all
-gateways are the crash's suspects. A part is cleared of the crashes before an
-answer to a request with it: a part that crashes endpoints is never answered.
-What stays a suspect in several crashes is quarantined, which means that
-requests with it are refused.
+gateways are the crash's suspects. A request as a whole counts as the last of
+its parts, which only equal requests share. A part is cleared of the crashes
+before an answer to a request with it: a part that crashes endpoints is never
+answered. What stays a suspect in several crashes is quarantined, which means
+that requests with it are refused.
 
 `CrashTable` is replicated: `note`, `clear`, `quarantine`, `release` and
 `start_trial` are applied in log order, and `diagnose` is what the leader
 proposes next. Times are Unix times.
 """
 
-from collections.abc import Iterable
-from itertools import chain
+from collections.abc import Collection, Iterable
+from itertools import chain, islice
 
 import msgspec
 
@@ -27,6 +28,7 @@
     "Suspicion",
     "Diagnosis",
     "is_request",
+    "new_parts",
 ]
 
 # Ids that begin with it are digests of whole requests; no other id does.
@@ -38,17 +40,22 @@
 MIN_CRASHES = 3
 MIN_CRASHES_AFTER_ANSWERS = 5
 # Crashes this close together count as one: the loss of a failure domain ends
-# many endpoints at once, and a popular part may be waiting at several.
+# many endpoints at once, and a popular part may be waiting at several. A
+# request is at one endpoint at a time, so its crashes are counted one by one.
 SIMULTANEOUS_S = 0.1
 # All gateways have reported a crash within this time. Before, the part
 # that caused it may be missing among the suspects.
 REPORTED_S = 0.8
-# Answers to requests with a part that is in use are reported within this time
-# from its first crash.
+# Answers to requests with a suspect that is in use are reported within this
+# time after gateways are told of it.
 CLEARING_S = 1.5
+# Gateways are told of requests that are suspects in this many crashes. Most
+# requests that are broken off are in one crash only.
+MIN_TOLD_CRASHES = 2
 # Bounds of what is kept; the oldest is dropped.
 MAX_CRASHES = 64
 MAX_PARTS_PER_CRASH = 256
+MAX_REQUESTS_PER_CRASH = 256
 MAX_QUARANTINED = 256
 MAX_EXPIRED = 256
 MAX_SUSPECTS = 256
@@ -120,14 +127,41 @@
 
 
 class _Suspect:
-    """A suspect: the numbers of its crashes, the first one, its position."""
+    """A suspect: its crashes and their moments by number, and its position.
 
-    __slots__ = ("crashes", "first_s", "position")
+    Simultaneous crashes have the same moment. `told_s` is the time of the
+    crash from which on gateways are told of the suspect, None before it.
+    """
+
+    __slots__ = ("crashes", "part", "position", "told_s")
 
-    def __init__(self, *, first_s: float):
-        self.crashes: set[int] = set()
-        self.first_s = first_s
+    def __init__(self, *, part: str):
+        self.part = part
+        self.crashes: dict[int, int] = {}
         self.position = 0
+        self.told_s: float | None = None
+
+    def add(self, number: int, moment: int, crash: Crash) -> None:
+        """Add a crash; they are added in the order of their times."""
+        self.crashes[number] = moment
+        self.position = max(self.position, crash.parts[self.part])
+        told = not is_request(self.part) or len(self.crashes) >= (
+            MIN_TOLD_CRASHES
+        )
+        if told and self.told_s is None:
+            self.told_s = crash.at_s
+
+    def count(self, explained: Collection[int] = ()) -> int:
+        """Return the number of its crashes that are not explained yet."""
+        if is_request(self.part):
+            return len(self.crashes.keys() - explained)
+        return len(
+            {
+                moment
+                for number, moment in self.crashes.items()
+                if number not in explained
+            }
+        )
 
 
 class CrashTable:
@@ -174,26 +208,29 @@
     def counts(self) -> dict[str, int]:
         """Return the number of crashes by suspected part."""
         suspects = self._find_suspects(self._crashes.values())
-        return {part: len(held.crashes) for part, held in suspects.items()}
+        return {part: held.count() for part, held in suspects.items()}
 
     def suspicion(self) -> Suspicion:
         """Return what gateways have to know."""
         if self._suspicion is None:
-            counts = self.counts()
-            newest_first = sorted(
-                self._crashes.values(), key=_at_s, reverse=True
+            suspects = self._find_suspects(self._crashes.values())
+            told = sorted(
+                (
+                    held
+                    for part, held in suspects.items()
+                    if part not in self._quarantined
+                    and (held.told_s is not None or part in self._expired)
+                ),
+                key=lambda held: (held.count(), max(held.crashes)),
+                reverse=True,
             )
-            parts = chain.from_iterable(c.parts for c in newest_first)
-            suspects = [
-                part
-                for part in dict.fromkeys(parts)
-                if part in counts and part not in self._quarantined
-            ]
             self._suspicion = Suspicion(
                 revision=self.revision,
                 suspects={
-                    part: 0 if part in self._answered else counts[part]
-                    for part in suspects[:MAX_SUSPECTS]
+                    held.part: 0
+                    if held.part in self._answered
+                    else held.count()
+                    for held in told[:MAX_SUSPECTS]
                 },
                 quarantined=dict(self._quarantined),
             )
@@ -228,7 +265,9 @@
         are diagnosed by the crashes that it doesn't explain. Among equals it
         is the part that comes last in prompts: what precedes it occurs without
         it more often than the reverse. Parts that were answered before come
-        after the others.
+        after the others. A request that explains crashes is one crash more
+        for each prompt part that these have in common: several such requests
+        point to a part of theirs.
         """
         suspects = self._find_suspects(
             crash
@@ -240,22 +279,23 @@
             for part, held in suspects.items()
             if part in self._quarantined
             or part in self._expired
-            or now_s - held.first_s >= CLEARING_S
+            or (held.told_s is not None and now_s - held.told_s >= CLEARING_S)
         }
         explained: set[int] = set()
         causes: list[str] = []
         while True:
+            requests = [ripe[part] for part in causes if is_request(part)]
             eligible = (
                 (part not in self._answered, count, held.position, part)
                 for part, held in ripe.items()
-                if (count := len(held.crashes - explained))
-                and count >= self._threshold(part)
+                if (count := held.count(explained))
+                and count + _shared(held, requests) >= self._threshold(part)
             )
             *_, worst = max(eligible, default=(False, 0, 0, ""))
             if not worst:
                 break
             causes.append(worst)
-            explained |= ripe[worst].crashes
+            explained |= ripe[worst].crashes.keys()
         return Diagnosis(
             causes=tuple(p for p in causes if p not in self._quarantined),
             released=tuple(
@@ -263,7 +303,7 @@
                 for part in self._quarantined
                 if part not in causes
                 and part in suspects
-                and suspects[part].crashes <= explained
+                and suspects[part].crashes.keys() <= explained
             ),
         )
 
@@ -287,11 +327,9 @@
         for crash in crashes:
             key = _key(crash)
             known = self._parts(key)
-            room = max(0, MAX_PARTS_PER_CRASH - len(known))
-            added = [p for p in crash.parts.items() if p[0] not in known]
             stored = self._crashes.get(key, crash)
             self._crashes[key] = msgspec.structs.replace(
-                stored, parts=known | dict(added[:room])
+                stored, parts=known | new_parts(known, crash.parts)
             )
         newest_s = max((c.at_s for c in self._crashes.values()), default=0.0)
         kept = sorted(self._crashes.values(), key=_at_s)[-MAX_CRASHES:]
@@ -376,7 +414,7 @@
         """Whether `note` would keep what a report adds."""
         held = self._crashes.get(_key(crash))
         if held is not None:
-            return len(held.parts) < MAX_PARTS_PER_CRASH
+            return bool(new_parts(held.parts, crash.parts))
         times = [c.at_s for c in self._crashes.values()]
         if times and max(times) - crash.at_s >= CRASH_MAX_AGE_S:
             return False
@@ -413,27 +451,53 @@
         return MIN_CRASHES
 
     def _find_suspects(self, crashes: Iterable[Crash]) -> dict[str, _Suspect]:
-        """Return the suspects by part; simultaneous crashes count once."""
+        """Return the suspects by part."""
         suspects: dict[str, _Suspect] = {}
-        number, began_s = 0, float("-inf")
-        for crash in sorted(crashes, key=_at_s):
+        moment, began_s = 0, float("-inf")
+        for number, crash in enumerate(sorted(crashes, key=_at_s)):
             if crash.at_s - began_s > SIMULTANEOUS_S:
-                number, began_s = number + 1, crash.at_s
-            for part, position in crash.parts.items():
+                moment, began_s = moment + 1, crash.at_s
+            for part in crash.parts:
                 cleared_s = max(
                     self._answered.get(part, NEVER),
                     self._expired.get(part, NEVER),
                 )
-                if cleared_s >= crash.at_s:
-                    continue
-                held = suspects.get(part)
-                if held is None:
-                    held = suspects[part] = _Suspect(first_s=crash.at_s)
-                held.crashes.add(number)
-                held.position = max(held.position, position)
+                if cleared_s < crash.at_s:
+                    if part not in suspects:
+                        suspects[part] = _Suspect(part=part)
+                    suspects[part].add(number, moment, crash)
         return suspects
 
 
+def new_parts(known: dict[str, int], added: dict[str, int]) -> dict[str, int]:
+    """Return the added parts that a crash with the known ones has room for.
+
+    Whole requests don't take the room of prompt parts.
+    """
+    requests = [is_request(part) for part in known]
+    rooms = {
+        True: MAX_REQUESTS_PER_CRASH - sum(requests),
+        False: MAX_PARTS_PER_CRASH - len(known) + sum(requests),
+    }
+    unknown = [item for item in added.items() if item[0] not in known]
+    return dict(
+        chain.from_iterable(
+            islice((i for i in unknown if is_request(i[0]) is kind), room)
+            for kind, room in rooms.items()
+        )
+    )
+
+
+def _shared(held: _Suspect, requests: Iterable[_Suspect]) -> int:
+    """Return how many of the requests are in crashes of a prompt part."""
+    if is_request(held.part):
+        return 0
+    return sum(
+        not held.crashes.keys().isdisjoint(request.crashes)
+        for request in requests
+    )
+
+
 def is_request(part: str) -> bool:
     """Whether an id stands for a whole request, not for a prompt part."""
     return part.startswith(REQUEST_PREFIX)
--- a/chervilshift/core/fleet/crashreports.py
+++ b/chervilshift/core/fleet/crashreports.py
@@ -13,15 +13,15 @@
 from hashlib import blake2b
 
 from chervilshift.core.fleet.crashes import (
-    MAX_PARTS_PER_CRASH,
     REQUEST_PREFIX,
     Crash,
     CrashTable,
     Suspicion,
     is_request,
+    new_parts,
 )
 
-__all__ = ["CrashReports", "request_part", "shared_parts"]
+__all__ = ["CrashReports", "request_part", "suspect_parts"]
 
 # Longer than the election of a leader, and the repair of a cut, take.
 REPORT_S = 30.0
@@ -58,18 +58,21 @@
 Incarnation = tuple[str, int]
 
 
-def shared_parts(ids: Sequence[str]) -> tuple[tuple[str, int], ...]:
-    """Return the parts of a prompt that others may share, with positions.
+def suspect_parts(
+    ids: Sequence[str], request: str
+) -> tuple[tuple[str, int], ...]:
+    """Return what a crash may be blamed on in a request, with positions.
 
-    `ids` are those of all its parts in order; the last one belongs to the
-    request itself.
+    These are the parts of its prompt that others may share, and last the
+    request itself. `ids` are those of all its parts in order, of which the
+    last one belongs to the request; `request` is its `request_part`.
     """
     shared = [
         (_short_id(part), position) for position, part in enumerate(ids[:-1])
     ]
     if len(shared) > MAX_SHARED_PARTS:
         shared[MAX_SHARED_PARTS - 1 :] = [(MANY_PARTS, len(shared))]
-    return tuple(shared)
+    return (*shared, (request, len(ids)))
 
 
 def request_part(customer: str, place: bytes, body: bytes) -> str:
@@ -102,9 +105,7 @@
 
     def add(self, parts: Iterable[tuple[str, int]]) -> None:
         """Add suspects."""
-        for part, position in parts:
-            if len(self.parts) < MAX_PARTS_PER_CRASH:
-                self.parts.setdefault(part, position)
+        self.parts |= new_parts(self.parts, dict(parts))
 
 
 class CrashReports:
@@ -276,7 +277,7 @@
     # Decisions
 
     def blocking_part(
-        self, parts: Iterable[str], now: float, wall_s: float, *, alone: bool
+        self, parts: Sequence[str], now: float, wall_s: float, *, alone: bool
     ) -> str:
         """Return the part because of which a request is refused, or "".
 
@@ -287,7 +288,7 @@
         blocking = [part for part in parts if part in quarantined]
         for part in blocking:
             self._refused[part] = now
-        if len(blocking) == 1 and self._use_trial(blocking[0]):
+        if len(blocking) == 1 and self._may_try(parts, blocking[0]):
             return ""
         if blocking:
             return blocking[0]
@@ -315,8 +316,19 @@
             self._own_causes = (wall_s, causes)
         return causes
 
+    def _may_try(self, parts: Iterable[str], blocking: str) -> bool:
+        """Return whether a request is this gateway's trial of a part.
+
+        One that is a suspect itself tells nothing about its prompt parts.
+        """
+        suspects = self._suspicion.suspects
+        others = (p for p in parts if is_request(p) and p != blocking)
+        return not any(suspects.get(p) for p in others) and self._use_trial(
+            blocking
+        )
+
     def _use_trial(self, part: str) -> bool:
-        """Return whether a request is this gateway's trial of a part."""
+        """Use up this gateway's trial of a part; return whether it had one."""
         held = self._suspicion.quarantined[part]
         trial = (part, held.since_s, held.trial)
         if held.trial_gateway != self._gateway_id or trial in self._trials:
--- a/chervilshift/errors.py
+++ b/chervilshift/errors.py
@@ -359,10 +359,10 @@
 
 
 class Quarantined(Failure):
-    """A part of the prompt crashes endpoints; the request did not run."""
+    """The request, or a part of it, crashes endpoints; it did not run."""
 
     status, not_run = 503, True
-    template = "prompt part {part} is in quarantine: endpoints crashed on it"
+    template = "{part} is in quarantine: endpoints crashed on it"
     remedy = "leave the part out, or retry after the time in Retry-After"
 
 
--- a/chervilshift/gateway/crashprobe.py
+++ b/chervilshift/gateway/crashprobe.py
@@ -50,7 +50,7 @@
             return
         is_new = self._state.crashes.record_break(
             (record.id, record.born_ms),
-            exchange.shared_parts,
+            exchange.suspect_parts,
             now,
             self._state.wall_s(),
         )
--- a/chervilshift/gateway/dispatch.py
+++ b/chervilshift/gateway/dispatch.py
@@ -54,8 +54,7 @@
 # Larger than any event of a stream; an endpoint that sends more without
 # ending the event sends no event stream.
 MAX_EVENT_BYTES = 256 << 10
-# Retry-After of requests with a prompt part in quarantine. Parts that still
-# come are not released.
+# Retry-After of requests in quarantine; what still comes is not released.
 QUARANTINE_RETRY_AFTER_S = 60.0
 
 
@@ -174,23 +173,21 @@
                     return
                 part = self._blocking_part(exchange)
                 if part:
-                    reason = f"prompt part {part} is in quarantine"
+                    reason = f"{part} is in quarantine"
                     await self._fail(exchange, downstream, reason)
                     return
 
     # Attempts
 
     def _blocking_part(self, exchange: Exchange) -> str:
-        if not exchange.shared_parts:
-            return ""
-        parts = [part for part, _ in exchange.shared_parts]
+        parts = [part for part, _ in exchange.suspect_parts]
         return self._state.blocking_part(parts)
 
     def _record_answer(self, exchange: Exchange) -> None:
-        if exchange.shared_parts and not exchange.answer_recorded:
+        if not exchange.answer_recorded:
             exchange.answer_recorded = True
             self._state.crashes.record_answer(
-                (part for part, _ in exchange.shared_parts),
+                (part for part, _ in exchange.suspect_parts),
                 self._state.wall_s(),
             )
 
@@ -205,7 +202,7 @@
         if exchange.attempts_sent >= exchange.route.attempts:
             return False
         if exc.broken and exchange.is_suspect(self._clock.monotonic()):
-            parts = (part for part, _ in exchange.shared_parts)
+            parts = (part for part, _ in exchange.suspect_parts)
             if not self._state.crashes.may_repeat(parts):
                 return False
         return exchange.route.repeatable or not exchange.maybe_ran
--- a/chervilshift/gateway/exchange.py
+++ b/chervilshift/gateway/exchange.py
@@ -1,6 +1,6 @@
 """The state of one request while it is being served."""
 
-from chervilshift.core.fleet.crashreports import request_part, shared_parts
+from chervilshift.core.fleet.crashreports import request_part, suspect_parts
 from chervilshift.core.fleet.model import Customer, Route
 from chervilshift.core.fleet.placement import Work
 from chervilshift.gateway.protocol import ClientRequest
@@ -25,10 +25,9 @@
     `failed_connects` the connections that could not be opened. `failed_ids`
     are the endpoints at which an attempt failed; `attempts` and `failures`
     describe the sent and the failed attempts for logs. `longest_gap_s` is the
-    longest pause between the events of a stream. `shared_parts` are the ids
-    and positions of the prompt parts that other requests may have too, and
-    `answer_recorded` tells whether they are recorded as answered;
-    `request_part` is the id that only equal requests share.
+    longest pause between the events of a stream. `suspect_parts` are the ids
+    and positions of what a crash may be blamed on, and `answer_recorded` tells
+    whether they are recorded as answered.
     """
 
     __slots__ = (
@@ -50,10 +49,9 @@
         "maybe_ran",
         "relay",
         "request",
-        "request_part",
         "route",
         "service",
-        "shared_parts",
+        "suspect_parts",
         "usage_counted",
         "work",
     )
@@ -83,11 +81,11 @@
             output_tokens=request.output_tokens or 0,
             parts=tuple((p.id, p.tokens) for p in request.prompt_parts),
         )
-        self.shared_parts = shared_parts(
-            [part.id for part in request.prompt_parts]
-        )
-        self.request_part = request_part(
-            customer.name if customer else "", request.place, body
+        self.suspect_parts = suspect_parts(
+            [part.id for part in request.prompt_parts],
+            request_part(
+                customer.name if customer else "", request.place, body
+            ),
         )
         self.answer_recorded = False
         self.limit_cost = _limit_cost(request, customer)
@@ -121,7 +119,7 @@
 
     def is_suspect(self, now: float) -> bool:
         """Whether the request may be why its endpoint crashed just now."""
-        return bool(self.shared_parts) and not self.has_begun(now)
+        return not self.has_begun(now)
 
     def has_begun(self, now: float) -> bool:
         """Whether the answer began long enough ago not to be suspect."""
--- a/chervilshift/gateway/outcomes.py
+++ b/chervilshift/gateway/outcomes.py
@@ -82,8 +82,7 @@
             endpoint=endpoint.id,
             state=endpoint.record.state,
             suspect=exchange.is_suspect(self._clock.monotonic()),
-            parts=[part for part, _ in exchange.shared_parts],
-            digest=exchange.request_part,
+            parts=[part for part, _ in exchange.suspect_parts],
         )
 
 
--- a/chervilshift/gateway/state.py
+++ b/chervilshift/gateway/state.py
@@ -1,7 +1,7 @@
 """The state of a gateway: configuration, endpoints, limits, budgets."""
 
 from collections import defaultdict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Sequence
 from random import Random
 
 import anyio
@@ -125,8 +125,8 @@
             self._clock.utcnow().timestamp(), self._clock.monotonic()
         )
 
-    def blocking_part(self, parts: Iterable[str]) -> str:
-        """Return the prompt part that a request is refused for, or ""."""
+    def blocking_part(self, parts: Sequence[str]) -> str:
+        """Return the part that a request is refused for, or ""."""
         now = self._clock.monotonic()
         alone = now - self._leader_heard_at > ALONE_AFTER_S
         return self.crashes.blocking_part(
--- a/tests/core/fleet/test_crashreports.py
+++ b/tests/core/fleet/test_crashreports.py
@@ -4,9 +4,10 @@
 forgets a crash when control is away lets the part go on.
 """
 
+import msgspec
 import pytest
 
-from chervilshift.core.fleet.crashes import Quarantined, Suspicion
+from chervilshift.core.fleet.crashes import Quarantined, Suspicion, is_request
 from chervilshift.core.fleet.crashreports import (
     MAX_ANSWERED,
     MAX_REPORTED_PARTS,
@@ -17,7 +18,8 @@
     REFUSED_REPORT_S,
     REPORT_S,
     CrashReports,
-    shared_parts,
+    request_part,
+    suspect_parts,
 )
 
 UNIX_S = 1_700_000_000.0
@@ -152,7 +154,7 @@
 def test_part_behind_many_others_is_stopped():
     def prompt(number: int) -> tuple[tuple[str, int], ...]:
         junk = [f"j{number}-{n}" for n in range(2 * MAX_SHARED_PARTS)]
-        return shared_parts([*junk, "bad", "own"])
+        return suspect_parts([*junk, "bad", "own"], f"={number}")
 
     reports = CrashReports(gateway_id="g1")
     for number in range(3):
@@ -161,16 +163,46 @@
         reports.record_break(incarnation, prompt(number), at, UNIX_S + at)
         reports.settle(incarnation)
     parts = [part for part, _ in prompt(9)]
-    assert len(parts) == MAX_SHARED_PARTS
-    assert block(reports, " ".join(parts[:-1]), 9.0, alone=True) == ""
+    assert len(parts) == MAX_SHARED_PARTS + 1
+    assert block(reports, " ".join(parts[:-2]), 9.0, alone=True) == ""
     assert reports.blocking_part(parts, 9.0, UNIX_S + 9.0, alone=True)
 
 
 def test_parts_that_are_not_shared_or_have_long_ids():
-    assert shared_parts(["own"]) == ()
-    assert shared_parts([]) == ()
-    ((part, position),) = shared_parts(["x" * 10_000, "own"])
+    assert suspect_parts(["own"], "=1") == (("=1", 1),)
+    assert suspect_parts([], "=1") == (("=1", 0),)
+    (part, position), own = suspect_parts(["x" * 10_000, "own"], "=1")
     assert (len(part), position) == (24, 0)
+    assert own == ("=1", 2)
+
+
+def test_request_is_known_by_customer_place_and_body():
+    place = b"POST shop.example /read/a"
+    own = request_part("acme", place, b"body")
+    assert own == request_part("acme", place, b"body")
+    others = {
+        request_part("other", place, b"body"),
+        request_part("acme", place + b"b", b"ody"),
+        request_part("acme", place, b"bod"),
+        request_part("acmeP", place[1:], b"body"),
+    }
+    assert len(others - {own}) == 4
+
+
+def test_prompt_part_that_is_named_like_a_request_is_none():
+    own = request_part("acme", b"POST shop.example /read/a", b"body")
+    (forged, _), _ = suspect_parts([own, "last"], "=1")
+    assert not is_request(forged)
+
+
+def test_trial_of_a_part_is_not_given_to_a_request_that_is_a_suspect():
+    reports = CrashReports(gateway_id="g1")
+    told = quarantine("bad", trial=1, trial_gateway="g1")
+    told = msgspec.structs.replace(told, suspects={"=dead": 2})
+    reports.apply(told)
+    assert block(reports, "bad =dead", 1.0) == "bad"
+    assert not block(reports, "bad =sound", 1.0)
+    assert block(reports, "bad =sound", 1.0) == "bad"
 
 
 def test_report_to_control_is_bounded_and_keeps_the_newest_crashes():
--- a/tests/core/fleet/test_quarantine.py
+++ b/tests/core/fleet/test_quarantine.py
@@ -49,9 +49,16 @@
 class Request:
     """One request at an endpoint."""
 
-    def __init__(self, gateway: "Gateway", parts: tuple[str, ...], at: float):
+    def __init__(
+        self,
+        gateway: "Gateway",
+        parts: tuple[str, ...],
+        at: float,
+        attempt: int,
+    ):
         self.gateway = gateway
         self.parts = parts
+        self.attempt = attempt
         self.began_at = at + PREFILL_S
         self.is_answered = False
 
@@ -92,7 +99,7 @@
             ready=True,
         )
 
-    def serve(self, parts: tuple[str, ...]) -> bool:
+    def serve(self, parts: tuple[str, ...], attempt: int = 1) -> bool:
         """Return whether the request was sent to an endpoint."""
         world = self.world
         if self.reports.blocking_part(
@@ -103,7 +110,7 @@
         if not up:
             return False
         endpoint = world.rng.choice(up)
-        endpoint.requests.append(Request(self, parts, world.now))
+        endpoint.requests.append(Request(self, parts, world.now, attempt))
         return True
 
     def break_off(self, endpoint: Endpoint, request: Request) -> None:
@@ -115,6 +122,11 @@
             incarnation, parts, self.world.now, self.world.wall_s
         ):
             self.to_settle[incarnation] = self.world.now + PROBE_S
+        if request.attempt < self.world.attempts and self.reports.may_repeat(
+            request.parts
+        ):
+            sent = self.serve(request.parts, request.attempt + 1)
+            self.world.sent.append((self.world.now, request.parts, sent))
 
     def step(self) -> None:
         now = self.world.now
@@ -130,9 +142,15 @@
 
 
 class World:
-    """A fleet; `bad` parts crash each endpoint that begins to answer."""
+    """A fleet; `bad` parts crash each endpoint that begins to answer.
+
+    Gateways send a request that was broken off until it had `attempts`.
+    """
 
-    def __init__(self, *, gateways: int, endpoints: int, seed: int = 1):
+    def __init__(
+        self, *, gateways: int, endpoints: int, seed: int = 1, attempts=1
+    ):
+        self.attempts = attempts
         self.rng = Random(seed)
         self.now = 0.0
         self.bad: set[str] = set()
--- a/tests/platform/crashing.py
+++ b/tests/platform/crashing.py
@@ -1,12 +1,13 @@
-"""An endpoint that some prompt parts crash, on a raw socket."""
+"""An endpoint that some prompt parts or requests crash, on a raw socket."""
 
+from collections import defaultdict
 from contextlib import suppress
 
 import anyio
 
 from chervilshift.clock import SystemClock
 from chervilshift.endpoints.connection import HTTP_ERRORS
-from tests.platform.rawhttp import read_request
+from tests.platform.rawhttp import BODY, read_request
 from tests.platform.standin import Endpoint, Platform
 
 __all__ = ["CrashingEndpoint"]
@@ -24,16 +25,28 @@
 class CrashingEndpoint(Endpoint):
     """Streams events; a request with a part of `bad` ends the process.
 
-    It is back after a while, as another incarnation at the same address.
-    `bad_arrivals` are the monotonic times of requests with such a part, and
-    `crashed_at` those of the crashes.
+    So does one whose body is in `deadly`. The endpoint is back after a while,
+    as another incarnation at the same address. `bad_arrivals` are the
+    monotonic times of requests with such a part, `deadly_arrivals` those of
+    the others by body, and `crashed_at` those of the crashes.
     """
 
-    def __init__(self, *, bad: frozenset[bytes], **fields):
-        super().__init__(service="llm", **fields)
+    def __init__(
+        self,
+        *,
+        bad: frozenset[bytes] = frozenset(),
+        deadly: frozenset[bytes] = frozenset(),
+        service: str = "llm",
+        **fields,
+    ):
+        super().__init__(service=service, **fields)
         self.bad = bad
+        self.deadly = deadly
         self.born = 1000
         self.bad_arrivals: list[float] = []
+        self.deadly_arrivals: defaultdict[bytes, list[float]] = defaultdict(
+            list
+        )
         self.crashed_at: list[float] = []
         self._clock = SystemClock()
         self._process = anyio.CancelScope()
@@ -76,8 +89,12 @@
         parts = {entry.strip().split(b":")[0] for entry in prefix[:-1]}
         self.arrivals += 1
         await stream.send(HEAD % fields[b"request-id"])
-        if parts & self.bad:
-            self.bad_arrivals.append(self._clock.monotonic())
+        body = fields[BODY]
+        if parts & self.bad or body in self.deadly:
+            if body in self.deadly:
+                self.deadly_arrivals[body].append(self._clock.monotonic())
+            else:
+                self.bad_arrivals.append(self._clock.monotonic())
             await anyio.sleep(EVENT_INTERVAL_S / 2)
             self._process.cancel()
             await anyio.sleep_forever()
--- a/tests/platform/rawhttp.py
+++ b/tests/platform/rawhttp.py
@@ -4,7 +4,9 @@
 
 from tests.platform.standin import Endpoint, Platform, eventually
 
-__all__ = ["read_request", "serve_raw"]
+__all__ = ["BODY", "read_request", "serve_raw"]
+
+BODY = b":body"
 
 
 async def serve_raw(platform: Platform, tg, endpoint: Endpoint) -> None:
@@ -20,7 +22,10 @@
 
 
 async def read_request(stream) -> dict[bytes, bytes]:
-    """Read one whole request; return its headers with lower-case names."""
+    """Read one whole request; return its headers, in lower case.
+
+    The body is the value of `BODY`.
+    """
     data = b""
     while b"\r\n\r\n" not in data:
         data += await stream.receive()
@@ -30,4 +35,4 @@
     )
     while len(body) < int(fields.get(b"content-length", b"0")):
         body += await stream.receive()
-    return fields
+    return fields | {BODY: body}
