Logs: endpoints' software versions, and which request a stream resumes

Now both are, and are logged with endpoints and requests. No decision changes, but an announcement that changes the version is committed.

--- a/chervilshift/control/fleet.py
+++ b/chervilshift/control/fleet.py
@@ -208,6 +208,7 @@
             service=record.service,
             address=record.address,
             failure_domain=record.failure_domain,
+            version=record.version,
             spot=record.spot,
             leaves_s=record.leaves_s,
             taken=not isinstance(reply, Bad),
@@ -528,4 +529,5 @@
         or record.address != held.address
         or record.service != held.service
         or record.slots != held.slots
+        or record.version != held.version
     )
--- a/chervilshift/core/fleet/model.py
+++ b/chervilshift/core/fleet/model.py
@@ -166,6 +166,7 @@
     its incarnations; `seq` orders the announcements of one incarnation.
     `spot` marks an endpoint that the cloud may reclaim, and `leaves_s` is
     the time that a reclaimed endpoint had left when it announced this.
+    `version` is that of its software, empty if it states none.
     """
 
     id: str
@@ -178,6 +179,7 @@
     slots: int
     spot: bool = False
     leaves_s: float | None = None
+    version: str = ""
 
 
 def with_state(record: EndpointRecord, state: str) -> EndpointRecord:
--- a/chervilshift/gateway/outcomes.py
+++ b/chervilshift/gateway/outcomes.py
@@ -55,6 +55,7 @@
             "request",
             urgent=bool(reason),
             request=exchange.id,
+            resumes=exchange.request.resumed_id.decode("latin-1"),
             route=exchange.route.name,
             service=exchange.service,
             outcome=outcome,
@@ -89,14 +90,15 @@
 def describe_choice(choice: Choice, elapsed_s: float) -> str:
     """Return why an attempt's endpoint was chosen, for logs.
 
-    Requests there (`active`) and prompt tokens still to be prefilled there
+    The version is that of the endpoint's software. Requests there (`active`) and prompt tokens still to be prefilled there
     (`unread`) are given as this gateway's own plus those of other gateways;
     then the predicted wait and the time since the request's arrival, in
     seconds.
     """
     endpoint, others = choice.endpoint, choice.endpoint.other_load
     return (
-        f"{endpoint.id} active {endpoint.active}+{others.active} "
+        f"{endpoint.id} version {endpoint.record.version or '-'} "
+        f"active {endpoint.active}+{others.active} "
         f"unread {endpoint.prefill_tokens}+{others.prefill_tokens} "
         f"wait {choice.wait_s:.3f} after {elapsed_s:.3f}"
     )
--- a/chervilshift/gateway/protocol.py
+++ b/chervilshift/gateway/protocol.py
@@ -42,7 +42,9 @@
     forwarded. `client_timeout_s` is how long the client waits from the
     request's arrival on. `customer_key` identifies the customer.
     `prompt_tokens` is the length of the whole prompt and `output_tokens` the
-    most that may be produced, where the client states them.
+    most that may be produced, where the client states them. A stream that is
+    taken up goes on after `last_event_id`; `resumed_id` is the id of the
+    request that brought its first event, empty without one.
     """
 
     __slots__ = (
@@ -57,6 +59,7 @@
         "path",
         "prompt_parts",
         "prompt_tokens",
+        "resumed_id",
         "target",
     )
 
@@ -75,6 +78,7 @@
         output_tokens: int | None = None,
         prompt_parts: tuple[PromptPart, ...] = (),
         last_event_id: int | None = None,
+        resumed_id: bytes = b"",
     ):
         self.id = id
         self.method = method
@@ -88,6 +92,7 @@
         self.output_tokens = output_tokens
         self.prompt_parts = prompt_parts
         self.last_event_id = last_event_id
+        self.resumed_id = resumed_id
 
     @property
     def place(self) -> bytes:
--- a/chervilshift/platform/announcements.py
+++ b/chervilshift/platform/announcements.py
@@ -28,6 +28,8 @@
     born: int = 0
     slots: int = 1
     spot: bool = False
+    # Version of the endpoint's software, not of its weights.
+    version: str = ""
     # Milliseconds until a reclaimed endpoint is taken away.
     leaves_ms: float | None = None
 
@@ -59,6 +61,7 @@
             slots=max(1, fields.slots),
             spot=fields.spot,
             leaves_s=leaves_s,
+            version=fields.version,
         )
     )
 
--- a/chervilshift/platform/headers.py
+++ b/chervilshift/platform/headers.py
@@ -24,6 +24,8 @@
 TOKEN_COUNT = b"token-count"
 PROMPT_PREFIX = b"prompt-prefix"
 LAST_EVENT_ID = b"last-event-id"
+# Id of the request that brought the first event of a stream that is taken up.
+RESUMES = b"resumes"
 # Set by an endpoint that refused the request without running it.
 NOT_RUN = b"not-run"
 # Proves that a reply is an endpoint's own; it is forwarded unchanged.
@@ -121,6 +123,7 @@
             output_tokens=output_tokens,
             prompt_parts=_parse_prompt_parts(fields.get(PROMPT_PREFIX, b"")),
             last_event_id=_parse_integer(fields.get(LAST_EVENT_ID, b"")),
+            resumed_id=fields.get(RESUMES, b""),
         )
         return Success(request)
 
