Streams go on only at the version of their service that began them

Cause: what began a stream was nowhere known, and placement took any endpoint of the service.

Gateways note the version of each stream before its first event is passed on, and pin its further attempts. While a service has, or lately had, several versions, they report their open streams to control, which commits them in batches. A gateway that is asked to take up a stream it doesn't know asks control: any replica answers from its records, the leader under its lease that there is none; then the stream goes on only if the service had one version while it may have begun. Otherwise it is refused as not run.

tests/platform/test_stream_versions.py has each way; on the code before, 8 of its 9 tests can't pass as nothing pins a version (the stand-in didn't state one). An endpoint that starts anew as another version under its old id is not told apart: known red.

--- a/chervilshift/control/fleet.py
+++ b/chervilshift/control/fleet.py
@@ -12,6 +12,7 @@
 from chervilshift.clock import Clock
 from chervilshift.control.lease import wait_lease
 from chervilshift.control.node import Node
+from chervilshift.control.origins import OriginService
 from chervilshift.control.quarantine import Quarantine
 from chervilshift.control.relay import LeaderRelay
 from chervilshift.control.statements import StatementNotes
@@ -48,6 +49,7 @@
     SyncReply,
 )
 from chervilshift.core.fleet.walltime import WallTime
+from chervilshift.core.message import Message
 from chervilshift.errors import Failure, NotLeader, NotReady
 from chervilshift.events import EventLog
 from chervilshift.wire.leader import LeaderClient
@@ -61,6 +63,9 @@
 # An operator waits one second for the reply, longer for large documents.
 CONFIG_COMMIT_TIMEOUT_S = 0.95
 CONFIG_READ_TIMEOUT_S = 0.9
+# Gateways wait longer for both.
+ORIGIN_COMMIT_TIMEOUT_S = 1.0
+ORIGIN_READ_TIMEOUT_S = 0.6
 # Interval in which silent gateways and endpoints are looked for.
 SWEEP_INTERVAL_S = 0.25
 # How long the reply to a gateway waits for grants of the leader.
@@ -124,6 +129,15 @@
             wall_s=self.wall_s,
             events=events,
         )
+        self.origins = OriginService(
+            node=node,
+            submit=lambda command: self._submit(
+                command, ORIGIN_COMMIT_TIMEOUT_S
+            ),
+            ask_leader=self._ask_leader,
+            serving_config=self.serving_config,
+            wall_s=self.wall_s,
+        )
         self.relay = LeaderRelay(
             leader=self._leader_to_relay_to,
             make=self._make_relay,
@@ -199,7 +213,8 @@
             )
             return Success(None)
         reply = await self._submit(
-            AnnounceEndpoint(endpoint=record), ANNOUNCE_COMMIT_TIMEOUT_S
+            AnnounceEndpoint(endpoint=record, now_s=self.wall_s()),
+            ANNOUNCE_COMMIT_TIMEOUT_S,
         )
         self._events.emit(
             "endpoint",
@@ -339,6 +354,7 @@
             suspicion=suspicion,
             limits=limits,
             limits_revision=fleet.limits_revision,
+            mixed=self.origins.mixed_services(),
         )
 
     async def receive_relay(self, message: Relay) -> RelayReply:
@@ -458,6 +474,10 @@
         reply = await self._leader.call(Submit(command=command), timeout_s)
         return reply.map(lambda submitted: submitted.reply)
 
+    async def _ask_leader(self, message: Message) -> Result[Message, Failure]:
+        self._update_leader_addresses()
+        return await self._leader.call(message, ORIGIN_READ_TIMEOUT_S)
+
     def _update_leader_addresses(self) -> None:
         leader_address = self._node.leader_address()
         others = (v.address for v in self._node.raft.log.voters)
@@ -500,7 +520,9 @@
             silent_s = now - max(heard_at, self._leading_since)
             if record.state == READY and silent_s > self._silent_after_s:
                 silent = with_state(record, SILENT)
-                await self._node.submit(AnnounceEndpoint(endpoint=silent))
+                await self._node.submit(
+                    AnnounceEndpoint(endpoint=silent, now_s=self.wall_s())
+                )
                 self._events.emit("endpoint_silent", endpoint=record.id)
 
 
--- a/chervilshift/control/server.py
+++ b/chervilshift/control/server.py
@@ -11,11 +11,16 @@
 from chervilshift.control.node import Node
 from chervilshift.core.commands import Command
 from chervilshift.core.fleet.sync import (
+    FindOrigin,
     GatewaySync,
+    OriginFound,
+    ReadOrigin,
     ReadServing,
+    RecordStreams,
     Relay,
     RelayReply,
     ServingDocument,
+    StreamsRecorded,
     SyncReply,
 )
 from chervilshift.core.message import Message
@@ -133,6 +138,18 @@
     async def _(self, message: ReadServing) -> ServingDocument:
         return await self._fleet_service().answer_read()
 
+    @_serve.register
+    async def _(self, message: RecordStreams) -> StreamsRecorded:
+        return await self._fleet_service().origins.record(message)
+
+    @_serve.register
+    async def _(self, message: FindOrigin) -> OriginFound:
+        return await self._fleet_service().origins.find(message)
+
+    @_serve.register
+    async def _(self, message: ReadOrigin) -> OriginFound:
+        return await self._fleet_service().origins.read(message)
+
     def _fleet_service(self) -> FleetService:
         if self._fleet is None:
             raise BadRequest(reason="this control process serves no gateways")
--- a/chervilshift/core/commands.py
+++ b/chervilshift/core/commands.py
@@ -15,10 +15,12 @@
     NoteGateways,
     NoteLeaving,
     NoteLimits,
+    NoteStreams,
     QuarantineParts,
     ReleaseParts,
     ServingAccepted,
     StartTrial,
+    StreamsNoted,
     UsageCommitted,
 )
 from chervilshift.core.message import Message
@@ -166,6 +168,7 @@
     | NoteGateways
     | NoteLeaving
     | NoteLimits
+    | NoteStreams
     | NoteCrashes
     | ClearParts
     | QuarantineParts
@@ -186,5 +189,6 @@
     | GatewaysNoted
     | LeavingNoted
     | LimitsNoted
+    | StreamsNoted
     | CrashesNoted
 )
--- a/chervilshift/core/fleet/commands.py
+++ b/chervilshift/core/fleet/commands.py
@@ -3,6 +3,7 @@
 from chervilshift.core.fleet.crashes import Crash
 from chervilshift.core.fleet.endpointlimits import StatedLimit
 from chervilshift.core.fleet.model import EndpointRecord
+from chervilshift.core.fleet.origins import OriginBatch
 from chervilshift.core.message import Message
 
 __all__ = [
@@ -20,10 +21,12 @@
     "NoteGateways",
     "NoteLeaving",
     "NoteLimits",
+    "NoteStreams",
     "QuarantineParts",
     "ExpireParts",
     "ServingAccepted",
     "StartTrial",
+    "StreamsNoted",
     "UsageCommitted",
 ]
 
@@ -36,9 +39,13 @@
 
 
 class AnnounceEndpoint(Message):
-    """Record an endpoint's announcement unless a newer one is stored."""
+    """Record an endpoint's announcement unless a newer one is stored.
+
+    `now_s` is Unix time.
+    """
 
     endpoint: EndpointRecord
+    now_s: float = 0.0
 
 
 class CommitUsage(Message):
@@ -86,6 +93,23 @@
     revision: int
 
 
+class NoteStreams(Message):
+    """Record which versions began streams; `now_s` is Unix time.
+
+    Records that are older than `kept_s` are dropped.
+    """
+
+    batches: tuple[OriginBatch, ...]
+    now_s: float
+    kept_s: float
+
+
+class StreamsNoted(Message):
+    """The log position of the records."""
+
+    revision: int
+
+
 class NoteCrashes(Message):
     """Add crashes of endpoints and the prompt parts suspected of them."""
 
--- a/chervilshift/core/fleet/state.py
+++ b/chervilshift/core/fleet/state.py
@@ -18,10 +18,12 @@
     NoteGateways,
     NoteLeaving,
     NoteLimits,
+    NoteStreams,
     QuarantineParts,
     ReleaseParts,
     ServingAccepted,
     StartTrial,
+    StreamsNoted,
     UsageCommitted,
 )
 from chervilshift.core.fleet.crashes import CrashSnapshot, CrashTable
@@ -38,6 +40,7 @@
     EndpointRecord,
     with_state,
 )
+from chervilshift.core.fleet.origins import OriginSnapshot, OriginTable
 from chervilshift.core.message import Message
 
 __all__ = ["FleetState", "FleetSnapshot"]
@@ -62,6 +65,7 @@
     crashes: CrashSnapshot = CrashSnapshot()
     limits: dict[str, StatedLimit] = {}
     limits_revision: int = 0
+    origins: OriginSnapshot = OriginSnapshot()
 
 
 class FleetState:
@@ -83,6 +87,7 @@
         "gateways",
         "limits",
         "limits_revision",
+        "origins",
         "revision",
         "version",
     )
@@ -100,6 +105,7 @@
         self._usage = dict(stored.usage)
         self.gateways = stored.gateways
         self.crashes = CrashTable(snapshot=stored.crashes)
+        self.origins = OriginTable(snapshot=stored.origins)
         self._set_limits(dict(stored.limits), stored.limits_revision)
 
     def snapshot(self) -> FleetSnapshot:
@@ -114,6 +120,7 @@
             crashes=self.crashes.snapshot(),
             limits=self.limits,
             limits_revision=self.limits_revision,
+            origins=self.origins.snapshot(),
         )
 
     def endpoint(self, endpoint_id: str) -> EndpointRecord | None:
@@ -207,6 +214,11 @@
             self._set_limits(self.limits | newer, index)
         return LimitsNoted(revision=self.limits_revision)
 
+    @apply.register
+    def _(self, command: NoteStreams, index: int) -> StreamsNoted:
+        self.origins.note(command.batches, command.now_s, command.kept_s)
+        return StreamsNoted(revision=index)
+
     @apply.register
     def _(self, command: NoteCrashes, index: int) -> CrashesNoted:
         self.crashes.note(command.crashes, index)
@@ -261,9 +273,20 @@
             self._replace(with_state(other, GONE), index)
         self._replace(announced, index)
         self.revision = index
+        changed = (stored, other, announced)
+        for service in {r.service for r in changed if r is not None}:
+            self._note_versions(service, command.now_s)
         self._prune_tombstones()
         return EndpointKnown(state=announced.state)
 
+    def _note_versions(self, service: str, now_s: float) -> None:
+        serving = dict.fromkeys(
+            record.version
+            for record in self._endpoints.values()
+            if record.service == service and record.state != GONE
+        )
+        self.origins.note_versions(service, serving, now_s)
+
     def _replace(self, record: EndpointRecord, index: int) -> None:
         self._endpoints.pop(record.id, None)
         self._endpoints[record.id] = record
--- a/chervilshift/core/fleet/sync.py
+++ b/chervilshift/core/fleet/sync.py
@@ -3,20 +3,26 @@
 from chervilshift.core.fleet.crashes import Crash, Suspicion
 from chervilshift.core.fleet.endpointlimits import StatedLimit
 from chervilshift.core.fleet.model import EndpointRecord
+from chervilshift.core.fleet.origins import Origin, OriginBatch
 from chervilshift.core.message import Message
 
 __all__ = [
     "ControlInfo",
     "EndpointLoad",
+    "FindOrigin",
     "GatewayInfo",
     "GatewaySync",
     "GatewaysDelta",
     "Heartbeat",
     "LoadsDelta",
+    "OriginFound",
+    "ReadOrigin",
     "ReadServing",
+    "RecordStreams",
     "Relay",
     "RelayReply",
     "ServingDocument",
+    "StreamsRecorded",
     "SyncReply",
     "Unchanged",
 ]
@@ -138,6 +144,7 @@
     `stale_s` is an upper bound on the age of the sender's replicated state,
     `wall_s` the Unix time that the sender's peers agree on, `gateways` the
     number of known gateways and `interval_s` the time until the next report.
+    `mixed` are the services that had several versions a short time ago.
     """
 
     leader: str
@@ -160,6 +167,7 @@
     suspicion: Suspicion | None = None
     limits: dict[str, StatedLimit] | None = None
     limits_revision: int = 0
+    mixed: tuple[str, ...] = ()
 
 
 class Heartbeat(Message):
@@ -229,3 +237,40 @@
 
     version: int
     document: bytes
+
+
+class RecordStreams(Message):
+    """Record which versions began a gateway's streams."""
+
+    batches: tuple[OriginBatch, ...]
+
+
+class StreamsRecorded(Message):
+    """The records of a `RecordStreams` are committed."""
+
+
+class FindOrigin(Message):
+    """Ask which version of one of these services began a stream.
+
+    `key` is that of the stream, empty if its client did not name it.
+    """
+
+    key: bytes
+    services: tuple[str, ...]
+
+
+class ReadOrigin(Message):
+    """Ask the leader, which answers under its lease."""
+
+    question: FindOrigin
+
+
+class OriginFound(Message):
+    """The origins that a stream may have.
+
+    They are those `recorded` for it, or else all versions that the services
+    had while it may have begun.
+    """
+
+    origins: tuple[Origin, ...] = ()
+    recorded: bool = False
--- a/chervilshift/core/machine.py
+++ b/chervilshift/core/machine.py
@@ -32,6 +32,7 @@
     NoteGateways,
     NoteLeaving,
     NoteLimits,
+    NoteStreams,
     QuarantineParts,
     ReleaseParts,
     StartTrial,
@@ -171,6 +172,7 @@
     @_apply.register(NoteGateways)
     @_apply.register(NoteLeaving)
     @_apply.register(NoteLimits)
+    @_apply.register(NoteStreams)
     @_apply.register(QuarantineParts)
     @_apply.register(ExpireParts)
     @_apply.register(StartTrial)
--- a/chervilshift/gateway/chooser.py
+++ b/chervilshift/gateway/chooser.py
@@ -14,7 +14,7 @@
     """Places requests at endpoints that take them now.
 
     Endpoints may be held, as they asked for no requests, or exhausted, as
-    their rate limit is spent.
+    their rate limit is spent. A stream goes on at endpoints of its version.
     """
 
     __slots__ = ("_clock", "_limiter", "_metrics", "_state")
@@ -52,6 +52,8 @@
         The time is 0 if it is not known.
         """
         reason = "no usable endpoint"
+        if exchange.version is not None:
+            reason += f" of version {exchange.version or 'unstated'}"
         if self._exhausted_ids(exchange):
             self._metrics.count("endpoint_limits_spent")
             reason = "rate limits of the endpoints are spent"
@@ -69,6 +71,7 @@
         limits = self._state.endpoint_limits
         choose = self._state.placement.choose
         held_ids = self._state.held_endpoints(exchange.service)
+        held_ids |= self._other_versions(exchange)
         exhausted_ids = self._state.exhausted_endpoints()
         barred_ids = held_ids | exhausted_ids
         failed_ids = frozenset(exchange.failed_ids)
@@ -86,10 +89,23 @@
             limits.spend(choice.endpoint.id, now)
         return choice
 
+    def _other_versions(self, exchange: Exchange) -> frozenset[str]:
+        """Return the endpoints at which a stream may not go on."""
+        if exchange.version is None:
+            return frozenset()
+        return frozenset(
+            endpoint.id
+            for endpoint in self._state.placement.endpoints_of(
+                exchange.service
+            )
+            if endpoint.record.version != exchange.version
+        )
+
     def _exhausted_ids(self, exchange: Exchange) -> frozenset[str]:
         """Return the usable endpoints that their rate limits exclude now."""
         now = self._clock.monotonic()
         endpoints = self._state.placement.endpoints_of(exchange.service)
         usable_ids = {e.id for e in endpoints if e.usable(now)}
         usable_ids -= self._state.held_endpoints(exchange.service)
+        usable_ids -= self._other_versions(exchange)
         return usable_ids & self._state.exhausted_endpoints()
--- a/chervilshift/gateway/dispatch.py
+++ b/chervilshift/gateway/dispatch.py
@@ -24,6 +24,7 @@
 from chervilshift.gateway.crashprobe import CrashProbe
 from chervilshift.gateway.downstream import Downstream
 from chervilshift.gateway.exchange import Exchange
+from chervilshift.gateway.origins import StreamOrigins
 from chervilshift.gateway.outcomes import Outcomes, describe_choice
 from chervilshift.gateway.protocol import (
     Attempt,
@@ -68,6 +69,7 @@
         sync: ControlSync,
         pool: ConnectionPool,
         crash_probe: CrashProbe,
+        origins: StreamOrigins,
         codec: HeaderCodec,
         clock: Clock,
         events: EventLog,
@@ -81,6 +83,7 @@
         )
         self._pool = pool
         self._crash_probe = crash_probe
+        self._origins = origins
         self._codec = codec
         self._clock = clock
         self._metrics = metrics
@@ -148,6 +151,13 @@
             )
             await self._refuse(exchange, downstream, failure, retry_after_s)
             return
+        if exchange.is_taken_up and not await self._origins.find(exchange):
+            await self._fail(
+                exchange,
+                downstream,
+                "the version that began the stream is not known",
+            )
+            return
         self._state.retry_budget(exchange.service).deposit()
         while True:
             choice = await self._chooser.choose(exchange)
@@ -201,6 +211,8 @@
             return exchange.failed_connects < MAX_FAILED_CONNECTS
         if exchange.attempts_sent >= exchange.route.attempts:
             return False
+        if not self._origins.is_clear(exchange):
+            return False
         if exc.broken and exchange.is_suspect(self._clock.monotonic()):
             parts = (part for part, _ in exchange.suspect_parts)
             if not self._state.crashes.may_repeat(parts):
@@ -379,7 +391,8 @@
         )
         async for chunk in upstream.iterate(reply):
             now = self._clock.monotonic()
-            if not await relay.feed(chunk):
+            events = relay.split(chunk)
+            if not events:
                 if relay.incomplete_bytes > MAX_EVENT_BYTES:
                     endpoint.health.record_failure(now)
                     raise upstream.failure("event exceeds the size limit")
@@ -390,6 +403,10 @@
                         f"no whole event within {max_pause_s:.3f} s"
                     )
                 continue
+            if first:
+                # Before the client has an event, it can't take the stream up.
+                self._origins.record_event(exchange, endpoint)
+            await relay.send(events)
             progress_at = now
             endpoint.health.record_activity(now)
             exchange.record_events(now)
@@ -415,6 +432,7 @@
         if reply.framed:
             self._record_answer(exchange)
         await relay.finish()
+        self._origins.record_end(exchange)
         self._outcomes.record(exchange, "whole")
 
     def _count_usage(self, exchange: Exchange) -> None:
--- a/chervilshift/gateway/exchange.py
+++ b/chervilshift/gateway/exchange.py
@@ -1,7 +1,8 @@
 """The state of one request while it is being served."""
 
 from chervilshift.core.fleet.crashreports import request_part, suspect_parts
-from chervilshift.core.fleet.model import Customer, Route
+from chervilshift.core.fleet.model import STREAM, Customer, Route
+from chervilshift.core.fleet.origins import stream_key
 from chervilshift.core.fleet.placement import Work
 from chervilshift.gateway.protocol import ClientRequest
 from chervilshift.gateway.relay import Relay
@@ -27,7 +28,9 @@
     describe the sent and the failed attempts for logs. `longest_gap_s` is the
     longest pause between the events of a stream. `suspect_parts` are the ids
     and positions of what a crash may be blamed on, and `answer_recorded` tells
-    whether they are recorded as answered.
+    whether they are recorded as answered. `version` is the software version
+    of the service at which a stream has to go on, None while that is open;
+    `stream_key` is the stream's, whichever request began it.
     """
 
     __slots__ = (
@@ -51,8 +54,10 @@
         "request",
         "route",
         "service",
+        "stream_key",
         "suspect_parts",
         "usage_counted",
+        "version",
         "work",
     )
 
@@ -87,6 +92,12 @@
                 customer.name if customer else "", request.place, body
             ),
         )
+        self.stream_key = stream_key(
+            request.id
+            if request.last_event_id is None
+            else request.resumed_id or request.id
+        )
+        self.version: str | None = None
         self.answer_recorded = False
         self.limit_cost = _limit_cost(request, customer)
         self.charged = False
@@ -107,6 +118,14 @@
         """The request id, for logs."""
         return self.request.id.decode("latin-1")
 
+    @property
+    def is_taken_up(self) -> bool:
+        """Whether the client has a part of the stream already."""
+        return (
+            self.route.kind == STREAM
+            and self.request.last_event_id is not None
+        )
+
     def record_events(self, now: float) -> None:
         """Record that events of the stream arrived."""
         if self.first_event_at is None:
--- a/chervilshift/gateway/outcomes.py
+++ b/chervilshift/gateway/outcomes.py
@@ -90,10 +90,10 @@
 def describe_choice(choice: Choice, elapsed_s: float) -> str:
     """Return why an attempt's endpoint was chosen, for logs.
 
-    The version is that of the endpoint's software. Requests there (`active`) and prompt tokens still to be prefilled there
-    (`unread`) are given as this gateway's own plus those of other gateways;
-    then the predicted wait and the time since the request's arrival, in
-    seconds.
+    The version is that of the endpoint's software. Requests there (`active`)
+    and prompt tokens still to be prefilled there (`unread`) are given as this
+    gateway's own plus those of other gateways; then the predicted wait and
+    the time since the request's arrival, in seconds.
     """
     endpoint, others = choice.endpoint, choice.endpoint.other_load
     return (
--- a/chervilshift/gateway/process.py
+++ b/chervilshift/gateway/process.py
@@ -19,6 +19,7 @@
 from chervilshift.gateway.crashprobe import CrashProbe
 from chervilshift.gateway.dispatch import Dispatcher
 from chervilshift.gateway.ingress import Ingress
+from chervilshift.gateway.origins import StreamOrigins
 from chervilshift.gateway.protocol import HeaderCodec
 from chervilshift.gateway.state import GatewayState
 from chervilshift.gateway.sync import ControlSync
@@ -114,11 +115,15 @@
             clock=clock,
             metrics=metrics,
         )
+        self._origins = StreamOrigins(
+            state=self.state, sync=self._sync, clock=clock, events=events
+        )
         self._dispatcher = Dispatcher(
             state=self.state,
             sync=self._sync,
             pool=self._pool,
             crash_probe=self._crash_probe,
+            origins=self._origins,
             codec=protocol.codec,
             clock=clock,
             events=events,
@@ -141,6 +146,7 @@
         async with anyio.create_task_group() as tg:
             tg.start_soon(self._sync.run)
             tg.start_soon(self._crash_probe.run)
+            tg.start_soon(self._origins.run)
             self._http = await tg.start(
                 serve_app,
                 self.ingress,
--- a/chervilshift/gateway/relay.py
+++ b/chervilshift/gateway/relay.py
@@ -41,18 +41,18 @@
         """The size of the event that has begun but not ended."""
         return len(self._splitter.incomplete)
 
-    async def feed(self, chunk: bytes) -> bool:
-        """Send the events that `chunk` completes; return whether any."""
-        events = self._splitter.feed(chunk)
-        if not events:
-            return False
+    def split(self, chunk: bytes) -> bytes:
+        """Return the events that `chunk` completes."""
+        return self._splitter.feed(chunk)
+
+    async def send(self, events: bytes) -> None:
+        """Send complete events."""
         if not self.started:
             await self._downstream.start(*self._head)
         newest_id = last_event_id(events)
         if newest_id is not None:
             self.last_event_id = newest_id
         await self._downstream.write(events)
-        return True
 
     async def finish(self) -> None:
         """End the response after the endpoint has ended the stream."""
--- a/chervilshift/gateway/state.py
+++ b/chervilshift/gateway/state.py
@@ -1,7 +1,7 @@
 """The state of a gateway: configuration, endpoints, limits, budgets."""
 
 from collections import defaultdict
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from random import Random
 
 import anyio
@@ -21,6 +21,7 @@
 from chervilshift.core.fleet.intervals import DIRECT_INTERVAL_S
 from chervilshift.core.fleet.limits import LimitAccount, LimitPolicy
 from chervilshift.core.fleet.model import EndpointRecord, ServingConfig
+from chervilshift.core.fleet.origins import OpenStreams, Origin
 from chervilshift.core.fleet.otherload import OtherLoads
 from chervilshift.core.fleet.placement import Placement
 from chervilshift.core.fleet.retries import RetryBudget, RetryPolicy
@@ -58,6 +59,7 @@
     control process asks. `crashes` are crashes of endpoints and the prompt
     parts in quarantine, `endpoint_limits` the rate limits that endpoints
     state, and `holds` the endpoints that take no requests for now.
+    `open_streams` are the streams that may have to go on at their version.
     """
 
     def __init__(
@@ -94,6 +96,8 @@
         self.crashes = CrashReports(gateway_id=gateway_id)
         self.endpoint_limits = EndpointLimits(rng=rng)
         self.holds = EndpointHolds(rng=rng)
+        self.open_streams = OpenStreams()
+        self._lately_mixed: tuple[str, ...] = ()
         self.report_interval_s = DIRECT_INTERVAL_S
         self.usage = UsageCounter(window_s=usage_window_s)
         self.table: RouteTable | None = None
@@ -141,6 +145,14 @@
         self._log_crash(crash)
         return True
 
+    def mixed_services(self) -> frozenset[str]:
+        """Return the services that have or lately had several versions."""
+        versions: defaultdict[str, set[str]] = defaultdict(set)
+        for endpoint in self.placement.endpoints():
+            versions[endpoint.record.service].add(endpoint.record.version)
+        mixed = (s for s, found in versions.items() if len(found) > 1)
+        return frozenset(mixed).union(self._lately_mixed)
+
     def record_prefill(self, service: str, tokens: int) -> None:
         """Count prompt tokens that an endpoint has to prefill."""
         self._prefill_rates[service].add(self._clock.monotonic(), tokens)
@@ -263,11 +275,13 @@
             self._apply_document(reply.document)
         if reply.endpoints is not None and reply.revision > self.revision:
             self.revision = reply.revision
+            self._note_new_versions(reply.endpoints)
             if reply.partial:
                 self.placement.change_endpoints(reply.endpoints)
             else:
                 self.placement.update_endpoints(reply.endpoints)
             self._settle_ended()
+        self._lately_mixed = reply.mixed
         if reply.suspicion is not None:
             self.crashes.apply(reply.suspicion)
         if reply.leader_age_s <= MAX_LEADER_AGE_S:
@@ -289,6 +303,16 @@
             )
             self.endpoint_limits.apply_grants(reply.grants, reply.waits, now)
 
+    def _note_new_versions(self, records: Iterable[EndpointRecord]) -> None:
+        """Note endpoints that have started anew with another version."""
+        known = {e.id: e.record.version for e in self.placement.endpoints()}
+        for record in records:
+            if known.get(record.id, record.version) != record.version:
+                self.open_streams.endpoint_changed(
+                    record.id,
+                    Origin(service=record.service, version=record.version),
+                )
+
     def _settle_ended(self) -> None:
         running = {
             (endpoint.id, endpoint.record.born_ms)
--- a/chervilshift/gateway/sync.py
+++ b/chervilshift/gateway/sync.py
@@ -4,10 +4,13 @@
 from absl import logging
 from anyio.abc import TaskGroup
 from returns.result import Failure as Bad
+from returns.result import Result
 
 from chervilshift.clock import Clock
 from chervilshift.core.fleet.controls import ControlChooser
 from chervilshift.core.fleet.sync import SyncReply
+from chervilshift.core.message import Message
+from chervilshift.errors import Failure
 from chervilshift.events import EventLog
 from chervilshift.gateway.state import MAX_LEADER_AGE_S, GatewayState
 from chervilshift.wire.rpc import Clients
@@ -82,6 +85,15 @@
         self.request()
         await replied.wait()
 
+    async def call(
+        self, message: Message, timeout_s: float
+    ) -> Result[Message, Failure]:
+        """Call the control process in use; fails as `Client.call` does."""
+        address = self._address or self._chooser.choose(
+            self._clock.monotonic()
+        )
+        return await self._clients.at(address).call(message, timeout_s)
+
     async def announce(self, timeout_s: float) -> None:
         """Send the gateway's current state to all control processes."""
         request = self._state.sync_request()
--- a/chervilshift/wire/messages.py
+++ b/chervilshift/wire/messages.py
@@ -12,11 +12,16 @@
     ConfigDocument,
 )
 from chervilshift.core.fleet.sync import (
+    FindOrigin,
     GatewaySync,
+    OriginFound,
+    ReadOrigin,
     ReadServing,
+    RecordStreams,
     Relay,
     RelayReply,
     ServingDocument,
+    StreamsRecorded,
     SyncReply,
 )
 from chervilshift.core.machine import Change
@@ -194,6 +199,11 @@
         | RelayReply
         | ReadServing
         | ServingDocument
+        | RecordStreams
+        | StreamsRecorded
+        | FindOrigin
+        | ReadOrigin
+        | OriginFound
         | Ack
         | FailureReply
     )
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -65,6 +65,7 @@
     `events` is the number of events of a whole stream. `limit_per_s` is the
     rate that its replies state, None for none, `retry_after` what its
     refusals state, and `leaving` whether its replies say that it leaves.
+    `version` is that of its software, which its replies name too.
     `arrivals` counts all
     requests; `runs` holds the headers of those that were run, `bodies` their
     bodies. `cancelled` counts the hanging requests whose client disconnected.
@@ -76,12 +77,14 @@
         name: str,
         service: str,
         address: str,
+        version: str = "v1",
         events: int = 5,
         behave: Callable[[int], str] = lambda number: "ok",
     ):
         self.name = name
         self.service = service
         self.address = address
+        self.version = version
         self.events = events
         self.behave = behave
         self.limit_per_s: float | None = None
@@ -101,7 +104,7 @@
             "service": self.service,
             "addr": self.address,
             "zone": "a",
-            "version": "v1",
+            "version": self.version,
             "slots": 8,
             "state": state,
             "cold_left_ms": 0,
@@ -172,7 +175,11 @@
             {
                 "type": "http.response.start",
                 "status": 200,
-                "headers": [*reply_headers, (b"x-from", self.name.encode())],
+                "headers": [
+                    *reply_headers,
+                    (b"x-from", self.name.encode()),
+                    (b"x-version", self.version.encode()),
+                ],
             }
         )
         for number in range(first, last + 1):
@@ -216,6 +223,7 @@
         self.control_ends: list[tuple[anyio.Event, anyio.Event]] = []
         self.gateways: list = []
         self.gateway_stops: list[anyio.Event] = []
+        self.gateway_scopes: list[anyio.CancelScope] = []
         self.ended: Counter[int] = Counter()
         self.api_addresses: list[str] = []
         self.lookup_addresses: list[str] = []
@@ -250,6 +258,7 @@
             )
             self.control_settings.append(settings)
             self._start_control(settings)
+        self._seeds, self._rpc_port = seeds, port
         for number in range(self.gateway_count):
             await self._start_gateway(number, seeds, port)
 
@@ -281,6 +290,17 @@
             restarted = msgspec.structs.replace(settings, bootstrap=False)
             self._start_control(restarted)
 
+    async def replace_gateways(self) -> None:
+        """End all gateways at once, without notice, and start new ones."""
+        for scope in self.gateway_scopes:
+            scope.cancel()
+        ended = sum(self.ended.values()) + len(self.gateway_scopes)
+        await eventually(lambda: sum(self.ended.values()) == ended)
+        self.gateways, self.gateway_stops = [], []
+        self.gateway_scopes = []
+        for number in range(self.gateway_count):
+            await self._start_gateway(number, self._seeds, self._rpc_port)
+
     def leader(self) -> int | None:
         """Return the index of the control process that leads."""
         leaders = (
@@ -294,6 +314,7 @@
 
     async def _start_gateway(self, number, seeds, port) -> None:
         stop = anyio.Event()
+        scope = anyio.CancelScope()
         settings = GatewaySettings(
             process=f"front-{number}",
             failure_domain="a",
@@ -312,9 +333,11 @@
         )
         self.gateways.append((gateway, settings))
         self.gateway_stops.append(stop)
+        self.gateway_scopes.append(scope)
 
         async def run() -> None:
-            await gateway.run(stop)
+            with scope:
+                await gateway.run(stop)
             self.ended[number] += 1
 
         self._tg.start_soon(run)
@@ -385,12 +408,13 @@
         key: str = KEY,
         deadline_ms: int = 5000,
         headers: tuple = (),
+        request_id: str = "",
     ) -> Reply:
-        """Send one client request."""
+        """Send one client request; its id is drawn if it is not given."""
         address = self.gateways[gateway][1].listen
         sent = [
             ("Host", HOST),
-            ("Request-Id", f"{self.rng.getrandbits(64):016x}"),
+            ("Request-Id", request_id or f"{self.rng.getrandbits(64):016x}"),
             ("Deadline-Ms", str(deadline_ms)),
             ("Key", key),
             *headers,
--- /dev/null
+++ b/tests/platform/test_stream_versions.py
@@ -0,0 +1,225 @@
+"""Streams go on only at the software version that began them.
+
+Endpoints of two versions serve in one service. A gateway that doesn't know
+which version began a stream joins parts that don't fit together, and nothing
+in the answer shows it.
+"""
+
+import anyio
+import pytest
+
+from chervilshift.core.fleet.origins import stream_key
+from tests.cluster import free_address
+from tests.platform.standin import Endpoint, Platform, Reply, eventually
+from tests.platform.test_path import ALL_EVENT_IDS, event_ids
+
+GATEWAYS = 2
+FIRST_ID = "0123456789abcdef"
+# Clients repeat a request that was refused as not run.
+MAX_TRIES = 10
+
+
+class Fleet:
+    """Endpoints `a1`, `a2` of version v1 and `b1`, `b2` of version v2."""
+
+    def __init__(self, platform: Platform):
+        self.platform = platform
+        self.cutting = False
+        self.endpoints = [
+            Endpoint(
+                name=name,
+                service="llm",
+                address=free_address(),
+                version=version,
+                behave=lambda number: "cut" if self.cutting else "ok",
+            )
+            for name, version in (
+                ("a1", "v1"),
+                ("a2", "v1"),
+                ("b1", "v2"),
+                ("b2", "v2"),
+            )
+        ]
+
+    async def add(self, *names: str) -> None:
+        for endpoint in self.endpoints:
+            if endpoint.name in names:
+                await self.platform.add_endpoint(endpoint)
+
+    async def begin(self, request_id: str = FIRST_ID) -> Reply:
+        """Begin a stream that all endpoints break off after two events."""
+        self.cutting = True
+        reply = await self.platform.send_request(
+            "/stream/a", request_id=request_id
+        )
+        self.cutting = False
+        assert not reply.whole
+        assert event_ids(reply.body) == ALL_EVENT_IDS[:2]
+        return reply
+
+    async def take_up(self, gateway: int, first_id: str = FIRST_ID) -> Reply:
+        headers = (("Resumes", first_id), ("Last-Event-Id", "2"))
+        for _ in range(MAX_TRIES):
+            reply = await self.platform.send_request(
+                "/stream/a", gateway=gateway, headers=headers
+            )
+            if reply.status != 503:
+                break
+            await anyio.sleep(0.1)
+        return reply
+
+    def is_recorded(self, first_id: str = FIRST_ID) -> bool:
+        """Whether all control processes know which version began a stream."""
+        key = stream_key(first_id.encode())
+        return all(
+            control.node.machine.fleet.origins.find(key)
+            for control in self.platform.controls
+        )
+
+
+def run_scenario(tmp_path, scenario) -> None:
+    async def run() -> None:
+        async with anyio.create_task_group() as tg:
+            platform = Platform(tmp_path, tg, GATEWAYS)
+            await platform.start()
+            assert await platform.configure() == 200
+            fleet = Fleet(platform)
+            await scenario(fleet)
+            tg.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
+def version_of(reply: Reply) -> str:
+    return reply.headers["x-version"].decode()
+
+
+def assert_goes_on(reply: Reply, begun: Reply) -> None:
+    assert (reply.status, reply.whole) == (200, True)
+    assert event_ids(reply.body) == ALL_EVENT_IDS[2:]
+    assert version_of(reply) == version_of(begun)
+
+
+def test_stream_goes_on_at_its_version_in_one_answer(tmp_path):
+    """The gateway's own next attempt went to any endpoint of the service."""
+
+    async def scenario(fleet: Fleet) -> None:
+        await fleet.add("a1", "a2", "b1", "b2")
+        for number in range(12):
+            runs = [len(e.runs) for e in fleet.endpoints]
+            begun = await fleet.begin(f"{number:016x}")
+            ran = {
+                e.version
+                for e, before in zip(fleet.endpoints, runs, strict=True)
+                if len(e.runs) > before
+            }
+            assert ran == {version_of(begun)}
+
+    run_scenario(tmp_path, scenario)
+
+
+@pytest.mark.parametrize("gateway", range(GATEWAYS))
+def test_stream_is_taken_up_at_its_version(tmp_path, gateway):
+    async def scenario(fleet: Fleet) -> None:
+        await fleet.add("a1", "a2", "b1", "b2")
+        for number in range(12):
+            begun = await fleet.begin(f"{number:016x}")
+            reply = await fleet.take_up(gateway, f"{number:016x}")
+            assert_goes_on(reply, begun)
+
+    run_scenario(tmp_path, scenario)
+
+
+def test_stream_is_taken_up_at_its_version_after_all_gateways_have_ended(
+    tmp_path,
+):
+    async def scenario(fleet: Fleet) -> None:
+        await fleet.add("a1", "a2", "b1", "b2")
+        ids = [f"{number:016x}" for number in range(6)]
+        begun = [await fleet.begin(first_id) for first_id in ids]
+        await eventually(lambda: all(map(fleet.is_recorded, ids)))
+        await fleet.platform.replace_gateways()
+        for first_id, reply in zip(ids, begun, strict=True):
+            assert_goes_on(await fleet.take_up(1, first_id), reply)
+
+    run_scenario(tmp_path, scenario)
+
+
+def test_stream_that_began_before_the_second_version_came_is_recorded(
+    tmp_path,
+):
+    """Only v1 served when it began, and nothing had to be recorded."""
+
+    async def scenario(fleet: Fleet) -> None:
+        await fleet.add("a1", "a2")
+        begun = await fleet.begin()
+        await fleet.add("b1", "b2")
+        await eventually(fleet.is_recorded)
+        await fleet.platform.replace_gateways()
+        assert_goes_on(await fleet.take_up(0), begun)
+
+    run_scenario(tmp_path, scenario)
+
+
+def test_stream_whose_version_is_not_known_is_refused_as_not_run(tmp_path):
+    async def scenario(fleet: Fleet) -> None:
+        await fleet.add("a1", "a2", "b1", "b2")
+        reply = await fleet.take_up(0, "of-a-gateway-that-ended")
+        assert reply.status == 503
+        assert not any(e.runs for e in fleet.endpoints)
+
+    run_scenario(tmp_path, scenario)
+
+
+def test_stream_goes_on_if_its_service_had_one_version_only(tmp_path):
+    async def scenario(fleet: Fleet) -> None:
+        await fleet.add("a1", "a2")
+        begun = await fleet.begin()
+        await fleet.platform.replace_gateways()
+        assert_goes_on(await fleet.take_up(0), begun)
+
+    run_scenario(tmp_path, scenario)
+
+
+def test_stream_of_a_version_that_has_left_does_not_go_on_at_another(
+    tmp_path,
+):
+    async def scenario(fleet: Fleet) -> None:
+        await fleet.add("a1", "a2")
+        await fleet.begin()
+        await fleet.add("b1", "b2")
+        for endpoint in fleet.endpoints[:2]:
+            await fleet.platform.announce(endpoint, "draining")
+        placements = [g.state.placement for g, _ in fleet.platform.gateways]
+        await eventually(
+            lambda: all(
+                e.record.state == "draining"
+                for placement in placements
+                for e in placement.endpoints()
+                if e.record.version == "v1"
+            )
+        )
+        for gateway in range(GATEWAYS):
+            assert (await fleet.take_up(gateway)).status == 503
+        assert not any(e.runs for e in fleet.endpoints[2:])
+
+    run_scenario(tmp_path, scenario)
+
+
+def test_without_a_leader_recorded_streams_go_on_and_others_are_refused(
+    tmp_path,
+):
+    async def scenario(fleet: Fleet) -> None:
+        await fleet.add("a1", "a2", "b1", "b2")
+        begun = await fleet.begin()
+        await eventually(fleet.is_recorded)
+        platform = fleet.platform
+        await eventually(lambda: platform.leader() is not None)
+        leader = platform.leader()
+        for number in {leader, (leader + 1) % 3}:
+            await platform.stop_control(number)
+        await eventually(lambda: platform.leader() is None)
+        assert_goes_on(await fleet.take_up(1), begun)
+        assert (await fleet.take_up(1, "of-another-gateway")).status == 503
+
+    run_scenario(tmp_path, scenario)
