Input from others passes one boundary

Control processes and gateways ended by themselves on entries of other writers: a body nested 60,000 deep raised RecursionError; seq, born, slots or a document's numbers of 2^64 and more were taken and couldn't be encoded between processes (OverflowError); an endpoint with port 99999 or a superscript digit was added, and connecting to it failed in ways that end a gateway. A client could do the same with Token-Count or Prompt-Prefix (huge counts in the load reports), or with over 4,300 digits. A Last-Event-Id that is no number was taken for the beginning of the stream.

chervilshift/untrusted.py now decodes all JSON bodies, numbers, names and addresses from outside; what it returns can be replicated, summed, sent on and connected to. Announcements, departures, documents, request and reply headers, event ids, engines' events and the product's own JSON bodies use it.

--- a/chervilshift/endpoints/engine.py
+++ b/chervilshift/endpoints/engine.py
@@ -9,6 +9,7 @@
 
 import httpcore
 import msgspec
+from returns.result import Failure as Bad
 
 from chervilshift.endpoints.connection import (
     CONNECT_TIMEOUT_S,
@@ -17,6 +18,7 @@
     call_failure,
 )
 from chervilshift.errors import EndpointFailed
+from chervilshift.untrusted import decode_json
 
 __all__ = ["Chunk", "EngineClient", "Generate"]
 
@@ -187,7 +189,7 @@
             )
             chunk = _merge_events(
                 [
-                    EVENT_DECODER.decode(event[len(DATA_PREFIX) :])
+                    _decode_event(event[len(DATA_PREFIX) :])
                     for event in events
                     if event.startswith(DATA_PREFIX)
                     and not event.endswith(DONE_MARKER)
@@ -197,6 +199,13 @@
                 yield chunk
 
 
+def _decode_event(data: bytes) -> Event:
+    decoded = decode_json(data, EVENT_DECODER)
+    if isinstance(decoded, Bad):
+        raise httpcore.RemoteProtocolError(decoded.failure())
+    return decoded.unwrap()
+
+
 def _merge_events(events: list[Event]) -> Chunk | None:
     """Merge consecutive events, which one connection delivers in order."""
     if not events:
--- a/chervilshift/entry/http.py
+++ b/chervilshift/entry/http.py
@@ -1,14 +1,17 @@
 """Helpers of the HTTP handlers: request bodies, JSON, error responses."""
 
+from functools import cache
 from typing import TypeVar
 
 import anyio
 import msgspec
+from returns.result import Failure as Bad
 from starlette.requests import ClientDisconnect, Request
 from starlette.responses import Response
 
 from chervilshift.config import Limits
 from chervilshift.errors import BadRequest, BodyTooLarge, Failure
+from chervilshift.untrusted import decode_json
 
 __all__ = ["failure_response", "json_response", "read_body", "read_json"]
 
@@ -50,10 +53,15 @@
     Raises BodyTooLarge or BadRequest.
     """
     body = await read_body(request, limits)
-    try:
-        return msgspec.json.decode(body, type=schema)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
-        raise BadRequest(reason=str(exc)) from exc
+    decoded = decode_json(body, _decoder(schema))
+    if isinstance(decoded, Bad):
+        raise BadRequest(reason=decoded.failure())
+    return decoded.unwrap()
+
+
+@cache
+def _decoder(schema: type) -> msgspec.json.Decoder:
+    return msgspec.json.Decoder(schema)
 
 
 def json_response(value: object, status: int = 200) -> Response:
--- a/chervilshift/gateway/events.py
+++ b/chervilshift/gateway/events.py
@@ -1,5 +1,7 @@
 """Splits a server-sent event stream into events and reads their ids."""
 
+from chervilshift.untrusted import parse_integer
+
 __all__ = ["EventSplitter", "last_event_id"]
 
 EVENT_SEPARATORS = (b"\n\n", b"\r\n\r\n")
@@ -39,4 +41,4 @@
         for line in events.splitlines()
         if line.startswith(ID_FIELD)
     ]
-    return int(ids[-1]) if ids and ids[-1].isdigit() else None
+    return parse_integer(ids[-1]) if ids else None
--- a/chervilshift/platform/announcements.py
+++ b/chervilshift/platform/announcements.py
@@ -11,6 +11,15 @@
     EndpointRecord,
 )
 from chervilshift.errors import BadRequest, Failure
+from chervilshift.untrusted import (
+    Count,
+    Integer,
+    Label,
+    Number,
+    decode_json,
+    is_address,
+    is_token,
+)
 
 __all__ = ["decode_announcement", "decode_departure"]
 
@@ -18,36 +27,44 @@
 
 
 class _Announcement(msgspec.Struct):
-    service: str
+    service: Label
     # HOST:PORT at which the endpoint takes requests.
     addr: str
-    zone: str
-    state: str
-    seq: int
+    zone: Label
+    state: Label
+    seq: Count
     # Unix milliseconds of the endpoint's start.
-    born: int = 0
-    slots: int = 1
+    born: Count = 0
+    slots: Integer = 1
     spot: bool = False
     # Version of the endpoint's software, not of its weights.
-    version: str = ""
+    version: Label = ""
     # Milliseconds until a reclaimed endpoint is taken away.
-    leaves_ms: float | None = None
+    leaves_ms: Number | None = None
+
+
+class _Departure(msgspec.Struct):
+    born: Count | None = None
 
 
-DECODER = msgspec.json.Decoder(_Announcement)
+ANNOUNCEMENT_DECODER = msgspec.json.Decoder(_Announcement)
+DEPARTURE_DECODER = msgspec.json.Decoder(_Departure)
 
 
 def decode_announcement(
     endpoint_id: str, body: bytes
 ) -> Result[EndpointRecord, Failure]:
     """Decode an announcement; fails with BadRequest."""
-    try:
-        fields = DECODER.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
-        return Bad(BadRequest(reason=str(exc)))
-    host, _, port = fields.addr.rpartition(":")
-    if fields.state not in ANNOUNCED_STATES or not host or not port.isdigit():
+    decoded = decode_json(body, ANNOUNCEMENT_DECODER)
+    if isinstance(decoded, Bad):
+        return Bad(BadRequest(reason=decoded.failure()))
+    fields = decoded.unwrap()
+    if fields.state not in ANNOUNCED_STATES or not is_address(fields.addr):
         return Bad(BadRequest(reason="unknown state, or addr not HOST:PORT"))
+    if not is_token(endpoint_id) or not fields.service:
+        return Bad(BadRequest(reason="an id or service that can't be named"))
+    if (fields.leaves_ms or 0) < 0:
+        return Bad(BadRequest(reason="leaves_ms is negative"))
     leaves_s = None if fields.leaves_ms is None else fields.leaves_ms / 1000
     return Success(
         EndpointRecord(
@@ -73,10 +90,7 @@
     that one that has left. A body that can't be decoded is ignored.
     """
     born_ms = record.born_ms
-    try:
-        departure = msgspec.json.decode(body) if body else {}
-    except (msgspec.DecodeError, UnicodeDecodeError):
-        departure = {}
-    if isinstance(departure, dict) and isinstance(departure.get("born"), int):
-        born_ms = departure["born"]
+    decoded = decode_json(body, DEPARTURE_DECODER)
+    if not isinstance(decoded, Bad) and decoded.unwrap().born is not None:
+        born_ms = decoded.unwrap().born
     return msgspec.structs.replace(record, state=GONE, born_ms=born_ms)
--- a/chervilshift/platform/config.py
+++ b/chervilshift/platform/config.py
@@ -9,7 +9,7 @@
 
 import msgspec
 from returns.result import Failure as Bad
-from returns.result import Result, Success
+from returns.result import Result
 
 from chervilshift.core.fleet.model import (
     SAFE,
@@ -25,6 +25,7 @@
     Target,
 )
 from chervilshift.errors import ConfigRefused, Failure
+from chervilshift.untrusted import Integer, Number, decode_json
 
 __all__ = ["decode_config"]
 
@@ -36,25 +37,25 @@
 
 class _Split(msgspec.Struct):
     service: str
-    weight: float
+    weight: Number
 
 
 class _Route(msgspec.Struct):
     host: str
     path_prefix: str
     kind: str
-    timeout_ms: float = DEFAULT_TIMEOUT_MS
+    timeout_ms: Number = DEFAULT_TIMEOUT_MS
     name: str = ""
     # Objective for the time to a reply or to a stream's first event; a later
     # one does not have its full value.
-    slo_ms: float = 1000
-    priority: int = 5
+    slo_ms: Number = 1000
+    priority: Integer = 5
     service: str | None = None
     split: list[_Split] | None = None
-    attempts: int = 1
+    attempts: Integer = 1
     public: bool = False
     resumable: bool = False
-    gap_target_ms: float = 0
+    gap_target_ms: Number = 0
 
 
 class _Model(msgspec.Struct):
@@ -62,23 +63,23 @@
 
 
 class _Engine(msgspec.Struct):
-    slots: int = 1
-    kv_tokens: int = 0
+    slots: Integer = 1
+    kv_tokens: Integer = 0
     models: list[_Model] = []
 
 
 class _Scaling(msgspec.Struct):
     # Bounds on the endpoints per failure domain, spot and on-demand together.
-    min: int = 0
-    max: int = 0
-    boot_s: float = 0
-    spot_price: float = 1
-    zone_prices: dict[str, float] = {}
+    min: Integer = 0
+    max: Integer = 0
+    boot_s: Number = 0
+    spot_price: Number = 1
+    zone_prices: dict[str, Number] = {}
 
 
 class _Service(msgspec.Struct):
     name: str
-    max_conns: int = 100
+    max_conns: Integer = 100
     health_path: str = "/health"
     engine: _Engine | None = None
     scaling: _Scaling | None = None
@@ -87,22 +88,22 @@
 class _Tenant(msgspec.Struct):
     name: str
     api_keys: list[str] = []
-    priority: int | None = None
+    priority: Integer | None = None
     unit: str = ""
-    plain_tokens: float = 1
-    rate_per_s: float = 0
-    burst: float = 0
+    plain_tokens: Number = 1
+    rate_per_s: Number = 0
+    burst: Number = 0
 
 
 class _Limits(msgspec.Struct):
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 4_194_304
-    header_timeout_ms: float = 3000
-    idle_timeout_ms: float = 15_000
+    max_header_bytes: Integer = 16_384
+    max_body_bytes: Integer = 4_194_304
+    header_timeout_ms: Number = 3000
+    idle_timeout_ms: Number = 15_000
 
 
 class _Document(msgspec.Struct):
-    version: int
+    version: Integer
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -114,14 +115,13 @@
 
 def decode_config(document: bytes) -> Result[ServingConfig, Failure]:
     """Decode a document; fails with ConfigRefused, which names all faults."""
-    try:
-        decoded = DOCUMENT_DECODER.decode(document)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
-        return Bad(ConfigRefused(faults=str(exc)))
-    faults = tuple(_find_faults(decoded))
+    decoded = decode_json(document, DOCUMENT_DECODER)
+    if isinstance(decoded, Bad):
+        return Bad(ConfigRefused(faults=decoded.failure()))
+    faults = tuple(_find_faults(decoded.unwrap()))
     if faults:
         return Bad(ConfigRefused(faults="\n".join(faults)))
-    return Success(_make_config(decoded))
+    return decoded.map(_make_config)
 
 
 def _make_targets(route: _Route) -> tuple[Target, ...]:
--- a/chervilshift/platform/headers.py
+++ b/chervilshift/platform/headers.py
@@ -1,6 +1,5 @@
 """Decodes and encodes the platform's request and reply headers."""
 
-import math
 from itertools import chain
 
 from returns.result import Failure as Bad
@@ -14,6 +13,7 @@
     PromptPart,
     ReplyHead,
 )
+from chervilshift.untrusted import parse_count, parse_integer, parse_number
 
 __all__ = ["PlatformHeaderCodec"]
 
@@ -105,7 +105,11 @@
         prompt_tokens, output_tokens = _parse_token_count(
             fields.get(TOKEN_COUNT, b"")
         )
-        deadline_ms = _parse_number(fields.get(DEADLINE_MS, b""))
+        last_event_id = parse_integer(fields.get(LAST_EVENT_ID, b"").strip())
+        if last_event_id is None and fields.get(LAST_EVENT_ID):
+            # Taken for the beginning, events would come twice.
+            return Bad(BadRequest(reason="the last event id is no number"))
+        deadline_ms = parse_number(fields.get(DEADLINE_MS, b""))
         request = ClientRequest(
             id=request_id,
             method=scope["method"],
@@ -122,7 +126,7 @@
             prompt_tokens=prompt_tokens,
             output_tokens=output_tokens,
             prompt_parts=_parse_prompt_parts(fields.get(PROMPT_PREFIX, b"")),
-            last_event_id=_parse_integer(fields.get(LAST_EVENT_ID, b"")),
+            last_event_id=last_event_id,
             resumed_id=fields.get(RESUMES, b""),
         )
         return Success(request)
@@ -163,9 +167,9 @@
             content_encoded=b"content-encoding" in fields,
             closes_connection=b"close" in connection,
             idle_timeout_s=_parse_keep_alive_s(fields.get(b"keep-alive", b"")),
-            limit_per_s=_parse_positive(fields.get(SERVER_LIMIT, b"")),
+            limit_per_s=parse_number(fields.get(SERVER_LIMIT, b"")),
             leaving=fields.get(SERVER_LEAVING, b"").strip() == b"1",
-            retry_after_s=_parse_positive(fields.get(RETRY_AFTER, b""))
+            retry_after_s=parse_number(fields.get(RETRY_AFTER, b""))
             if status == UNAVAILABLE_STATUS
             else None,
         )
@@ -201,29 +205,10 @@
     return f"more than one {repeated.decode()} header" if repeated else ""
 
 
-def _parse_number(value: bytes) -> float | None:
-    try:
-        return float(value)
-    except ValueError:
-        return None
-
-
-def _parse_positive(value: bytes) -> float | None:
-    """Return a number, None if there is none or it makes no sense."""
-    number = _parse_number(value)
-    if number is None or not math.isfinite(number) or number < 0:
-        return None
-    return number
-
-
-def _parse_integer(value: bytes) -> int | None:
-    return int(value) if value.isdigit() else None
-
-
 def _parse_token_count(value: bytes) -> tuple[int | None, int | None]:
     """Return the prompt tokens and the most output tokens, if stated."""
     prompt_tokens, _, output_tokens = value.partition(b",")
-    return _parse_integer(prompt_tokens.strip()), _parse_integer(
+    return parse_count(prompt_tokens.strip()), parse_count(
         output_tokens.strip()
     )
 
@@ -231,9 +216,9 @@
 def _parse_prompt_parts(value: bytes) -> tuple[PromptPart, ...]:
     entries = (entry.strip().rpartition(b":") for entry in value.split(b","))
     return tuple(
-        PromptPart(id=name.decode("latin-1"), tokens=int(tokens))
+        PromptPart(id=name.decode("latin-1"), tokens=count)
         for name, _, tokens in entries
-        if name and tokens.isdigit()
+        if name and (count := parse_count(tokens)) is not None
     )
 
 
@@ -241,4 +226,4 @@
     """Return the idle timeout, the seconds of `timeout=N`."""
     pairs = (item.strip().partition(b"=") for item in value.split(b","))
     timeouts = (v for k, _, v in pairs if k.lower() == b"timeout")
-    return _parse_number(next(timeouts, b""))
+    return parse_number(next(timeouts, b""))
