Gateways: a planned stop passes on only what can end in time

In a planned stop, requests that came late were passed on and cut off at its end: one whose body came slowly was checked before its body was read, and a request that may not be repeated was taken though it might outlast what was left of the stop. Its client couldn't know whether it had run.

Right before its first attempt a request is now checked against the rest of the stop (core/fleet/stopping.py): nothing begins after clients' lookups have expired, and what may not be repeated only if its deadline lies before the end. Others are refused as not run; another gateway serves them at once.

--- /dev/null
+++ b/chervilshift/core/fleet/stopping.py
@@ -0,0 +1,27 @@
+"""Which requests a gateway that stops still passes on to endpoints."""
+
+__all__ = ["Stopping"]
+
+
+class Stopping:
+    """The rest of a planned stop; times are monotonic.
+
+    Clients with a cached lookup are served until `refuse_at`. What is still
+    being served at `cut_at` is cut off.
+    """
+
+    __slots__ = ("cut_at", "refuse_at")
+
+    def __init__(self, *, refuse_at: float, cut_at: float):
+        self.refuse_at = refuse_at
+        self.cut_at = cut_at
+
+    def takes(self, now: float, needs_s: float, *, repeatable: bool) -> bool:
+        """Whether a request that may need `needs_s` may begin now.
+
+        One that may not be repeated has to end before it would be cut off:
+        its client couldn't know whether it has run.
+        """
+        if now > self.refuse_at:
+            return False
+        return repeatable or now + needs_s <= self.cut_at
--- a/chervilshift/gateway/admission.py
+++ b/chervilshift/gateway/admission.py
@@ -10,7 +10,11 @@
 from chervilshift.gateway.state import GatewayState
 from chervilshift.gateway.sync import ControlSync
 
-__all__ = ["TRANSIENT_RETRY_AFTER_S", "RateLimiter"]
+__all__ = [
+    "OTHER_GATEWAY_RETRY_AFTER_S",
+    "TRANSIENT_RETRY_AFTER_S",
+    "RateLimiter",
+]
 
 # A request waits at most this share of its route's objective for a grant:
 # enough for a round trip to a leader in another region. A later refusal would
@@ -21,6 +25,9 @@
 GRANT_TIMEOUT_S = 0.15
 # Retry-After of responses to failures that are expected to pass soon.
 TRANSIENT_RETRY_AFTER_S = 0.25
+# Retry-After while this gateway stops: another one can serve the client at
+# once.
+OTHER_GATEWAY_RETRY_AFTER_S = 0.05
 
 
 class RateLimiter:
--- a/chervilshift/gateway/dispatch.py
+++ b/chervilshift/gateway/dispatch.py
@@ -8,6 +8,7 @@
 from chervilshift.core.fleet.model import STREAM, Customer, Route
 from chervilshift.core.fleet.placement import Choice, Placed
 from chervilshift.core.fleet.routes import pick_target
+from chervilshift.core.fleet.stopping import Stopping
 from chervilshift.errors import (
     EndpointFailed,
     Failure,
@@ -18,7 +19,11 @@
     UpstreamTimeout,
 )
 from chervilshift.events import EventLog
-from chervilshift.gateway.admission import TRANSIENT_RETRY_AFTER_S, RateLimiter
+from chervilshift.gateway.admission import (
+    OTHER_GATEWAY_RETRY_AFTER_S,
+    TRANSIENT_RETRY_AFTER_S,
+    RateLimiter,
+)
 from chervilshift.gateway.chooser import EndpointChooser
 from chervilshift.gateway.connections import ConnectionPool
 from chervilshift.gateway.crashprobe import CrashProbe
@@ -60,7 +65,10 @@
 
 
 class Dispatcher:
-    """Admits requests, sends them to endpoints and responds."""
+    """Admits requests, sends them to endpoints and responds.
+
+    `stopping` is set while the gateway stops.
+    """
 
     def __init__(
         self,
@@ -92,6 +100,7 @@
         )
         self._rng = rng
         self._scopes: set[anyio.CancelScope] = set()
+        self.stopping: Stopping | None = None
 
     def cancel_all(self) -> None:
         """End all requests now, with the response of a timeout."""
@@ -161,6 +170,14 @@
         self._state.retry_budget(exchange.service).deposit()
         while True:
             choice = await self._chooser.choose(exchange)
+            if not exchange.attempts_sent and not self._may_begin(exchange):
+                await self._fail(
+                    exchange,
+                    downstream,
+                    "this gateway is stopping",
+                    OTHER_GATEWAY_RETRY_AFTER_S,
+                )
+                return
             if choice is None:
                 reason, wait_s = self._chooser.explain(exchange)
                 retry_after_s = max(TRANSIENT_RETRY_AFTER_S, wait_s)
@@ -189,6 +206,16 @@
 
     # Attempts
 
+    def _may_begin(self, exchange: Exchange) -> bool:
+        if self.stopping is None:
+            return True
+        now = self._clock.monotonic()
+        return self.stopping.takes(
+            now,
+            exchange.deadline_at - now,
+            repeatable=exchange.route.repeatable,
+        )
+
     def _blocking_part(self, exchange: Exchange) -> str:
         parts = [part for part, _ in exchange.suspect_parts]
         return self._state.blocking_part(parts)
--- a/chervilshift/gateway/ingress.py
+++ b/chervilshift/gateway/ingress.py
@@ -16,6 +16,7 @@
     Unserved,
 )
 from chervilshift.events import EventLog
+from chervilshift.gateway.admission import OTHER_GATEWAY_RETRY_AFTER_S
 from chervilshift.gateway.dispatch import Dispatcher
 from chervilshift.gateway.downstream import ClientDisconnected, Downstream
 from chervilshift.gateway.protocol import ClientRequest, HeaderCodec
@@ -23,9 +24,6 @@
 
 __all__ = ["Ingress"]
 
-# Retry-After while this gateway stops: another one can serve the client at
-# once.
-OTHER_GATEWAY_RETRY_AFTER_S = 0.05
 # A gateway gets its configuration within one or two syncs of its start. A
 # request that arrives earlier waits up to this long for it.
 MAX_CONFIG_WAIT_S = 0.8
--- a/chervilshift/gateway/process.py
+++ b/chervilshift/gateway/process.py
@@ -12,6 +12,7 @@
 from chervilshift.core.fleet.model import ServingConfig
 from chervilshift.core.fleet.placement import Placement
 from chervilshift.core.fleet.retries import RetryPolicy
+from chervilshift.core.fleet.stopping import Stopping
 from chervilshift.core.fleet.sync import GatewayInfo
 from chervilshift.errors import Failure
 from chervilshift.events import EventLog
@@ -273,8 +274,12 @@
         self._events.emit("stopping", role="gateway")
         await self._sync.announce(ANNOUNCE_TIMEOUT_S)
         drain_until = began_at + self._settings.stop_within_s - CLOSE_MARGIN_S
+        refuse_at = began_at + MAX_LOOKUP_CACHE_S
+        self._dispatcher.stopping = Stopping(
+            refuse_at=refuse_at, cut_at=drain_until
+        )
         while (now := self._clock.monotonic()) < drain_until:
-            self.ingress.refusing = now - began_at > MAX_LOOKUP_CACHE_S
+            self.ingress.refusing = now > refuse_at
             if self.ingress.refusing and not self.ingress.active_requests:
                 break
             await anyio.sleep(DRAIN_POLL_INTERVAL_S)
--- /dev/null
+++ b/tests/platform/test_stopping.py
@@ -0,0 +1,104 @@
+"""A planned stop of a gateway cuts off no request that it took late.
+
+Requests that came late in the time to stop were passed on, and cut off at its
+end: those whose body came slowly, and those that may not be repeated and may
+take longer than what was left.
+"""
+
+import anyio
+import pytest
+
+from chervilshift.core.fleet.stopping import Stopping
+from tests.cluster import free_address
+from tests.platform.standin import (
+    HOST,
+    KEY,
+    Endpoint,
+    Platform,
+    config,
+    eventually,
+)
+from tests.platform.test_path import run_scenario
+
+# The stand-in's gateways stop within 6 s.
+LATE_S = 3.4
+HEAD = (
+    "POST /write/a HTTP/1.1\r\nHost: {host}\r\nRequest-Id: 1\r\nKey: {key}\r\n"
+    "Deadline-Ms: 9000\r\nContent-Length: 5\r\n\r\n"
+)
+
+
+def hanging() -> Endpoint:
+    return Endpoint(
+        name="w1",
+        service="app",
+        address=free_address(),
+        behave=lambda number: "hang",
+    )
+
+
+async def allow_long_requests(platform: Platform) -> None:
+    routes = [route | {"timeout_ms": 9000} for route in config(2)["routes"]]
+    assert await platform.configure(2, routes=routes) == 200
+    gateway, _ = platform.gateways[0]
+    await eventually(lambda: gateway.state.version == 2)
+
+
+def test_request_whose_body_ends_late_in_a_stop_is_refused(tmp_path):
+    async def scenario(platform: Platform) -> None:
+        endpoint = hanging()
+        await platform.add_endpoint(endpoint)
+        await allow_long_requests(platform)
+        host, port = platform.gateways[0][1].listen.split(":")
+        client = await anyio.connect_tcp(host, int(port))
+        async with client:
+            await client.send(HEAD.format(host=HOST, key=KEY).encode())
+            await client.send(b"he")
+            platform.gateway_stops[0].set()
+            await anyio.sleep(LATE_S)
+            await client.send(b"llo")
+            with anyio.fail_after(0.5):
+                reply = await client.receive()
+            assert reply.startswith(b"HTTP/1.1 503")
+        assert not endpoint.arrivals
+
+    run_scenario(tmp_path, scenario)
+
+
+@pytest.mark.parametrize(
+    ("path", "passed_on"), [("write", False), ("read", True)]
+)
+def test_request_that_may_outlast_a_stop_is_passed_on_if_it_may_be_repeated(
+    tmp_path, path, passed_on
+):
+    async def scenario(platform: Platform) -> None:
+        endpoint = hanging()
+        await platform.add_endpoint(endpoint)
+        await allow_long_requests(platform)
+        platform.gateway_stops[0].set()
+        await anyio.sleep(2.6)
+        reply = await platform.send_request(f"/{path}/a", deadline_ms=9000)
+        assert bool(endpoint.arrivals) == passed_on
+        assert reply.status == (504 if passed_on else 503)
+
+    run_scenario(tmp_path, scenario)
+
+
+def test_request_that_ends_in_time_is_served_in_a_stop(tmp_path):
+    async def scenario(platform: Platform) -> None:
+        endpoint = Endpoint(name="w1", service="app", address=free_address())
+        await platform.add_endpoint(endpoint)
+        platform.gateway_stops[0].set()
+        await anyio.sleep(2.0)
+        reply = await platform.send_request("/write/a", deadline_ms=2000)
+        assert (reply.status, reply.whole) == (200, True)
+
+    run_scenario(tmp_path, scenario)
+
+
+def test_what_a_stopping_gateway_takes():
+    stopping = Stopping(refuse_at=3.0, cut_at=7.0)
+    assert stopping.takes(2.0, 5.0, repeatable=False)
+    assert not stopping.takes(2.0, 5.1, repeatable=False)
+    assert stopping.takes(2.0, 20.0, repeatable=True)
+    assert not stopping.takes(3.1, 0.1, repeatable=True)
