Soak: versions, take-ups, and what endpoints state

The soak's endpoints have one of two versions, state a rate limit or none, refuse with a time, an odd one or none, and say that they leave; its clients take up streams that were broken off, at any gateway. A new check finds streams that go on at another version, in one answer or over take-ups. Each kind of broken promise has its test, the new one too.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -6,7 +6,7 @@
 from collections import Counter, defaultdict
 from collections.abc import Iterator
 
-from tests.soak.history import Answer, History
+from tests.soak.history import History
 
 __all__ = ["find_broken_promises"]
 
@@ -23,6 +23,7 @@
     checks = (
         _check_answers,
         _check_runs,
+        _check_versions,
         _check_planned_stops,
         _check_config_reads,
         _check_routes,
@@ -41,8 +42,8 @@
             yield f"success without an endpoint's signature: {name}"
         if answer.headers.get("request-id") != answer.request_id.encode():
             yield f"success of another request: {name}"
-        if _event_ids(answer) != EXPECTED_EVENT_IDS:
-            yield f"whole answer with events {_event_ids(answer)}: {name}"
+        if answer.event_ids() != EXPECTED_EVENT_IDS[answer.after :]:
+            yield f"whole answer with events {answer.event_ids()}: {name}"
 
 
 def _check_runs(history: History) -> Iterator[str]:
@@ -61,6 +62,22 @@
             yield f"{answer.status}, but it ran: {request_id}"
 
 
+def _check_versions(history: History) -> Iterator[str]:
+    """Find streams that went on at another version than their first one."""
+    answers_by_id = {answer.request_id: answer for answer in history.answers}
+    for endpoint in history.endpoints:
+        for headers in endpoint.runs:
+            answer = answers_by_id.get(headers[b"request-id"].decode())
+            if answer is None or b"last-event-id" not in headers:
+                continue
+            begun_version = answer.begun_version or answer.version
+            if begun_version not in ("", endpoint.version):
+                yield (
+                    f"a stream of {begun_version} went on at "
+                    f"{endpoint.version}: {answer.request_id}"
+                )
+
+
 def _check_planned_stops(history: History) -> Iterator[str]:
     """Find requests that got no answer because of a planned stop."""
     for answer in history.answers:
@@ -106,8 +123,3 @@
     for token, holders in holders_by_token.items():
         if len(holders) > 1:
             yield f"token {token} was used by {sorted(holders)}"
-
-
-def _event_ids(answer: Answer) -> list[bytes]:
-    lines = answer.body.splitlines()
-    return [line[4:] for line in lines if line.startswith(b"id: ")]
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -18,7 +18,9 @@
     """
 
     __slots__ = (
+        "after",
         "answer_required",
+        "begun_version",
         "body",
         "complete",
         "gateway",
@@ -39,6 +41,20 @@
         self.body = b""
         self.complete = False
         self.answer_required = False
+        # A stream that is taken up: its last known event, and the version of
+        # the endpoint that began it.
+        self.after = 0
+        self.begun_version = ""
+
+    @property
+    def version(self) -> str:
+        """The version of the endpoint whose head the answer has, if any."""
+        return self.headers.get("x-version", b"").decode()
+
+    def event_ids(self) -> list[bytes]:
+        """Return the ids of the events received."""
+        lines = self.body.splitlines()
+        return [line[4:] for line in lines if line.startswith(b"id: ")]
 
 
 class ConfigRead:
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -95,3 +95,20 @@
         for path, token, holder, body in calls
     ]
     assert any(said in line for line in find_broken_promises(made))
+
+
+@pytest.mark.parametrize("version", ["v1", "v2"])
+@pytest.mark.parametrize("taken_up", [False, True])
+def test_stream_that_goes_on_at_another_version_is_found(version, taken_up):
+    made = make_history(path="/stream/")
+    (endpoint,), (answer,) = made.endpoints, made.answers
+    endpoint.version = version
+    endpoint.runs[0] |= {b"last-event-id": b"2"}
+    if taken_up:
+        answer.after, answer.begun_version = 2, "v1"
+        answer.body = b"".join(b"id: %d\ndata: x\n\n" % n for n in (3, 4, 5))
+    else:
+        answer.headers |= {"x-version": b"v1"}
+    lines = find_broken_promises(made)
+    assert [line for line in lines if "went on at" not in line] == []
+    assert bool(lines) == (version == "v2")
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -30,6 +30,10 @@
 # Explained at `Endpoint` in tests.platform.standin.
 FAULTY_BEHAVIOURS = ("full", "error", "cut", "other", "unsigned")
 REQUEST_PATHS = ("/stream/", "/once/", "/write/", "/read/")
+VERSIONS = ("v1", "v2")
+# What endpoints state: their rate limit, and how long a refusal lasts.
+STATED_LIMITS_PER_S = (None, None, 30.0)
+STATED_REFUSALS_S = ("", "0.2", "1", "soon")
 
 
 class World:
@@ -76,8 +80,11 @@
             name=f"w{self._endpoint_count}",
             service=service,
             address=free_address(),
+            version=self.rng.choice(VERSIONS),
             behave=self._choose_behaviour,
         )
+        endpoint.limit_per_s = self.rng.choice(STATED_LIMITS_PER_S)
+        endpoint.retry_after = self.rng.choice(STATED_REFUSALS_S)
         link = self.links.add(endpoint.address)
         self.history.endpoints.append(endpoint)
         self.endpoints.append((endpoint, link))
@@ -91,6 +98,7 @@
         endpoint, link = self.rng.choice(self.endpoints)
         await self.add_endpoint(endpoint.service)
         self.endpoints.remove((endpoint, link))
+        endpoint.leaving = True
         body = endpoint.announcement("draining", addr=link.address)
         path = f"/api/instances/{endpoint.name}"
         while await self._put_announcement(path, body) != 200:
@@ -199,24 +207,45 @@
         while True:
             gateway = self.rng.choice(self.fleet.gateways)
             path = self.rng.choice(REQUEST_PATHS)
-            await self.send_request(gateway, path, "POST")
+            answer = await self.send_request(gateway, path, "POST")
             await anyio.sleep(CLIENT_PAUSE_S)
+            if path == "/stream/" and answer.event_ids():
+                await self._take_up(answer)
+
+    async def _take_up(self, begun: Answer) -> None:
+        """Go on with a stream that was broken off, at any gateway."""
+        received = begun.event_ids()
+        if begun.complete or begun.after or received[-1] == b"5":
+            return
+        await self.send_request(
+            self.rng.choice(self.fleet.gateways), begun.path, "POST", begun
+        )
 
     async def send_request(
-        self, gateway: Process, path: str, method: str
+        self,
+        gateway: Process,
+        path: str,
+        method: str,
+        begun: Answer | None = None,
     ) -> Answer:
-        """Send one request on a connection of its own."""
+        """Send one request on a connection of its own.
+
+        It goes on with the stream that the answer `begun` began.
+        """
         answer = Answer(
             request_id=f"{self.rng.getrandbits(64):016x}",
             path=path,
             gateway=gateway.name,
         )
         answer.incarnation = gateway.incarnation
+        if begun is not None:
+            answer.after = int(begun.event_ids()[-1])
+            answer.begun_version = begun.version
         self.history.answers.append(answer)
         unplanned_faults, stopping = gateway.unplanned_faults, gateway.stopping
         try:
             with anyio.fail_after(REQUEST_DEADLINE_S + 1.0):
-                await self._exchange(gateway, method, answer)
+                await self._exchange(gateway, method, answer, begun)
         except (httpcore.ConnectError, httpcore.ConnectTimeout):
             return answer
         except (httpcore.NetworkError, httpcore.ProtocolError, TimeoutError):
@@ -226,7 +255,11 @@
         return answer
 
     async def _exchange(
-        self, gateway: Process, method: str, answer: Answer
+        self,
+        gateway: Process,
+        method: str,
+        answer: Answer,
+        begun: Answer | None,
     ) -> None:
         headers = [
             ("Host", HOST),
@@ -234,6 +267,11 @@
             ("Deadline-Ms", str(int(REQUEST_DEADLINE_S * 1000))),
             ("Key", KEY),
         ]
+        if begun is not None:
+            headers += [
+                ("Resumes", begun.request_id),
+                ("Last-Event-Id", str(answer.after)),
+            ]
         url = f"http://{gateway.settings['listen']}{answer.path}a"
         content = b"hello" if method == "POST" else None
         async with (
