--- a/tests/core/fleet/test_holds_under_load.py
+++ b/tests/core/fleet/test_holds_under_load.py
@@ -12,7 +12,11 @@
 import msgspec
 import pytest
 
-from chervilshift.core.fleet.holds import EndpointHolds
+from chervilshift.core.fleet.holds import (
+    MAX_HOLD_S,
+    MAX_RETURN_S,
+    EndpointHolds,
+)
 from chervilshift.core.fleet.model import ServiceSpec
 from chervilshift.core.fleet.placement import Placed, Placement, Work
 from chervilshift.core.fleet.sync import EndpointLoad
@@ -254,7 +258,7 @@
     first.refuses_until = 1.0
     world.play(3.0, 100)
     assert world.share(0, 3) > 0.9
-    world.now += 61.0
-    before = len(first.arrivals)
-    world.play(4.0, 400)
-    assert len(first.arrivals) > before
+    held = [g for g in world.gateways if "e0" in g.excluded(world.now)]
+    assert bool(held) == (stated_s == 1e9)
+    later = world.now + MAX_HOLD_S + MAX_RETURN_S
+    assert not any(g.excluded(later) for g in world.gateways)
