--- a/tests/platform/crashing.py
+++ b/tests/platform/crashing.py
@@ -1,17 +1,21 @@
 """An endpoint that some prompt parts or requests crash, on a raw socket."""
 
 from collections import defaultdict
+from collections.abc import Awaitable, Callable
 from contextlib import suppress
+from pathlib import Path
 
 import anyio
 
 from chervilshift.clock import SystemClock
 from chervilshift.endpoints.connection import HTTP_ERRORS
+from tests.cluster import free_address
 from tests.platform.rawhttp import BODY, read_request
-from tests.platform.standin import Endpoint, Platform
+from tests.platform.standin import Endpoint, Platform, eventually
 
-__all__ = ["CrashingEndpoint"]
+__all__ = ["GATEWAYS", "CrashingEndpoint", "run_with_crashing_endpoints"]
 
+ENDPOINTS, GATEWAYS = 5, 2
 REBOOT_S = 0.6
 ANNOUNCE_INTERVAL_S = 0.4
 EVENT_INTERVAL_S = 0.04
@@ -103,3 +107,34 @@
             await stream.send(b"%x\r\n%s\r\n" % (len(event), event))
             await anyio.sleep(EVENT_INTERVAL_S)
         await stream.send(b"0\r\n\r\n")
+
+
+def run_with_crashing_endpoints(
+    folder: Path,
+    scenario: Callable[[Platform, list[CrashingEndpoint]], Awaitable[None]],
+    **fields,
+) -> None:
+    """Play a scenario with real processes and five such endpoints."""
+
+    async def run() -> None:
+        async with anyio.create_task_group() as tg:
+            platform = Platform(folder, tg, GATEWAYS)
+            await platform.start()
+            assert await platform.configure() == 200
+            endpoints = [
+                CrashingEndpoint(
+                    name=f"w{n}", address=free_address(), **fields
+                )
+                for n in range(ENDPOINTS)
+            ]
+            for endpoint in endpoints:
+                tg.start_soon(endpoint.run, platform)
+            for gateway, _ in platform.gateways:
+                placement = gateway.state.placement
+                await eventually(
+                    lambda p=placement: len(p.endpoints()) == ENDPOINTS
+                )
+            await scenario(platform, endpoints)
+            tg.cancel_scope.cancel()
+
+    anyio.run(run)
--- a/tests/platform/test_deadly_requests.py
+++ b/tests/platform/test_deadly_requests.py
@@ -10,11 +10,13 @@
 import pytest
 
 from chervilshift.clock import SystemClock
-from tests.cluster import free_address
-from tests.platform.crashing import CrashingEndpoint
+from tests.platform.crashing import (
+    GATEWAYS,
+    CrashingEndpoint,
+    run_with_crashing_endpoints,
+)
 from tests.platform.standin import Platform, Reply, eventually
 
-ENDPOINTS, GATEWAYS = 5, 2
 CONTACT_S = 4.0
 KNOWN_AFTER_CRASHES = 3
 MAX_LATE_REPEATS = 3
@@ -58,34 +60,6 @@
                 await anyio.sleep(REQUEST_INTERVAL_S)
 
 
-def run_scenario(tmp_path, service: str, scenario) -> None:
-    async def run() -> None:
-        async with anyio.create_task_group() as tg:
-            platform = Platform(tmp_path, tg, GATEWAYS)
-            await platform.start()
-            assert await platform.configure() == 200
-            endpoints = [
-                CrashingEndpoint(
-                    name=f"w{n}",
-                    service=service,
-                    address=free_address(),
-                    deadly=frozenset((DEADLY,)),
-                )
-                for n in range(ENDPOINTS)
-            ]
-            for endpoint in endpoints:
-                tg.start_soon(endpoint.run, platform)
-            for gateway, _ in platform.gateways:
-                placement = gateway.state.placement
-                await eventually(
-                    lambda p=placement: len(p.endpoints()) == ENDPOINTS
-                )
-            await scenario(platform, endpoints)
-            tg.cancel_scope.cancel()
-
-    anyio.run(run)
-
-
 def late_repeats(endpoints: list[CrashingEndpoint]) -> int:
     crashes = sorted(at for e in endpoints for at in e.crashed_at)
     assert len(crashes) >= KNOWN_AFTER_CRASHES
@@ -120,7 +94,9 @@
         assert sum(served) >= (30 if repeatable else 15)
         assert all(r.status != 503 for r in traffic.sound[-30:])
 
-    run_scenario(tmp_path, service, scenario)
+    run_with_crashing_endpoints(
+        tmp_path, scenario, service=service, deadly=frozenset((DEADLY,))
+    )
 
 
 def test_deadly_request_stays_refused_after_a_restart_of_all_control(tmp_path):
@@ -142,4 +118,6 @@
         assert sum(len(e.crashed_at) for e in endpoints) <= crashes + 1
         assert traffic.deadly[-1].status == 503
 
-    run_scenario(tmp_path, "app", scenario)
+    run_with_crashing_endpoints(
+        tmp_path, scenario, service="app", deadly=frozenset((DEADLY,))
+    )
--- a/tests/platform/test_quarantine.py
+++ b/tests/platform/test_quarantine.py
@@ -9,11 +9,13 @@
 import anyio
 
 from chervilshift.clock import SystemClock
-from tests.cluster import free_address
-from tests.platform.crashing import CrashingEndpoint
+from tests.platform.crashing import (
+    GATEWAYS,
+    CrashingEndpoint,
+    run_with_crashing_endpoints,
+)
 from tests.platform.standin import Platform, Reply, eventually
 
-ENDPOINTS, GATEWAYS = 5, 2
 CONTACT_S = 4.0
 KNOWN_AFTER_CRASHES = 5
 MAX_LATE_REQUESTS = 3
@@ -55,33 +57,6 @@
                 await anyio.sleep(REQUEST_INTERVAL_S)
 
 
-def run_scenario(tmp_path, scenario) -> None:
-    async def run() -> None:
-        async with anyio.create_task_group() as tg:
-            platform = Platform(tmp_path, tg, GATEWAYS)
-            await platform.start()
-            assert await platform.configure() == 200
-            endpoints = [
-                CrashingEndpoint(
-                    name=f"w{n}",
-                    address=free_address(),
-                    bad=frozenset((BAD.encode(),)),
-                )
-                for n in range(ENDPOINTS)
-            ]
-            for endpoint in endpoints:
-                tg.start_soon(endpoint.run, platform)
-            for gateway, _ in platform.gateways:
-                placement = gateway.state.placement
-                await eventually(
-                    lambda p=placement: len(p.endpoints()) == ENDPOINTS
-                )
-            await scenario(platform, endpoints)
-            tg.cancel_scope.cancel()
-
-    anyio.run(run)
-
-
 def late_requests(endpoints: list[CrashingEndpoint]) -> int:
     crashes = sorted(at for e in endpoints for at in e.crashed_at)
     arrivals = [at for e in endpoints for at in e.bad_arrivals]
@@ -103,7 +78,9 @@
         assert float(refusal.headers["retry-after"]) > 0
         assert all(r.status == 200 and r.whole for r in traffic.normal[-30:])
 
-    run_scenario(tmp_path, scenario)
+    run_with_crashing_endpoints(
+        tmp_path, scenario, bad=frozenset((BAD.encode(),))
+    )
 
 
 def test_part_stays_refused_after_a_restart_of_all_control(tmp_path):
@@ -127,4 +104,6 @@
         assert sum(len(e.crashed_at) for e in endpoints) <= crashes + 1
         assert traffic.bad[-1].status == 503
 
-    run_scenario(tmp_path, scenario)
+    run_with_crashing_endpoints(
+        tmp_path, scenario, bad=frozenset((BAD.encode(),))
+    )
