An unexpected error in a background task does not end its process

Operators saw gateways end with code 1, one after the other, beside odd entries; requests that they served were cut off without an answer.

Cause: the periodic tasks of a gateway (sync, crash probe, origins of streams, upkeep of connections) and of control (fleet, duties) stand in the task group of the process, so one error that nobody expected ends it.

--- a/chervilshift/control/relay.py
+++ b/chervilshift/control/relay.py
@@ -59,12 +59,15 @@
 
     async def run(self) -> None:
         """Relay reports periodically until cancelled."""
-        async with anyio.create_task_group() as tg:
-            self._tg = tg
-            while True:
-                await anyio.sleep(RELAY_INTERVAL_S)
-                if not await self._relay(grants_only=False):
-                    await anyio.sleep(RETRY_INTERVAL_S)
+        try:
+            async with anyio.create_task_group() as tg:
+                self._tg = tg
+                while True:
+                    await anyio.sleep(RELAY_INTERVAL_S)
+                    if not await self._relay(grants_only=False):
+                        await anyio.sleep(RETRY_INTERVAL_S)
+        finally:
+            self._tg = self._next_granted = None
 
     async def _relay_for_grants(self, granted: anyio.Event) -> None:
         await anyio.sleep(COALESCE_S)
--- a/chervilshift/control/routed.py
+++ b/chervilshift/control/routed.py
@@ -1,9 +1,11 @@
 """Control process that serves gateways: replica, HTTP interfaces, duties."""
 
 from collections.abc import Callable
+from functools import partial
 
 from anyio.abc import TaskGroup
 
+from chervilshift.background import keep_running
 from chervilshift.clock import Clock
 from chervilshift.control.duties import Cloud, DutyTask
 from chervilshift.control.fleet import DecodeConfig, FleetService
@@ -101,8 +103,10 @@
                 self._settings.metrics_listen,
                 IDLE_TIMEOUT_S,
             )
-        tg.start_soon(self.fleet.run)
-        tg.start_soon(duties.run)
+        for name, task in (("fleet", self.fleet.run), ("duties", duties.run)):
+            tg.start_soon(
+                partial(keep_running, task, name=name, events=self._events)
+            )
         for app, address in (
             (self._adapter.control_app, self._settings.api_listen),
             (self._adapter.directory_app, self._settings.directory_listen),
