Control bounds the bodies that it holds at once

A control process took a body of 8 MiB from every caller at once, also as an announcement.

Announcements are now at most 64 KiB (413), and all bodies that are read or decoded at once 32 MiB; what comes beyond that is refused with 503 at once.

--- a/chervilshift/platform/api.py
+++ b/chervilshift/platform/api.py
@@ -1,6 +1,7 @@
 """The HTTP interfaces of a control process, as ASGI apps."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
 from urllib.parse import parse_qs
 
 import anyio
@@ -11,6 +12,7 @@
 from chervilshift.control.fleet import FleetService
 from chervilshift.core.fleet.model import GONE, EndpointRecord
 from chervilshift.errors import (
+    AtCapacity,
     BodyTimeout,
     BodyTooLarge,
     ConfigRefused,
@@ -33,7 +35,11 @@
 # Longer than the largest document takes over a slow link.
 BODY_TIMEOUT_S = 3.0
 # Larger than any document: thousands of routes at some 400 bytes each.
-MAX_BODY_BYTES = 8 << 20
+MAX_DOCUMENT_BYTES = 8 << 20
+# Larger than any announcement.
+MAX_ANNOUNCEMENT_BYTES = 64 << 10
+# All bodies that are being read or decoded at once.
+MAX_HELD_BYTES = 4 * MAX_DOCUMENT_BYTES
 
 App = Callable[[dict, Callable, Callable], Awaitable[None]]
 
@@ -42,30 +48,41 @@
     fleet: FleetService, body_timeout_s: float = BODY_TIMEOUT_S
 ) -> App:
     """Return the app that serves operators and endpoints."""
+    bodies = _Bodies(timeout_s=body_timeout_s)
 
     async def app(scope: dict, receive: Callable, send: Callable) -> None:
         path, method = scope["path"], scope["method"]
+        limit_bytes = (
+            MAX_DOCUMENT_BYTES
+            if path == CONFIG_PATH
+            else MAX_ANNOUNCEMENT_BYTES
+        )
         try:
-            body = await _read_body(receive, body_timeout_s)
-        except (BodyTimeout, BodyTooLarge) as exc:
+            async with bodies.read(receive, limit_bytes) as body:
+                if body is not None:
+                    await _serve(fleet, method, path, body, send)
+        except (AtCapacity, BodyTimeout, BodyTooLarge) as exc:
             logging.info("%s %s: %s", method, path[:64], exc)
-            await send_json(send, exc.status, _error_body(exc))
-            return
-        if body is None:
-            return
-        if path == CONFIG_PATH and method == "PUT":
-            await _put_config(fleet, body, send)
-        elif path == CONFIG_PATH and method == "GET":
-            await _get_config(fleet, send)
-        elif path.startswith(INSTANCES_PATH) and method in ("PUT", "DELETE"):
-            name = path[len(INSTANCES_PATH) :]
-            await _handle_instance(fleet, method, name, body, send)
-        else:
-            await send_json(send, 404)
+            status = 503 if isinstance(exc, AtCapacity) else exc.status
+            await send_json(send, status, _error_body(exc))
 
     return app
 
 
+async def _serve(
+    fleet: FleetService, method: str, path: str, body: bytes, send: Callable
+) -> None:
+    if path == CONFIG_PATH and method == "PUT":
+        await _put_config(fleet, body, send)
+    elif path == CONFIG_PATH and method == "GET":
+        await _get_config(fleet, send)
+    elif path.startswith(INSTANCES_PATH) and method in ("PUT", "DELETE"):
+        name = path[len(INSTANCES_PATH) :]
+        await _handle_instance(fleet, method, name, body, send)
+    else:
+        await send_json(send, 404)
+
+
 def directory_app(fleet: FleetService) -> App:
     """Return the app that serves clients' lookups of gateways."""
 
@@ -149,23 +166,50 @@
     return msgspec.json.encode({"error": failure.name, "text": str(failure)})
 
 
-async def _read_body(receive: Callable, timeout_s: float) -> bytes | None:
-    """Return the whole body, or None if the caller disconnected.
-
-    Raises BodyTimeout or BodyTooLarge: an incomplete document must not be
-    refused as an invalid one.
-    """
-    chunks = []
-    size_bytes = 0
-    with anyio.move_on_after(timeout_s):
-        while True:
-            message = await receive()
-            if message["type"] == "http.disconnect":
-                return None
-            chunks.append(message.get("body", b""))
-            size_bytes += len(chunks[-1])
-            if size_bytes > MAX_BODY_BYTES:
-                raise BodyTooLarge(limit_bytes=MAX_BODY_BYTES)
-            if not message.get("more_body"):
-                return b"".join(chunks)
-    raise BodyTimeout(timeout_s=timeout_s)
+class _Bodies:
+    """Reads request bodies, all together within `MAX_HELD_BYTES`."""
+
+    __slots__ = ("_held_bytes", "_timeout_s")
+
+    def __init__(self, *, timeout_s: float):
+        self._timeout_s = timeout_s
+        self._held_bytes = 0
+
+    @asynccontextmanager
+    async def read(
+        self, receive: Callable, limit_bytes: int
+    ) -> AsyncIterator[bytes | None]:
+        """Hold the whole body, or None if the caller disconnected.
+
+        Raises AtCapacity, BodyTimeout or BodyTooLarge: an incomplete document
+        must not be refused as an invalid one.
+        """
+        chunks: list[bytes] = []
+        try:
+            yield await self._collect(receive, limit_bytes, chunks)
+        finally:
+            self._held_bytes -= sum(map(len, chunks))
+
+    async def _collect(
+        self, receive: Callable, limit_bytes: int, chunks: list[bytes]
+    ) -> bytes | None:
+        size_bytes = 0
+        with anyio.move_on_after(self._timeout_s):
+            while True:
+                message = await receive()
+                if message["type"] == "http.disconnect":
+                    return None
+                chunk = message.get("body", b"")
+                chunks.append(chunk)
+                size_bytes += len(chunk)
+                self._held_bytes += len(chunk)
+                if size_bytes > limit_bytes:
+                    raise BodyTooLarge(limit_bytes=limit_bytes)
+                if self._held_bytes > MAX_HELD_BYTES:
+                    raise AtCapacity(
+                        customer="all", reason="bodies are being read"
+                    )
+                if not message.get("more_body"):
+                    chunks[:] = [b"".join(chunks)]
+                    return chunks[0]
+        raise BodyTimeout(timeout_s=self._timeout_s)
