Gateways bound the request bodies that they hold at once

A gateway read the body of every request before it knew route and key, each up to the configured limit of 4 MB; 50 callers take the 200 MB of a gateway host, and a process over its limit is killed with all that it serves.

All bodies of requests being served now share 48 MiB, as replies that are read whole did; beyond that a request is refused at once as not run (503, another gateway may have room) and its connection is closed. One ByteBudget counts for replies, request bodies and the bodies that control reads.

tests/gateway/test_large_bodies.py; test_path: 14 bodies of 4 MB in series fail if the bytes are not given back.

--- a/chervilshift/gateway/connections.py
+++ b/chervilshift/gateway/connections.py
@@ -6,6 +6,7 @@
 import httpcore
 
 from chervilshift.addresses import split_address
+from chervilshift.bytebudget import ByteBudget
 from chervilshift.clock import Clock
 from chervilshift.gateway.protocol import ReplyHead
 
@@ -40,24 +41,6 @@
 ]
 
 
-class ReplyMemory:
-    """Bytes of replies that the process reads whole, all together."""
-
-    __slots__ = ("_held_bytes",)
-
-    def __init__(self):
-        self._held_bytes = 0
-
-    def take(self, size_bytes: int) -> bool:
-        """Count bytes; return whether there is room for them."""
-        self._held_bytes += size_bytes
-        return self._held_bytes <= MAX_REPLY_MEMORY_BYTES
-
-    def give_back(self, size_bytes: int) -> None:
-        """Count bytes that are no longer held."""
-        self._held_bytes -= size_bytes
-
-
 class _LimitedStream(httpcore.AsyncNetworkStream):
     """A network stream that ends a reply head without end.
 
@@ -166,7 +149,7 @@
 
     def __init__(self, *, clock: Clock):
         self._clock = clock
-        self.reply_memory = ReplyMemory()
+        self.reply_memory = ByteBudget(limit_bytes=MAX_REPLY_MEMORY_BYTES)
         self._backend = httpcore.AnyIOBackend()
         self._idle: defaultdict[str, list[Connection]] = defaultdict(list)
         self._open_counts: defaultdict[str, int] = defaultdict(int)
--- a/chervilshift/gateway/downstream.py
+++ b/chervilshift/gateway/downstream.py
@@ -4,7 +4,8 @@
 
 import msgspec
 
-from chervilshift.errors import BodyTooLarge, Failure
+from chervilshift.bytebudget import ByteBudget
+from chervilshift.errors import BodyTooLarge, Failure, Unserved
 from chervilshift.gateway.protocol import Headers
 
 __all__ = ["ClientDisconnected", "Downstream"]
@@ -21,12 +22,14 @@
     """Sends one response over ASGI.
 
     `started` is true once its head is sent, `finished` once its last part
-    is. With `close_connection` the head asks the client to close.
+    is. With `close_connection` the head asks the client to close. `body_bytes`
+    of the request's body have been read.
     """
 
     __slots__ = (
         "_receive",
         "_send",
+        "body_bytes",
         "close_connection",
         "finished",
         "started",
@@ -38,25 +41,29 @@
         self._receive = receive
         self._send = send
         self.close_connection = close_connection
+        self.body_bytes = 0
         self.started = False
         self.finished = False
 
-    async def read_body(self, limit_bytes: int) -> bytes:
-        """Return the whole request body.
+    async def read_body(self, limit_bytes: int, budget: ByteBudget) -> bytes:
+        """Return the whole request body; its bytes are taken from `budget`.
 
-        Raises ClientDisconnected or BodyTooLarge.
+        Raises ClientDisconnected, BodyTooLarge, or Unserved without room.
         """
         chunks = []
-        size_bytes = 0
         while True:
             message = await self._receive()
             if message["type"] == "http.disconnect":
                 raise ClientDisconnected
             chunks.append(message.get("body", b""))
-            size_bytes += len(chunks[-1])
-            if size_bytes > limit_bytes:
+            self.body_bytes += len(chunks[-1])
+            has_room = budget.take(len(chunks[-1]))
+            if self.body_bytes > limit_bytes:
                 self.close_connection = True
                 raise BodyTooLarge(limit_bytes=limit_bytes)
+            if not has_room:
+                self.close_connection = True
+                raise Unserved(reason="too many bytes of bodies held")
             if not message.get("more_body"):
                 return b"".join(chunks)
 
--- a/chervilshift/gateway/ingress.py
+++ b/chervilshift/gateway/ingress.py
@@ -6,6 +6,7 @@
 from absl import logging
 from returns.result import Failure as Bad
 
+from chervilshift.bytebudget import ByteBudget
 from chervilshift.clock import Clock
 from chervilshift.core.fleet.model import Customer, Route
 from chervilshift.errors import (
@@ -30,6 +31,8 @@
 # Retry-After without a configuration after that wait: control is then likely
 # to stay unreachable for longer.
 NOT_READY_RETRY_AFTER_S = 0.5
+# A part of the memory of the smallest gateway host.
+MAX_BODY_MEMORY_BYTES = 48 << 20
 
 
 class Ingress:
@@ -57,6 +60,7 @@
         self.stopping = False
         self.refusing = False
         self.active_requests = 0
+        self._body_memory = ByteBudget(limit_bytes=MAX_BODY_MEMORY_BYTES)
 
     async def __call__(
         self, scope: dict, receive: Callable, send: Callable
@@ -81,6 +85,7 @@
                 await downstream.refuse(Failure())
         finally:
             self.active_requests -= 1
+            self._body_memory.give_back(downstream.body_bytes)
 
     def _log_refusal(self, scope: dict, exc: Failure) -> None:
         """Log why a request was refused before it reached the dispatcher."""
@@ -108,7 +113,9 @@
             raise NotReady(reason="no configuration received from control yet")
         if self.refusing:
             raise Unserved(reason="this gateway is stopping")
-        body = await downstream.read_body(table.cfg.limits.body_bytes)
+        body = await downstream.read_body(
+            table.cfg.limits.body_bytes, self._body_memory
+        )
         route, customer = self._authorize(request)
         async with anyio.create_task_group() as tg:
             tg.start_soon(_cancel_on_disconnect, downstream, tg.cancel_scope)
--- a/chervilshift/platform/api.py
+++ b/chervilshift/platform/api.py
@@ -9,14 +9,15 @@
 from absl import logging
 from returns.result import Failure as Bad
 
+from chervilshift.bytebudget import ByteBudget
 from chervilshift.control.fleet import FleetService
 from chervilshift.core.fleet.model import GONE, EndpointRecord
 from chervilshift.errors import (
-    AtCapacity,
     BodyTimeout,
     BodyTooLarge,
     ConfigRefused,
     Failure,
+    Unserved,
 )
 from chervilshift.platform.announcements import (
     decode_announcement,
@@ -61,10 +62,9 @@
             async with bodies.read(receive, limit_bytes) as body:
                 if body is not None:
                     await _serve(fleet, method, path, body, send)
-        except (AtCapacity, BodyTimeout, BodyTooLarge) as exc:
+        except (BodyTimeout, BodyTooLarge, Unserved) as exc:
             logging.info("%s %s: %s", method, path[:64], exc)
-            status = 503 if isinstance(exc, AtCapacity) else exc.status
-            await send_json(send, status, _error_body(exc))
+            await send_json(send, exc.status, _error_body(exc))
 
     return app
 
@@ -169,11 +169,11 @@
 class _Bodies:
     """Reads request bodies, all together within `MAX_HELD_BYTES`."""
 
-    __slots__ = ("_held_bytes", "_timeout_s")
+    __slots__ = ("_budget", "_timeout_s")
 
     def __init__(self, *, timeout_s: float):
         self._timeout_s = timeout_s
-        self._held_bytes = 0
+        self._budget = ByteBudget(limit_bytes=MAX_HELD_BYTES)
 
     @asynccontextmanager
     async def read(
@@ -181,14 +181,14 @@
     ) -> AsyncIterator[bytes | None]:
         """Hold the whole body, or None if the caller disconnected.
 
-        Raises AtCapacity, BodyTimeout or BodyTooLarge: an incomplete document
+        Raises BodyTimeout, BodyTooLarge or Unserved: an incomplete document
         must not be refused as an invalid one.
         """
         chunks: list[bytes] = []
         try:
             yield await self._collect(receive, limit_bytes, chunks)
         finally:
-            self._held_bytes -= sum(map(len, chunks))
+            self._budget.give_back(sum(map(len, chunks)))
 
     async def _collect(
         self, receive: Callable, limit_bytes: int, chunks: list[bytes]
@@ -202,13 +202,11 @@
                 chunk = message.get("body", b"")
                 chunks.append(chunk)
                 size_bytes += len(chunk)
-                self._held_bytes += len(chunk)
+                has_room = self._budget.take(len(chunk))
                 if size_bytes > limit_bytes:
                     raise BodyTooLarge(limit_bytes=limit_bytes)
-                if self._held_bytes > MAX_HELD_BYTES:
-                    raise AtCapacity(
-                        customer="all", reason="bodies are being read"
-                    )
+                if not has_room:
+                    raise Unserved(reason="too many bytes of bodies held")
                 if not message.get("more_body"):
                     chunks[:] = [b"".join(chunks)]
                     return chunks[0]
--- /dev/null
+++ b/tests/gateway/test_large_bodies.py
@@ -0,0 +1,64 @@
+"""Bodies of many requests at once, each within its own limit."""
+
+import anyio
+import pytest
+
+from chervilshift.bytebudget import ByteBudget
+from chervilshift.errors import BodyTooLarge, Unserved
+from chervilshift.gateway.downstream import ClientDisconnected, Downstream
+
+LIMIT_BYTES = 4 << 20
+BUDGET_BYTES = 16 << 20
+PART = b"x" * (1 << 20)
+
+
+def downstream(*bodies: bytes, ends: bool = True) -> Downstream:
+    """Return the side of a client that sends a body in parts."""
+    messages = [
+        {"type": "http.request", "body": body, "more_body": True}
+        for body in bodies
+    ]
+    messages.append({"type": "http.request" if ends else "http.disconnect"})
+
+    async def receive() -> dict:
+        await anyio.sleep(0)
+        return messages.pop(0)
+
+    return Downstream(receive=receive, send=None, close_connection=False)
+
+
+def test_large_bodies_at_once_stay_within_the_memory_of_the_gateway():
+    budget = ByteBudget(limit_bytes=BUDGET_BYTES)
+    refused = []
+    whole = []
+
+    async def read(client: Downstream) -> None:
+        try:
+            whole.append(await client.read_body(LIMIT_BYTES, budget))
+        except Unserved:
+            refused.append(client)
+            assert client.close_connection
+
+    async def play() -> None:
+        async with anyio.create_task_group() as tg:
+            for _ in range(100):
+                tg.start_soon(read, downstream(*[PART] * 4))
+
+    anyio.run(play)
+    assert sum(map(len, whole)) <= BUDGET_BYTES
+    assert len(whole) + len(refused) == 100
+
+
+@pytest.mark.parametrize(
+    ("client", "failure"),
+    [
+        (downstream(*[PART] * 5), BodyTooLarge),
+        (downstream(PART, ends=False), ClientDisconnected),
+    ],
+)
+def test_bytes_of_a_body_that_fails_are_given_back(client, failure):
+    budget = ByteBudget(limit_bytes=BUDGET_BYTES)
+    with pytest.raises(failure):
+        anyio.run(client.read_body, LIMIT_BYTES, budget)
+    budget.give_back(client.body_bytes)
+    assert budget.take(BUDGET_BYTES)
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -497,3 +497,15 @@
         assert reply.status == 200
 
     run_scenario(tmp_path, scenario, endpoint)
+
+
+def test_large_bodies_one_after_the_other_are_served(tmp_path):
+    """Their bytes were not given back after each request."""
+    body = b"x" * 4_000_000
+
+    async def scenario(platform: Platform) -> None:
+        for _ in range(14):
+            reply = await platform.send_request("/stream/a", body=body)
+            assert (reply.status, reply.whole) == (200, True)
+
+    run_scenario(tmp_path, scenario, worker("w1"))
