Raw stand-ins: one place bears connections without a request

What was seen: test_head_that_breaks_off_is_not_passed_on_as_a_whole_reply failed once beside load, as its stand-in ended as a whole. Cause: a gateway that sees a request break off connects to the endpoint to see whether it still runs, and closes; read_request raised EndOfStream there, and only two of three raw stand-ins bore it; these two ended on a reset.

serve_connection, which serve_raw uses for all, ends such a connection; read_request raises NoRequest only if it ends before the first byte. Checks are unchanged.

--- a/tests/platform/crashing.py
+++ b/tests/platform/crashing.py
@@ -10,7 +10,7 @@
 from chervilshift.clock import SystemClock
 from chervilshift.endpoints.connection import HTTP_ERRORS
 from tests.cluster import free_address
-from tests.platform.rawhttp import BODY, read_request
+from tests.platform.rawhttp import BODY, read_request, serve_connection
 from tests.platform.standin import Endpoint, Platform, eventually
 
 __all__ = ["GATEWAYS", "CrashingEndpoint", "run_with_crashing_endpoints"]
@@ -80,12 +80,12 @@
             await anyio.sleep(REBOOT_S)
 
     async def _handle(self, stream) -> None:
-        async with stream:
-            try:
-                while True:
-                    await self._serve_one(stream)
-            except (anyio.EndOfStream, anyio.BrokenResourceError):
-                return
+        with suppress(anyio.EndOfStream, anyio.BrokenResourceError):
+            await serve_connection(stream, self._serve_all)
+
+    async def _serve_all(self, stream) -> None:
+        while True:
+            await self._serve_one(stream)
 
     async def _serve_one(self, stream) -> None:
         fields = await read_request(stream)
--- a/tests/platform/rawhttp.py
+++ b/tests/platform/rawhttp.py
@@ -1,32 +1,64 @@
 """Reads requests from a raw stream, for endpoints that break the protocol."""
 
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+
 import anyio
 
 from tests.platform.standin import Endpoint, Platform, eventually
 
-__all__ = ["BODY", "read_request", "serve_raw"]
+__all__ = [
+    "BODY",
+    "NoRequest",
+    "read_request",
+    "serve_connection",
+    "serve_raw",
+]
 
 BODY = b":body"
 
 
+class NoRequest(Exception):
+    """A connection ended before the first byte of a request."""
+
+
 async def serve_raw(platform: Platform, tg, endpoint: Endpoint) -> None:
     """Serve an endpoint's `handle` and announce it to one gateway."""
     host, port = endpoint.address.split(":")
     listener = await anyio.create_tcp_listener(
         local_host=host, local_port=int(port)
     )
-    tg.start_soon(listener.serve, endpoint.handle)
+
+    async def handle(stream) -> None:
+        await serve_connection(stream, endpoint.handle)
+
+    tg.start_soon(listener.serve, handle)
     await platform.announce(endpoint, "ready")
     placement = platform.gateways[0][0].state.placement
     await eventually(lambda: bool(placement.endpoints()))
 
 
+async def serve_connection(
+    stream, handle: Callable[..., Awaitable[None]]
+) -> None:
+    """Serve a connection until `handle` returns or no request follows.
+
+    A gateway may connect only to see whether an endpoint still runs.
+    """
+    async with stream:
+        with suppress(NoRequest):
+            await handle(stream)
+
+
 async def read_request(stream) -> dict[bytes, bytes]:
     """Read one whole request; return its headers, in lower case.
 
-    The body is the value of `BODY`.
+    The body is the value of `BODY`. Raises NoRequest if none begins.
     """
-    data = b""
+    try:
+        data = await stream.receive()
+    except (anyio.EndOfStream, anyio.BrokenResourceError):
+        raise NoRequest from None
     while b"\r\n\r\n" not in data:
         data += await stream.receive()
     head, _, body = data.partition(b"\r\n\r\n")
--- a/tests/platform/test_faulty_endpoints.py
+++ b/tests/platform/test_faulty_endpoints.py
@@ -39,19 +39,15 @@
 
     async def handle(self, stream) -> None:
         """Serve one connection."""
-        async with stream:
-            while True:
-                try:
-                    fields = await read_request(stream)
-                except anyio.EndOfStream:
-                    return
-                self.arrivals += 1
-                if self.arrivals == 1:
-                    refusal = REFUSAL % self._id_line(fields)
-                    await stream.send(refusal + refusal)
-                else:
-                    self.run_count += 1
-                    await stream.send(REPLY % fields[b"request-id"])
+        while True:
+            fields = await read_request(stream)
+            self.arrivals += 1
+            if self.arrivals == 1:
+                refusal = REFUSAL % self._id_line(fields)
+                await stream.send(refusal + refusal)
+            else:
+                self.run_count += 1
+                await stream.send(REPLY % fields[b"request-id"])
 
     def _id_line(self, fields: dict[bytes, bytes]) -> bytes:
         if not self._with_id:
@@ -68,11 +64,10 @@
 
     async def handle(self, stream) -> None:
         """Serve one connection."""
-        async with stream:
-            fields = await read_request(stream)
-            self.arrivals += 1
-            reply = REPLY % fields[b"request-id"]
-            await stream.send(reply[: self._size])
+        fields = await read_request(stream)
+        self.arrivals += 1
+        reply = REPLY % fields[b"request-id"]
+        await stream.send(reply[: self._size])
 
 
 @pytest.mark.parametrize("with_id", [True, False])
--- a/tests/platform/test_unframed.py
+++ b/tests/platform/test_unframed.py
@@ -32,22 +32,17 @@
 
     async def handle(self, stream) -> None:
         """Serve one connection."""
-        async with stream:
-            try:
-                fields = await read_request(stream)
-            except anyio.EndOfStream:
-                # The gateway only looked if the endpoint still runs.
+        fields = await read_request(stream)
+        self.arrivals += 1
+        await stream.send(HEAD % fields[b"request-id"])
+        first = int(fields.get(b"last-event-id", b"0"))
+        number = min(self.arrivals, len(self.replies)) - 1
+        for chunk in self.replies[number][first:]:
+            if chunk is None:
+                reset(stream)
                 return
-            self.arrivals += 1
-            await stream.send(HEAD % fields[b"request-id"])
-            first = int(fields.get(b"last-event-id", b"0"))
-            number = min(self.arrivals, len(self.replies)) - 1
-            for chunk in self.replies[number][first:]:
-                if chunk is None:
-                    reset(stream)
-                    return
-                await stream.send(chunk)
-                await anyio.sleep(0.01)
+            await stream.send(chunk)
+            await anyio.sleep(0.01)
 
 
 def reset(stream) -> None:
