Take-ups: two tests with real processes that fail without the pin

Both earlier cases pass without it, since placement happens to choose the endpoint that began the stream. Now that endpoint leaves, or refuses, and the test asserts that placement alone prefers one of the other version.

--- a/tests/platform/test_stream_versions.py
+++ b/tests/platform/test_stream_versions.py
@@ -5,10 +5,14 @@
 in the answer shows it.
 """
 
+from itertools import count
+
 import anyio
 import pytest
 
+from chervilshift.clock import SystemClock
 from chervilshift.core.fleet.origins import stream_key
+from chervilshift.core.fleet.placement import Work
 from tests.cluster import free_address
 from tests.platform.standin import Endpoint, Platform, Reply, eventually
 from tests.platform.test_path import ALL_EVENT_IDS, event_ids
@@ -17,6 +21,22 @@
 FIRST_ID = "0123456789abcdef"
 # Clients repeat a request that was refused as not run.
 MAX_TRIES = 10
+PROMPT_TOKENS, OUTPUT_TOKENS = 1000, 20
+
+
+class Prompt:
+    """A prompt of one shared part, and the headers that state it."""
+
+    def __init__(self, number: int):
+        parts = ((f"{number:08x}", PROMPT_TOKENS - 10), ("ffffffff", 10))
+        self.work = Work(
+            tokens=PROMPT_TOKENS, output_tokens=OUTPUT_TOKENS, parts=parts
+        )
+        stated = ",".join(f"{part}:{tokens}" for part, tokens in parts)
+        self.headers = (
+            ("Token-Count", f"{PROMPT_TOKENS},{OUTPUT_TOKENS}"),
+            ("Prompt-Prefix", stated),
+        )
 
 
 class Fleet:
@@ -57,8 +77,74 @@
         assert event_ids(reply.body) == ALL_EVENT_IDS[:2]
         return reply
 
-    async def take_up(self, gateway: int, first_id: str = FIRST_ID) -> Reply:
-        headers = (("Resumes", first_id), ("Last-Event-Id", "2"))
+    async def begin_at(self, endpoint: Endpoint, prompt: Prompt) -> Reply:
+        """Begin a stream that its endpoint breaks off and others refuse."""
+        behaviours = [e.behave for e in self.endpoints]
+        for other in self.endpoints:
+            other.behave = lambda number: "full"
+        endpoint.behave = lambda number: "cut"
+        reply = await self.platform.send_request(
+            "/stream/a", request_id=FIRST_ID, headers=prompt.headers
+        )
+        for other, behave in zip(self.endpoints, behaviours, strict=True):
+            other.behave = behave
+        assert not reply.whole
+        assert event_ids(reply.body) == ALL_EVENT_IDS[:2]
+        assert reply.headers["x-from"] == endpoint.name.encode()
+        return reply
+
+    async def drain(self, endpoint: Endpoint) -> None:
+        """Announce that an endpoint leaves; return when gateways know it."""
+        await self.platform.announce(endpoint, "draining")
+        placements = [g.state.placement for g, _ in self.platform.gateways]
+        await eventually(
+            lambda: all(
+                e.record.state == "draining"
+                for placement in placements
+                for e in placement.endpoints()
+                if e.id == endpoint.name
+            )
+        )
+
+    def most_attractive(
+        self, gateway: int, prompt: Prompt, excluding: frozenset = frozenset()
+    ) -> Endpoint:
+        """Return the endpoint at which a gateway begins a stream."""
+        state = self.platform.gateways[gateway][0].state
+        spec = state.table.cfg.services["llm"]
+        now = SystemClock().monotonic()
+        choice = state.placement.choose(spec, prompt.work, now, excluding)
+        return next(e for e in self.endpoints if e.name == choice.endpoint.id)
+
+    def find_prompt(self) -> tuple[Prompt, Endpoint]:
+        """Return a prompt and the endpoint that it is placed at.
+
+        Without that one it is placed at an endpoint of another version.
+        """
+        placed = (
+            (prompt, self.most_attractive(0, prompt))
+            for prompt in map(Prompt, count())
+        )
+        return next(
+            (prompt, first)
+            for prompt, first in placed
+            if first.version
+            != self.most_attractive(
+                0, prompt, frozenset((first.name,))
+            ).version
+        )
+
+    async def take_up(
+        self,
+        gateway: int,
+        first_id: str = FIRST_ID,
+        more_headers: tuple = (),
+    ) -> Reply:
+        headers = (
+            ("Resumes", first_id),
+            ("Last-Event-Id", "2"),
+            *more_headers,
+        )
         for _ in range(MAX_TRIES):
             reply = await self.platform.send_request(
                 "/stream/a", gateway=gateway, headers=headers
@@ -130,6 +216,48 @@
     run_scenario(tmp_path, scenario)
 
 
+@pytest.mark.parametrize("gateway", range(GATEWAYS))
+def test_stream_whose_endpoint_leaves_is_taken_up_at_its_version(
+    tmp_path, gateway
+):
+    """Placement prefers an endpoint of the other version."""
+
+    async def scenario(fleet: Fleet) -> None:
+        await fleet.add("a1", "a2", "b1", "b2")
+        prompt, first = fleet.find_prompt()
+        begun = await fleet.begin_at(first, prompt)
+        await fleet.drain(first)
+        preferred = fleet.most_attractive(gateway, prompt)
+        assert preferred.version != first.version
+        reply = await fleet.take_up(gateway, FIRST_ID, prompt.headers)
+        assert_goes_on(reply, begun)
+        assert not preferred.runs
+
+    run_scenario(tmp_path, scenario)
+
+
+@pytest.mark.parametrize("gateway", range(GATEWAYS))
+def test_stream_whose_endpoint_is_full_is_taken_up_at_its_version(
+    tmp_path, gateway
+):
+    """The next attempt goes to an endpoint of the other version."""
+
+    async def scenario(fleet: Fleet) -> None:
+        await fleet.add("a1", "a2", "b1", "b2")
+        prompt, first = fleet.find_prompt()
+        begun = await fleet.begin_at(first, prompt)
+        first.behave = lambda number: "full"
+        preferred = fleet.most_attractive(
+            gateway, prompt, frozenset((first.name,))
+        )
+        assert preferred.version != first.version
+        reply = await fleet.take_up(gateway, FIRST_ID, prompt.headers)
+        assert_goes_on(reply, begun)
+        assert not preferred.runs
+
+    run_scenario(tmp_path, scenario)
+
+
 def test_stream_is_taken_up_at_its_version_after_all_gateways_have_ended(
     tmp_path,
 ):
@@ -189,16 +317,7 @@
         await fleet.begin()
         await fleet.add("b1", "b2")
         for endpoint in fleet.endpoints[:2]:
-            await fleet.platform.announce(endpoint, "draining")
-        placements = [g.state.placement for g, _ in fleet.platform.gateways]
-        await eventually(
-            lambda: all(
-                e.record.state == "draining"
-                for placement in placements
-                for e in placement.endpoints()
-                if e.record.version == "v1"
-            )
-        )
+            await fleet.drain(endpoint)
         for gateway in range(GATEWAYS):
             assert (await fleet.take_up(gateway)).status == 503
         assert not any(e.runs for e in fleet.endpoints[2:])
