Names with control characters are refused in announcements and documents

A service, failure domain, version, customer, route or key could hold control characters ("s\0\r\n..."), which got into the replicated state, headers and logs. The decoding types for names bounded their length only.

Label and the new Text refuse C0, DEL, C1 and the two line separators; names in any language are taken. A departure under an id that no announcement may have is refused too: it was kept as a record with an id of any length.

--- a/chervilshift/platform/api.py
+++ b/chervilshift/platform/api.py
@@ -11,6 +11,7 @@
 from chervilshift.control.fleet import FleetService
 from chervilshift.core.fleet.model import GONE, EndpointRecord
 from chervilshift.errors import (
+    BadRequest,
     BodyTimeout,
     BodyTooLarge,
     ConfigRefused,
@@ -21,6 +22,7 @@
     decode_departure,
 )
 from chervilshift.platform.reply import send_json
+from chervilshift.untrusted import is_token
 
 __all__ = ["control_app", "directory_app"]
 
@@ -115,6 +117,10 @@
     send: Callable,
 ) -> None:
     if method == "DELETE":
+        if not is_token(name):
+            failure = BadRequest(reason="an id that can't be named")
+            await send_json(send, 400, _error_body(failure))
+            return
         held = fleet.find_endpoint(name) or _unknown_record(name)
         record = decode_departure(held, body)
     else:
--- a/chervilshift/platform/config.py
+++ b/chervilshift/platform/config.py
@@ -25,7 +25,7 @@
     Target,
 )
 from chervilshift.errors import ConfigRefused, Failure
-from chervilshift.untrusted import Integer, Number, decode_json
+from chervilshift.untrusted import Integer, Number, Text, decode_json
 
 __all__ = ["decode_config"]
 
@@ -36,21 +36,21 @@
 
 
 class _Split(msgspec.Struct):
-    service: str
+    service: Text
     weight: Number
 
 
 class _Route(msgspec.Struct):
-    host: str
-    path_prefix: str
-    kind: str
+    host: Text
+    path_prefix: Text
+    kind: Text
     timeout_ms: Number = DEFAULT_TIMEOUT_MS
-    name: str = ""
+    name: Text = ""
     # Objective for the time to a reply or to a stream's first event; a later
     # one does not have its full value.
     slo_ms: Number = 1000
     priority: Integer = 5
-    service: str | None = None
+    service: Text | None = None
     split: list[_Split] | None = None
     attempts: Integer = 1
     public: bool = False
@@ -59,7 +59,7 @@
 
 
 class _Model(msgspec.Struct):
-    name: str
+    name: Text
 
 
 class _Engine(msgspec.Struct):
@@ -74,22 +74,22 @@
     max: Integer = 0
     boot_s: Number = 0
     spot_price: Number = 1
-    zone_prices: dict[str, Number] = {}
+    zone_prices: dict[Text, Number] = {}
 
 
 class _Service(msgspec.Struct):
-    name: str
+    name: Text
     max_conns: Integer = 100
-    health_path: str = "/health"
+    health_path: Text = "/health"
     engine: _Engine | None = None
     scaling: _Scaling | None = None
 
 
 class _Tenant(msgspec.Struct):
-    name: str
-    api_keys: list[str] = []
+    name: Text
+    api_keys: list[Text] = []
     priority: Integer | None = None
-    unit: str = ""
+    unit: Text = ""
     plain_tokens: Number = 1
     rate_per_s: Number = 0
     burst: Number = 0
--- a/chervilshift/untrusted.py
+++ b/chervilshift/untrusted.py
@@ -20,6 +20,7 @@
     "Integer",
     "Label",
     "Number",
+    "Text",
     "decode_json",
     "is_address",
     "is_token",
@@ -36,6 +37,8 @@
 MAX_DIGITS = 18
 MAX_LABEL_CHARS = 256
 MAX_PORT = 65_535
+# Without control characters and line separators.
+PRINTABLE = r"\A[^\x00-\x1f\x7f-\x9f\u2028\u2029]*\Z"
 TOKEN = re.compile(r"[!-~]{1,256}")
 # A host name or an address; an IPv6 address is in brackets.
 ADDRESS = re.compile(
@@ -45,7 +48,8 @@
 Integer = Annotated[int, Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
 Count = Annotated[int, Meta(ge=0, le=MAX_INTEGER)]
 Number = Annotated[float, Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
-Label = Annotated[str, Meta(max_length=MAX_LABEL_CHARS)]
+Text = Annotated[str, Meta(pattern=PRINTABLE)]
+Label = Annotated[str, Meta(max_length=MAX_LABEL_CHARS, pattern=PRINTABLE)]
 
 T = TypeVar("T")
 
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -4,6 +4,8 @@
 ends processes later, in the replicated state or at the first request.
 """
 
+import unicodedata
+
 import anyio
 import msgspec
 import pytest
@@ -40,6 +42,7 @@
 }
 BAD_PORTS = ("99999", "0", "65536", "-1", "9" * 5000, "²", "", "8o", "+80")
 HUGE = 10**400
+ODD_NAMES = ("s\0", "s\r\nx: y", "s\n", "\x1b[2J", "s\x7f", "\x85s", "\u2028")
 ODD_FIELDS = [
     *({"addr": f"127.0.0.1:{port}"} for port in BAD_PORTS),
     *({"addr": addr} for addr in ("", ":80", "a b:80", "\n:80", "é:80")),
@@ -52,6 +55,9 @@
     *({"service": name} for name in ("", "x" * 300, 1)),
     *({"version": version} for version in (1, "x" * 300)),
     *({"zone": zone} for zone in (1, "x" * 300)),
+    *({"service": name} for name in ODD_NAMES),
+    *({"version": name} for name in ODD_NAMES),
+    *({"zone": name} for name in ODD_NAMES),
 ]
 ODD_IDS = ("", "x" * 300, "a b", "a\nb", "a\r\nx: y", "é", "\0", "a\x7f")
 JSON = st.recursive(
@@ -84,6 +90,8 @@
     assert record.id.isprintable()
     assert " " not in record.id
     assert record.slots >= 1
+    for name in (record.service, record.failure_domain, record.version):
+        assert not any(unicodedata.category(c) == "Cc" for c in name)
 
 
 def assert_sound(decoded: Result, expected_failure: type) -> None:
@@ -159,6 +167,51 @@
             assert_usable(decoded.unwrap())
 
 
+@pytest.mark.parametrize("name", ODD_NAMES, ids=ascii)
+@pytest.mark.parametrize(
+    ("section", "field"),
+    [
+        ("routes", "name"),
+        ("routes", "host"),
+        ("routes", "path_prefix"),
+        ("services", "name"),
+        ("services", "health_path"),
+        ("tenants", "name"),
+        ("tenants", "api_keys"),
+    ],
+)
+def test_document_with_control_characters_in_a_name_is_refused(
+    section, field, name
+):
+    document = config(1)
+    document[section][0][field] = [name] if field == "api_keys" else name
+    decoded = decode_config(msgspec.json.encode(document))
+    assert isinstance(decoded.failure(), ConfigRefused)
+
+
+@pytest.mark.parametrize("name", ODD_NAMES, ids=ascii)
+def test_document_with_control_characters_in_a_nested_name_is_refused(name):
+    for engine in ({"models": [{"name": name}]}, None):
+        document = config(1)
+        service = document["services"][0]
+        if engine is None:
+            service["scaling"] = {"zone_prices": {name: 1.0}}
+        else:
+            service["engine"] = engine
+        decoded = decode_config(msgspec.json.encode(document))
+        assert isinstance(decoded.failure(), ConfigRefused)
+
+
+def test_names_in_other_languages_are_taken():
+    name = "Zürich-é 東京 🚲"
+    body = announcement(service=name, zone=name, version=name)
+    assert decode_announcement("w1", body).unwrap().service == name
+    document = config(1)
+    document["tenants"][0]["name"] = name
+    decoded = decode_config(msgspec.json.encode(document)).unwrap()
+    assert decoded.customers[0].name == name
+
+
 @given(st.data())
 @settings(max_examples=300, deadline=None)
 def test_any_document_is_refused_or_can_be_sent_on(data):
@@ -261,6 +314,7 @@
         nested = announcement()[:-1] + b',"x":' + NESTED + b"}"
         await put("odd", nested)
         await put("odd", NESTED, "DELETE")
+        await put("x" * 300, b"{}", "DELETE")
         endpoint = Endpoint(name="w1", service="llm", address=free_address())
         await platform.add_endpoint(endpoint)
         huge = "9" * 25
@@ -276,6 +330,8 @@
             await anyio.sleep(0.4)
         gateway = platform.gateways[0][0]
         assert not platform.ended
+        fleet = platform.controls[0].node.machine.fleet
+        assert fleet.endpoint("x" * 300) is None
         assert [e.id for e in gateway.state.placement.endpoints()] == ["w1"]
 
     run_scenario(tmp_path, scenario)
