Test of deadly requests: the last one may be the trial

What was seen: [unsafe] failed once of two runs of the file (beside load average 16), as the last deadly request got 502 instead of 503. Cause: five seconds after the quarantine one request is let through as a trial, which ends with 502 as it crashes an endpoint; the test took the last reply for a refusal. Where the quarantine comes late, the trial falls on the last request.

Shown by a forced run that ends with the trial's reply (statuses 502 five times, 503 eleven times, 502): the old check failed, the new one passes.

The check now wants a refusal among the last two, and after the first refusal no more than the bound of late repeats that are not refused, and Retry-After in each refusal: the two latter were not checked.

--- a/tests/platform/test_deadly_requests.py
+++ b/tests/platform/test_deadly_requests.py
@@ -68,6 +68,18 @@
     return sum(at > known_at for at in arrivals)
 
 
+def assert_refused(replies: list[Reply]) -> None:
+    """Assert that requests are refused in the end, but for the trial.
+
+    The trial is one request, which may be the last.
+    """
+    refusals = [reply for reply in replies if reply.status == 503]
+    assert any(reply in refusals for reply in replies[-2:])
+    later = replies[replies.index(refusals[0]) :]
+    assert sum(r.status != 503 for r in later) <= MAX_LATE_REPEATS
+    assert all(float(r.headers["retry-after"]) > 0 for r in refusals)
+
+
 @pytest.mark.parametrize(
     ("service", "path", "headers", "repeatable"),
     [
@@ -86,9 +98,7 @@
         traffic = Traffic(platform, path, headers)
         await traffic.play(9.0)
         assert late_repeats(endpoints) <= MAX_LATE_REPEATS
-        refusal = traffic.deadly[-1]
-        assert refusal.status == 503
-        assert float(refusal.headers["retry-after"]) > 0
+        assert_refused(traffic.deadly)
         served = [r.status == 200 and r.whole for r in traffic.sound[-30:]]
         # The trial of the deadly request ends others that can't be repeated.
         assert sum(served) >= (30 if repeatable else 15)
