Replicated state: bounds for endpoints and services

Announcements with ever new ids and addresses added records without end, as an endpoint that ends without a word stays silent, and one whose departure is lost stays draining. Ever new service names added services to OriginTable without end, also where one address announced all of them. So did heartbeats to the tables of control processes.

At most 16,384 records are kept, ended ones too; where there is no room for a new one, endpoints that aren't ready are forgotten, first those of services that the configuration doesn't name, then those that changed longest ago. Gateways are then sent all records. A forgotten endpoint that lives is taken again with its next announcement. While all are ready, a new one is not taken. Of services without endpoints that the configuration doesn't name, the last 256 are kept; of their versions, four. The names come with AcceptServing.

--- a/chervilshift/control/fleet.py
+++ b/chervilshift/control/fleet.py
@@ -37,6 +37,7 @@
     with_state,
 )
 from chervilshift.core.fleet.presence import GATEWAY_EXPIRY_S
+from chervilshift.core.fleet.state import MAX_ENDPOINTS
 from chervilshift.core.fleet.sync import (
     ControlInfo,
     GatewayInfo,
@@ -167,10 +168,15 @@
         if isinstance(decoded, Bad):
             self._events.emit("config_refused", reason=str(decoded.failure()))
             return decoded
-        version = decoded.unwrap().version
+        cfg = decoded.unwrap()
+        version = cfg.version
         if version <= self._node.machine.fleet.version:
             return Success(self._node.machine.fleet.version)
-        command = AcceptServing(version=version, document=pack(document))
+        command = AcceptServing(
+            version=version,
+            document=pack(document),
+            services=tuple(cfg.services),
+        )
         reply = await self._submit(command, CONFIG_COMMIT_TIMEOUT_S)
         self._events.emit(
             "config_put", version=version, taken=not isinstance(reply, Bad)
@@ -436,6 +442,7 @@
                 await anyio.sleep(SWEEP_INTERVAL_S)
                 self._configure()
                 self._distributor.sweep(self._clock.monotonic())
+                self._forget_heartbeats()
                 if self._node.has_lease():
                     await self._statement_notes.step()
                     await self._quarantine.step()
@@ -487,6 +494,16 @@
             dict.fromkeys((*first, *(a for a in others if a != own_address)))
         )
 
+    def _forget_heartbeats(self) -> None:
+        """Forget heartbeats of endpoints that are no longer recorded."""
+        fleet = self._node.machine.fleet
+        if len(self._last_heartbeats) > MAX_ENDPOINTS:
+            self._last_heartbeats = {
+                endpoint_id: heartbeat
+                for endpoint_id, heartbeat in self._last_heartbeats.items()
+                if fleet.endpoint(endpoint_id) is not None
+            }
+
     def _record_heartbeat(self, heartbeat: Heartbeat) -> None:
         self._last_heartbeats[heartbeat.endpoint] = (
             heartbeat.born_ms,
--- a/chervilshift/core/fleet/commands.py
+++ b/chervilshift/core/fleet/commands.py
@@ -32,10 +32,14 @@
 
 
 class AcceptServing(Message):
-    """Activate a packed serving document if its version is the highest."""
+    """Activate a packed serving document if its version is the highest.
+
+    `services` are the names of its services.
+    """
 
     version: int
     document: bytes
+    services: tuple[str, ...] = ()
 
 
 class AnnounceEndpoint(Message):
--- a/chervilshift/core/fleet/origins.py
+++ b/chervilshift/core/fleet/origins.py
@@ -12,7 +12,7 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Iterable, Iterator
+from collections.abc import Container, Iterable, Iterator
 from hashlib import blake2b
 
 from chervilshift.core.fleet.model import STREAM, ServingConfig
@@ -36,6 +36,9 @@
 # Bounds of what is kept; the oldest is dropped.
 MAX_RECORDED_BYTES = KEY_BYTES << 18
 MAX_VERSIONS = 32
+# Services that the configuration doesn't name have no streams.
+MAX_UNNAMED_VERSIONS = 4
+MAX_ENDED_SERVICES = 256
 MAX_OPEN_STREAMS = 16_384
 
 
@@ -154,18 +157,41 @@
             self._size_bytes -= len(self._recorded.pop(place))
 
     def note_versions(
-        self, service: str, serving: Iterable[str], now_s: float
+        self,
+        service: str,
+        serving: Iterable[str],
+        now_s: float,
+        *,
+        named: Container[str] = (),
     ) -> None:
-        """Record which versions of a service have endpoints now."""
-        versions = self._versions.setdefault(service, {})
+        """Record which versions of a service have endpoints now.
+
+        `named` are the services that the configuration names. Of the others
+        without endpoints, those that ended last are kept.
+        """
+        versions = self._versions.pop(service, {})
         for version in versions:
             versions[version] = versions[version] or now_s
         for version in serving:
             # The versions are in the order in which they served last.
             versions.pop(version, None)
             versions[version] = 0.0
-        while len(versions) > MAX_VERSIONS:
+        limit = MAX_VERSIONS if service in named else MAX_UNNAMED_VERSIONS
+        while len(versions) > limit:
             del versions[next(iter(versions))]
+        if versions:
+            self._versions[service] = versions
+        if len(self._versions) > MAX_ENDED_SERVICES:
+            self._forget_services(named)
+
+    def _forget_services(self, named: Container[str]) -> None:
+        ended = [
+            service
+            for service, versions in self._versions.items()
+            if service not in named and all(versions.values())
+        ]
+        for service in ended[: max(0, len(ended) - MAX_ENDED_SERVICES)]:
+            del self._versions[service]
 
 
 def _contains(keys: bytes, key: bytes) -> bool:
--- a/chervilshift/core/fleet/state.py
+++ b/chervilshift/core/fleet/state.py
@@ -1,5 +1,6 @@
 """Replicated state: document, endpoints, limits, gateways, usage, crashes."""
 
+from collections.abc import Iterable
 from functools import singledispatchmethod
 from itertools import islice, takewhile
 
@@ -43,8 +44,13 @@
 from chervilshift.core.fleet.origins import OriginSnapshot, OriginTable
 from chervilshift.core.message import Message
 
-__all__ = ["FleetState", "FleetSnapshot"]
+__all__ = ["MAX_ENDPOINTS", "FleetState", "FleetSnapshot"]
 
+# Records of endpoints, ended ones too; above the largest fleet.
+MAX_ENDPOINTS = 16_384
+# Records that are forgotten at once to make room, as gateways then have to be
+# told of all.
+FORGOTTEN_ENDPOINTS = MAX_ENDPOINTS // 16
 # Records of ended endpoints are kept to reject late announcements; the oldest
 # are dropped.
 MAX_TOMBSTONES = 512
@@ -58,6 +64,7 @@
 
     version: int = 0
     document: bytes = b""
+    services: tuple[str, ...] = ()
     revision: int = 0
     endpoints: tuple[EndpointRecord, ...] = ()
     usage: dict[int, dict[str, int]] = {}
@@ -71,6 +78,7 @@
 class FleetState:
     """Applies fleet commands in log order, with equal results on all replicas.
 
+    `services` are the services that the configuration names.
     `revision` is the log position of the last change to the endpoints,
     `limits_revision` that of the last change to `limits`, the rate limits
     that endpoints stated.
@@ -89,6 +97,7 @@
         "limits_revision",
         "origins",
         "revision",
+        "services",
         "version",
     )
 
@@ -96,6 +105,7 @@
         stored = snapshot or FleetSnapshot()
         self.version = stored.version
         self.document = stored.document
+        self.services = frozenset(stored.services)
         self.revision = stored.revision
         # In the order of their last change.
         self._endpoints = {record.id: record for record in stored.endpoints}
@@ -113,6 +123,7 @@
         return FleetSnapshot(
             version=self.version,
             document=self.document,
+            services=tuple(sorted(self.services)),
             revision=self.revision,
             endpoints=tuple(self._endpoints.values()),
             usage=self._usage,
@@ -180,6 +191,7 @@
         if command.version > self.version:
             self.version = command.version
             self.document = command.document
+            self.services = frozenset(command.services)
         return ServingAccepted(version=self.version)
 
     @apply.register
@@ -265,6 +277,8 @@
             announced = with_state(stored, GONE)
         if stored is not None and not self._should_replace(stored, announced):
             return EndpointKnown(state=stored.state)
+        if stored is None and not self._make_room(command.now_s, index):
+            return EndpointKnown(state=GONE)
         other = self._address_holder(announced)
         if other is not None and other.born_ms > announced.born_ms:
             # A late announcement: a newer endpoint uses the address now.
@@ -273,19 +287,24 @@
             self._replace(with_state(other, GONE), index)
         self._replace(announced, index)
         self.revision = index
-        changed = (stored, other, announced)
-        for service in {r.service for r in changed if r is not None}:
-            self._note_versions(service, command.now_s)
+        self._note_versions(
+            filter(None, (stored, other, announced)), command.now_s
+        )
         self._prune_tombstones()
         return EndpointKnown(state=announced.state)
 
-    def _note_versions(self, service: str, now_s: float) -> None:
-        serving = dict.fromkeys(
-            record.version
-            for record in self._endpoints.values()
-            if record.service == service and record.state != GONE
-        )
-        self.origins.note_versions(service, serving, now_s)
+    def _note_versions(
+        self, changed: Iterable[EndpointRecord], now_s: float
+    ) -> None:
+        """Record the versions of the services of changed records."""
+        serving = {record.service: {} for record in changed}
+        for record in self._endpoints.values():
+            if record.service in serving and record.state != GONE:
+                serving[record.service][record.version] = None
+        for service, versions in serving.items():
+            self.origins.note_versions(
+                service, versions, now_s, named=self.services
+            )
 
     def _replace(self, record: EndpointRecord, index: int) -> None:
         self._endpoints.pop(record.id, None)
@@ -347,9 +366,34 @@
             None,
         )
 
+    def _make_room(self, now_s: float, index: int) -> bool:
+        """Return whether there is room for one more record.
+
+        If there is none, endpoints that take no new requests are forgotten:
+        first those of services that the configuration doesn't name, then
+        those that changed longest ago.
+        """
+        if len(self._endpoints) < MAX_ENDPOINTS:
+            return True
+        forgotten = sorted(
+            (e for e in self._endpoints.values() if e.state != READY),
+            key=lambda e: e.service in self.services,
+        )[:FORGOTTEN_ENDPOINTS]
+        for record in forgotten:
+            self._forget(record.id, index)
+        self._note_versions(forgotten, now_s)
+        return bool(forgotten)
+
     def _prune_tombstones(self) -> None:
         ended = [e.id for e in self._endpoints.values() if e.state == GONE]
         for endpoint_id in islice(ended, max(0, len(ended) - MAX_TOMBSTONES)):
-            del self._endpoints[endpoint_id]
-            self._changed_at.pop(endpoint_id, None)
-            self._changes_since = self.revision
+            self._forget(endpoint_id, self.revision)
+
+    def _forget(self, endpoint_id: str, index: int) -> None:
+        """Forget a record; gateways are then told of all that are left."""
+        del self._endpoints[endpoint_id]
+        self._changed_at.pop(endpoint_id, None)
+        self._changes_since = self.revision = index
+        if endpoint_id in self.limits:
+            kept = {k: v for k, v in self.limits.items() if k != endpoint_id}
+            self._set_limits(kept, index)
--- a/tests/control/test_fleet.py
+++ b/tests/control/test_fleet.py
@@ -11,6 +11,7 @@
 from returns.result import Success
 
 from chervilshift.clock import SystemClock
+from chervilshift.control import fleet as control_fleet
 from chervilshift.control.fleet import FleetService
 from chervilshift.core.fleet.commands import AcceptServing, AnnounceEndpoint
 from chervilshift.core.fleet.documents import pack
@@ -23,9 +24,10 @@
     ServingLimits,
 )
 from chervilshift.core.fleet.state import FleetState
-from chervilshift.core.fleet.sync import ControlInfo, Relay
+from chervilshift.core.fleet.sync import ControlInfo, Heartbeat, Relay
 from chervilshift.errors import NotLeader
 from chervilshift.events import EventLog, HybridClock
+from tests.core.fleet.records import ready_endpoint
 
 DOCUMENT = b"{}"
 ANNOUNCE_INTERVAL_S = 0.4
@@ -129,3 +131,17 @@
     fleet = service(StubNode(misses=float("inf"), is_leader=False))
     with pytest.raises(NotLeader):
         anyio.run(fleet.receive_relay, Relay(sender=ControlInfo(address="c2")))
+
+
+def test_heartbeats_of_forgotten_endpoints_are_forgotten(monkeypatch):
+    monkeypatch.setattr(control_fleet, "MAX_ENDPOINTS", 4)
+    node = StubNode(misses=0)
+    fleet = service(node)
+    endpoint = ready_endpoint("kept")
+    node.machine.fleet.apply(AnnounceEndpoint(endpoint=endpoint), 2)
+    fleet._record_heartbeat(Heartbeat(endpoint="kept", born_ms=1))
+    for number in range(20):
+        fleet._record_heartbeat(Heartbeat(endpoint=f"e{number}", born_ms=1))
+        fleet._forget_heartbeats()
+        assert len(fleet._last_heartbeats) <= 5
+    assert "kept" in fleet._last_heartbeats
--- a/tests/core/fleet/test_origins.py
+++ b/tests/core/fleet/test_origins.py
@@ -10,8 +10,10 @@
 from chervilshift.core.fleet.model import GONE, SILENT, with_state
 from chervilshift.core.fleet.origins import (
     KEY_BYTES,
+    MAX_ENDED_SERVICES,
     MAX_OPEN_STREAMS,
     MAX_RECORDED_BYTES,
+    MAX_UNNAMED_VERSIONS,
     MAX_VERSIONS,
     STREAM_SLACK_S,
     OpenStreams,
@@ -117,7 +119,10 @@
     for number in range(10):
         table.note((OriginBatch(origin=V1, keys=keys),), number, KEPT_S)
         table.note_versions(
-            "llm", [f"{number}-{n}" for n in range(MAX_VERSIONS)], number
+            "llm",
+            [f"{number}-{n}" for n in range(MAX_VERSIONS)],
+            number,
+            named=("llm",),
         )
     stored = table.snapshot()
     assert sum(len(b.keys) for b in stored.batches) <= MAX_RECORDED_BYTES
@@ -129,6 +134,31 @@
     assert len(reported.keys) == MAX_OPEN_STREAMS * KEY_BYTES
 
 
+def test_ever_new_services_are_bounded_and_used_ones_are_kept():
+    table = OriginTable()
+    table.note_versions("named", ("v1",), 1.0, named=("named",))
+    table.note_versions("named", (), 2.0, named=("named",))
+    table.note_versions("serving", ("v1",), 3.0, named=("named",))
+    for number in range(10 * MAX_ENDED_SERVICES):
+        for serving in (("v1",), ("v1", "v2"), ()):
+            table.note_versions(
+                f"other-{number}", serving, 10.0 + number, named=("named",)
+            )
+        table.note_versions(f"empty-{number}", (), 10.0, named=("named",))
+    stored = table.snapshot().versions
+    assert len(stored) <= MAX_ENDED_SERVICES + 2
+    assert table.versions_since("named", 1.0) == {"v1"}
+    assert table.versions_since("serving", 1e9) == {"v1"}
+    assert f"other-{10 * MAX_ENDED_SERVICES - 1}" in stored
+
+
+def test_versions_of_a_service_that_is_not_named_are_bounded():
+    table = OriginTable()
+    for number in range(100):
+        table.note_versions("other", (f"v{number}",), float(number))
+    assert len(table.snapshot().versions["other"]) <= MAX_UNNAMED_VERSIONS
+
+
 def test_gateway_reports_a_stream_until_it_is_recorded_or_over():
     streams = OpenStreams()
     streams.begin(key(1), V1, "e1", 0.0)
--- a/tests/core/fleet/test_state.py
+++ b/tests/core/fleet/test_state.py
@@ -3,6 +3,7 @@
 import msgspec
 import pytest
 
+from chervilshift.core.fleet import state as fleet_state
 from chervilshift.core.fleet.commands import (
     AcceptServing,
     AnnounceEndpoint,
@@ -21,6 +22,7 @@
     SILENT,
     EndpointRecord,
 )
+from chervilshift.core.fleet.origins import MAX_ENDED_SERVICES
 from chervilshift.core.fleet.state import FleetState
 
 
@@ -39,7 +41,7 @@
 
 
 def announce(fleet_state: FleetState, index: int, **changes) -> str:
-    command = AnnounceEndpoint(endpoint=record(**changes))
+    command = AnnounceEndpoint(endpoint=record(**changes), now_s=float(index))
     return fleet_state.apply(command, index).state
 
 
@@ -152,11 +154,70 @@
     assert state.newest_usage() == 7
 
 
+def announce_many(fleet: FleetState, numbers: range, **changes) -> None:
+    """Announce an endpoint of a service of its own for each number."""
+    for number in numbers:
+        fields = {
+            "id": f"other-{number}",
+            "address": f"10.1.0.1:{number + 1}",
+            "service": f"s{number}",
+        }
+        announce(fleet, 10 + number, **(fields | changes))
+
+
+@pytest.mark.parametrize("state_name", [SILENT, DRAINING])
+def test_ever_new_endpoints_are_bounded_and_used_ones_are_kept(
+    monkeypatch, state_name
+):
+    """Endpoints that ended without a word stay silent for ever."""
+    monkeypatch.setattr(fleet_state, "MAX_ENDPOINTS", 64)
+    monkeypatch.setattr(fleet_state, "FORGOTTEN_ENDPOINTS", 4)
+    state = FleetState()
+    state.apply(
+        AcceptServing(version=1, document=b"doc", services=("llm",)), 1
+    )
+    announce(state, 2, id="ready")
+    announce(state, 3, id="silent", address="10.0.0.2:80", state=SILENT)
+    for number in range(1000):
+        announce_many(state, range(number, number + 1), state=state_name)
+        assert len(state.snapshot().endpoints) <= 64
+    assert state.endpoint("ready").state == READY
+    assert state.endpoint("silent").state == SILENT
+    assert state.endpoint("other-999") is not None
+    assert len(state.origins.snapshot().versions) <= 64 + MAX_ENDED_SERVICES
+
+
+def test_gateways_learn_of_forgotten_endpoints(monkeypatch):
+    monkeypatch.setattr(fleet_state, "MAX_ENDPOINTS", 8)
+    monkeypatch.setattr(fleet_state, "FORGOTTEN_ENDPOINTS", 2)
+    state = FleetState()
+    announce_many(state, range(8), state=SILENT)
+    known = state.revision
+    announce_many(state, range(8, 9))
+    assert state.endpoint("other-0") is None
+    assert state.revision > known
+    assert state.endpoints_since(known) is None
+
+
+def test_new_endpoint_is_not_taken_while_all_others_are_ready(monkeypatch):
+    monkeypatch.setattr(fleet_state, "MAX_ENDPOINTS", 8)
+    state = FleetState()
+    announce_many(state, range(9))
+    assert [e.id for e in state.endpoints()] == [
+        f"other-{n}" for n in range(8)
+    ]
+    announce_many(state, range(7, 8), state=DRAINING, seq=2)
+    announce_many(state, range(8, 9))
+    assert state.endpoint("other-8").state == READY
+
+
 @pytest.mark.parametrize("state_name", [READY, DRAINING, SILENT])
 def test_snapshot_restores_everything(state_name):
     state = FleetState()
     announce(state, 4, state=state_name)
-    state.apply(AcceptServing(version=2, document=b"doc"), 5)
+    state.apply(
+        AcceptServing(version=2, document=b"doc", services=("b", "a")), 5
+    )
     state.apply(CommitUsage(window=1, counts={"a": 1}), 6)
     crash = Crash(endpoint="e1", born_ms=1, at_s=1.0, parts={"bad": 1})
     state.apply(NoteCrashes(crashes=(crash,)), 7)
@@ -166,4 +227,5 @@
     restored = FleetState(snapshot=decoded)
     assert restored.snapshot() == state.snapshot()
     assert restored.revision == 4
+    assert restored.services == {"a", "b"}
     assert set(restored.crashes.suspicion().quarantined) == {"bad"}
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -14,7 +14,12 @@
 from returns.result import Failure as Bad
 from returns.result import Result
 
+from chervilshift.core.fleet.commands import (
+    AcceptServing,
+    AnnounceEndpoint,
+)
 from chervilshift.core.fleet.model import GONE, EndpointRecord
+from chervilshift.core.fleet.state import MAX_TOMBSTONES, FleetState
 from chervilshift.errors import BadRequest, ConfigRefused
 from chervilshift.gateway.events import last_event_id
 from chervilshift.platform.announcements import (
@@ -300,6 +305,28 @@
         assert isinstance(decoded, Bad)
 
 
+def test_announcements_with_ever_new_services_take_bounded_memory():
+    state = FleetState()
+    accepted = AcceptServing(version=1, document=b"", services=("llm",))
+    state.apply(accepted, 1)
+
+    def announce(name: str, index: int, **changes) -> None:
+        body = announcement(**changes)
+        endpoint = decode_announcement(name, body).unwrap()
+        state.apply(AnnounceEndpoint(endpoint=endpoint, now_s=index), index)
+
+    announce("w1", 2, addr="127.0.0.1:9")
+    sizes = []
+    for number in range(4 * MAX_TOMBSTONES):
+        service = f"{number}-".ljust(256, "x")
+        announce(f"odd{number}", 3 + number, service=service, born=number)
+        if (number + 1) % MAX_TOMBSTONES == 0:
+            sizes.append(len(msgspec.msgpack.encode(state.snapshot())))
+    assert sizes[-1] <= sizes[1] * 1.1
+    assert state.endpoint("w1").service == "llm"
+    assert state.origins.versions_since("llm", 1e9) == {"v1"}
+
+
 def test_processes_outlast_odd_entries_and_serve(tmp_path):
     """Control and gateways ended on the record, or at the first request."""
 
@@ -332,6 +359,7 @@
         assert not platform.ended
         fleet = platform.controls[0].node.machine.fleet
         assert fleet.endpoint("x" * 300) is None
+        assert fleet.services == {"llm", "app"}
         assert [e.id for e in gateway.state.placement.endpoints()] == ["w1"]
 
     run_scenario(tmp_path, scenario)
