Tables by names of others: bounds for those that only grew

Gateways kept retry budgets, prefill rates, latency ratios and accounts of all services and customers that any configuration had named, control the clocks of all peers and the state of orders for all failure domains that endpoints had named. A prompt part's id of up to a whole header was kept 400 times for each endpoint.

Clocks are dropped once they no longer count, orders of the least recently used beyond 8,192. Ids of parts longer than 32 characters are placed by their digest, as crash reports do already.

--- a/chervilshift/control/duties.py
+++ b/chervilshift/control/duties.py
@@ -26,6 +26,7 @@
     needed_size,
     plan_orders,
 )
+from chervilshift.core.fleet.tables import forget_unnamed
 from chervilshift.core.fleet.usage import window_of
 from chervilshift.errors import Failure
 from chervilshift.events import EventLog
@@ -50,6 +51,8 @@
 # without spot capacity for this time. Endpoints of the next accepted order
 # have to boot before their on-demand substitutes may be removed.
 SPOT_REFUSAL_TTL_S = 6.0
+# Services times failure domains and kinds; endpoints name their domain.
+MAX_ORDER_STATES = 8192
 # A new leader repeats the committed reports of this many windows, because its
 # predecessor may not have sent them.
 REPEATED_WINDOWS = 2
@@ -254,6 +257,12 @@
             return
         fleet_state = self._node.machine.fleet
         now = self._clock.monotonic()
+        self._spot_refused_at = {
+            domain: refused_at
+            for domain, refused_at in self._spot_refused_at.items()
+            if now - refused_at < SPOT_REFUSAL_TTL_S
+        }
+        forget_unnamed(self._sizes, cfg.services)
         # The loads from all gateways: "" excludes none.
         loads = self._presence.loads("", now)
         for spec in cfg.services.values():
@@ -271,11 +280,7 @@
                 prefill_tokens_per_s=self._presence.prefill_tokens_per_s(
                     spec.name, now
                 ),
-                spot_unavailable=frozenset(
-                    domain
-                    for domain, refused_at in self._spot_refused_at.items()
-                    if now - refused_at < SPOT_REFUSAL_TTL_S
-                ),
+                spot_unavailable=frozenset(self._spot_refused_at),
             )
             needed = needed_size(spec, fleet)
             size = self._sizes[spec.name].observe(needed, now)
@@ -286,7 +291,11 @@
     async def _place_order(
         self, order: Order, held: int, boot_s: float
     ) -> None:
-        order_state = self._order_states.setdefault(order.key, _OrderState())
+        # The one used longest ago is first.
+        order_state = self._order_states.pop(order.key, None) or _OrderState()
+        self._order_states[order.key] = order_state
+        while len(self._order_states) > MAX_ORDER_STATES:
+            del self._order_states[next(iter(self._order_states))]
         now = self._clock.monotonic()
         repeat = order_state.needs_repeat(
             held, now, boot_s + ORDER_ARRIVAL_MARGIN_S
--- a/chervilshift/core/fleet/crashreports.py
+++ b/chervilshift/core/fleet/crashreports.py
@@ -21,7 +21,7 @@
     new_parts,
 )
 
-__all__ = ["CrashReports", "request_part", "suspect_parts"]
+__all__ = ["CrashReports", "request_part", "short_id", "suspect_parts"]
 
 # Longer than the election of a leader, and the repair of a cut, take.
 REPORT_S = 30.0
@@ -68,7 +68,7 @@
     last one belongs to the request; `request` is its `request_part`.
     """
     shared = [
-        (_short_id(part), position) for position, part in enumerate(ids[:-1])
+        (short_id(part), position) for position, part in enumerate(ids[:-1])
     ]
     if len(shared) > MAX_SHARED_PARTS:
         shared[MAX_SHARED_PARTS - 1 :] = [(MANY_PARTS, len(shared))]
@@ -87,7 +87,8 @@
     return REQUEST_PREFIX + digest.hexdigest()
 
 
-def _short_id(part: str) -> str:
+def short_id(part: str) -> str:
+    """Return the id of a prompt part, or a digest if it is long."""
     if len(part) <= MAX_PART_ID_CHARS and not is_request(part):
         return part
     return blake2b(part.encode(), digest_size=DIGEST_BYTES).hexdigest()
--- a/chervilshift/core/fleet/limits.py
+++ b/chervilshift/core/fleet/limits.py
@@ -19,6 +19,7 @@
     is_relayed,
 )
 from chervilshift.core.fleet.model import Customer
+from chervilshift.core.fleet.tables import forget_unnamed
 
 __all__ = [
     "EndpointLimit",
@@ -322,6 +323,7 @@
             customer = self._customers.get(name)
             cap = self._prefetch_cap(customer) if customer else 0.0
             account.balance = min(account.balance, cap)
+        forget_unnamed(self._accounts, self._customers)
 
     def apply_grants(
         self,
--- a/chervilshift/core/fleet/placement.py
+++ b/chervilshift/core/fleet/placement.py
@@ -13,7 +13,7 @@
 
 import hashlib
 from collections import OrderedDict, defaultdict
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 from itertools import chain
 
 from chervilshift.core.fleet.health import Health
@@ -25,6 +25,7 @@
     ServiceSpec,
 )
 from chervilshift.core.fleet.sync import EndpointLoad
+from chervilshift.core.fleet.tables import forget_unnamed
 
 __all__ = ["Choice", "Endpoint", "Placed", "Placement", "Work"]
 
@@ -293,6 +294,10 @@
         ready = (r for r in changed.values() if r.state != GONE)
         self.update_endpoints(chain(kept, ready))
 
+    def set_services(self, names: Container[str]) -> None:
+        """Set the services that the configuration names."""
+        forget_unnamed(self._latency_ratios, names)
+
     def set_other_loads(self, loads: dict[str, EndpointLoad]) -> None:
         """Set the load from other gateways, by endpoint id."""
         idle = EndpointLoad()
--- a/chervilshift/core/fleet/walltime.py
+++ b/chervilshift/core/fleet/walltime.py
@@ -33,13 +33,21 @@
 
         `now` is monotonic time.
         """
+        # The oldest is first.
+        self._offsets.pop(peer, None)
         self._offsets[peer] = (peer_wall_s - wall_s, now)
+        while not self._is_recent(next(iter(self._offsets)), now):
+            del self._offsets[next(iter(self._offsets))]
 
     def correct(self, wall_s: float, now: float) -> float:
         """Return this host's Unix time `wall_s` plus the median offset."""
         recent = (
             offset
-            for offset, observed_at in self._offsets.values()
-            if now - observed_at < OFFSET_MAX_AGE_S
+            for peer, (offset, _) in self._offsets.items()
+            if self._is_recent(peer, now)
         )
         return wall_s + median(tuple(chain(self._own, recent)) or (0.0,))
+
+    def _is_recent(self, peer: str, now: float) -> bool:
+        _, observed_at = self._offsets[peer]
+        return now - observed_at < OFFSET_MAX_AGE_S
--- a/chervilshift/gateway/exchange.py
+++ b/chervilshift/gateway/exchange.py
@@ -1,6 +1,10 @@
 """The state of one request while it is being served."""
 
-from chervilshift.core.fleet.crashreports import request_part, suspect_parts
+from chervilshift.core.fleet.crashreports import (
+    request_part,
+    short_id,
+    suspect_parts,
+)
 from chervilshift.core.fleet.model import STREAM, Customer, Route
 from chervilshift.core.fleet.origins import stream_key
 from chervilshift.core.fleet.placement import Work
@@ -84,7 +88,9 @@
         self.work = Work(
             tokens=request.prompt_tokens or 0,
             output_tokens=request.output_tokens or 0,
-            parts=tuple((p.id, p.tokens) for p in request.prompt_parts),
+            parts=tuple(
+                (short_id(p.id), p.tokens) for p in request.prompt_parts
+            ),
         )
         self.suspect_parts = suspect_parts(
             [part.id for part in request.prompt_parts],
--- a/chervilshift/gateway/state.py
+++ b/chervilshift/gateway/state.py
@@ -27,6 +27,7 @@
 from chervilshift.core.fleet.retries import RetryBudget, RetryPolicy
 from chervilshift.core.fleet.routes import RouteTable
 from chervilshift.core.fleet.sync import GatewayInfo, GatewaySync, SyncReply
+from chervilshift.core.fleet.tables import forget_unnamed
 from chervilshift.core.fleet.usage import UsageCounter
 from chervilshift.core.fleet.walltime import WallTime
 from chervilshift.core.rates import DecayingRate
@@ -346,4 +347,7 @@
         self.table = RouteTable(cfg=cfg)
         self._configured.set()
         self.limits.configure(cfg.customers)
+        self.placement.set_services(cfg.services)
+        forget_unnamed(self._retry_budgets, cfg.services)
+        forget_unnamed(self._prefill_rates, cfg.services)
         self._events.emit("config", version=cfg.version)
--- a/tests/control/test_duties.py
+++ b/tests/control/test_duties.py
@@ -9,6 +9,7 @@
 from returns.result import Success
 
 from chervilshift.clock import ManualClock
+from chervilshift.control import duties
 from chervilshift.control.duties import CLOUD_CALL_TIMEOUT_S, DutyTask
 from chervilshift.core.commands import AnnounceEndpoint, CommitUsage
 from chervilshift.core.fleet.model import (
@@ -248,9 +249,14 @@
 
 
 def announce(
-    world: World, state: str, count: int, *, spot: bool = True
+    world: World,
+    state: str,
+    count: int,
+    *,
+    spot: bool = True,
+    domain: str = "a",
 ) -> None:
-    """Announce `count` endpoints of domain a in a state."""
+    """Announce `count` endpoints of a failure domain in a state."""
     for number in range(count):
         record = EndpointRecord(
             id=f"e{number}",
@@ -259,7 +265,7 @@
             state=state,
             service="llm",
             address=f"e{number}:80",
-            failure_domain="a",
+            failure_domain=domain,
             slots=8,
             spot=spot,
         )
@@ -289,3 +295,15 @@
     world = World(cfg=scaled_config())
     world.run(LEASE_S + CLOUD_CALL_TIMEOUT_S + 4.0)
     assert len(world.cloud.orders) == len(set(world.cloud.orders))
+
+
+def test_orders_for_ever_new_failure_domains_are_bounded(monkeypatch):
+    """Endpoints name their failure domain themselves."""
+    monkeypatch.setattr(duties, "MAX_ORDER_STATES", 8)
+    world = World(cfg=scaled_config())
+    world.run(LEASE_S + CLOUD_CALL_TIMEOUT_S + 1.0)
+    for number in range(20):
+        announce(world, "ready", 1, domain=f"d{number}")
+        world.run(0.5)
+    assert len(world.task._order_states) <= 8
+    assert any(key[1] == "a" for key in world.task._order_states)
