Storage: a magic number before zeros is a torn tail

Callers saw: a replica whose last save was torn behind the magic number of its frame ended at each start with a decode error.

Cause: such a frame has size 0 and checksum 0, and the checksum of nothing is 0, so it counted as whole.

Evidence: test_magic_number_before_zeros_is_a_torn_tail failed before (DecodeError).

Change: a frame without a body is invalid; no save writes one.

--- a/chervilshift/control/storage.py
+++ b/chervilshift/control/storage.py
@@ -281,7 +281,10 @@
     magic, size, crc = FRAME_HEADER.unpack_from(data, offset)
     start = offset + FRAME_HEADER.size
     body = data[start : start + size]
-    if magic != FRAME_MAGIC or len(body) < size or zlib.crc32(body) != crc:
+    # The checksum of nothing is 0, so a magic number before zeros would pass.
+    if magic != FRAME_MAGIC or not size or len(body) < size:
+        return None
+    if zlib.crc32(body) != crc:
         return None
     return body
 
--- a/tests/control/test_storage.py
+++ b/tests/control/test_storage.py
@@ -230,3 +230,14 @@
     recovered = load_again(tmp_path).unwrap()
     assert recovered.snapshot.data == b"state"
     assert [e.index for e in recovered.entries] == [2]
+
+
+def test_magic_number_before_zeros_is_a_torn_tail(tmp_path):
+    """The checksum of an empty body is 0, as in a header of zeros."""
+    storage = formatted_storage(tmp_path)
+    storage.save(HardState(term=1), (entry(1),)).unwrap()
+    path = tmp_path / "log"
+    path.write_bytes(path.read_bytes() + b"CSL1" + bytes(60))
+    recovered = load_again(tmp_path).unwrap()
+    assert [e.index for e in recovered.entries] == [1]
+    assert recovered.cut_bytes == 64
