Control: a command that raises is answered and changes nothing

Callers saw: one command that could not be encoded ended the process of the leader; one that could not be decoded or applied ended the process of each replica, and again at each start. The boundary keeps such commands out today; the replica itself bore none.

Cause: commands were encoded and applied inside the loop of the replica, without regard to what they raise.

Change: the leader encodes and decodes a command before it appends it and refuses what fails.

Errors that depend on the process (memory, recursion) and entries that can't be decoded still end the process: passing over them would let the replicas differ.

--- a/chervilshift/control/node.py
+++ b/chervilshift/control/node.py
@@ -29,6 +29,7 @@
 from chervilshift.core.raft.state import LEADER, HardState, Ready, Timing
 from chervilshift.errors import (
     AtCapacity,
+    BadRequest,
     Failure,
     NotLeader,
     OutcomeUnknown,
@@ -126,6 +127,8 @@
         self._inbox, self._inbox_receiver = anyio.create_memory_object_stream[
             RaftMessage | Proposal
         ](MAX_INBOX_MESSAGES)
+        # Committed commands since the last snapshot that had no effect.
+        self._failed_indices: set[int] = set()
         self._outboxes: dict[str, anyio.abc.ObjectSendStream] = {}
         self._unknown_peers: set[str] = set()
         self._pending: dict[int, Proposal] = {}
@@ -306,8 +309,11 @@
                 )
             )
             return
-        data = msgspec.msgpack.encode(message.command)
-        index = self.raft.propose(data, now)
+        encoded = _encode_command(message.command)
+        if isinstance(encoded, Bad):
+            message.finish(encoded)
+            return
+        index = self.raft.propose(encoded.unwrap(), now)
         if index is None:
             message.finish(Bad(NotLeader(leader=self.leader_address())))
             return
@@ -371,6 +377,7 @@
         state = STATE_DECODER.decode(snapshot.data) if snapshot.data else None
         self.machine = StateMachine(state=state)
         self._applied_index = snapshot.index
+        self._failed_indices = set()
         self._notify_config_watchers()
 
     def _apply_committed(self) -> None:
@@ -391,16 +398,47 @@
             self._events.emit("voters", voters=[v.id for v in voters])
         if entry.kind != COMMAND:
             return
+        # A replica of an older release that can't decode a command ends here:
+        # passing over it would make the state differ from the others'.
         command = COMMAND_DECODER.decode(entry.data)
-        reply = self.machine.apply(entry.index, command)
+        reply = self._apply_command(entry.index, command)
         proposal = self._pending.pop(entry.index, None)
         if proposal is None:
             return
         if proposal.term == entry.term:
-            proposal.finish(Success(reply))
+            proposal.finish(reply)
         else:
             proposal.finish(Bad(_leadership_lost()))
 
+    def _apply_command(
+        self, index: int, command: Command
+    ) -> Result[CommandReply, Failure]:
+        """Apply a command; one that raises has no effect on any replica."""
+        try:
+            return Success(self.machine.apply(index, command))
+        except (MemoryError, RecursionError):
+            # These depend on the process, so other replicas may apply it.
+            raise
+        except Exception as exc:
+            name = type(command).__name__
+            logging.exception("%s at %d can't be applied", name, index)
+            self._events.emit("command_failed", index=index, command=name)
+            self._failed_indices.add(index)
+            self._rebuild(index)
+            return Bad(BadRequest(reason=f"{name} can't be applied: {exc}"))
+
+    def _rebuild(self, index: int) -> None:
+        """Restore the state before `index`, which may be partly changed."""
+        snapshot = self.raft.log.full_snapshot
+        state = STATE_DECODER.decode(snapshot.data) if snapshot.data else None
+        self.machine = StateMachine(state=state)
+        for entry in self.raft.log.between(snapshot.index + 1, index - 1):
+            if entry.kind == COMMAND and (
+                entry.index not in self._failed_indices
+            ):
+                command = COMMAND_DECODER.decode(entry.data)
+                self.machine.apply(entry.index, command)
+
     def _fail_lost_proposals(self) -> None:
         """Fail pending proposals after the loss of leadership."""
         if self.raft.is_leader or not self._pending:
@@ -418,6 +456,7 @@
             data=msgspec.msgpack.encode(self.machine.state()),
         )
         self.raft.log.compact(snapshot, KEPT_ENTRIES)
+        self._failed_indices = set()
         hard_state = self._hard_state()
         entries = self.raft.log.between(index + 1, self.raft.log.last_index)
         await self._persist(
@@ -492,6 +531,23 @@
                 await anyio.sleep(TICK_INTERVAL_S)
 
 
+def _encode_command(command: Command) -> Result[bytes, Failure]:
+    """Encode a command, if replicas can decode it."""
+    try:
+        data = msgspec.msgpack.encode(command)
+        COMMAND_DECODER.decode(data)
+    except (
+        msgspec.MsgspecError,
+        OverflowError,
+        TypeError,
+        ValueError,
+    ) as exc:
+        name = type(command).__name__
+        logging.error("%s can't be encoded: %s", name, exc)
+        return Bad(BadRequest(reason=f"{name} can't be encoded: {exc}"))
+    return Success(data)
+
+
 def _leadership_lost() -> Failure:
     return OutcomeUnknown(key="command", reason="leadership was lost")
 
