Control: a replica whose disk fails answers, and holds no old messages

Callers saw, while the disk of a leader was full or hung: commands stayed unanswered for as long as that took. Consensus messages piled up, 4,096 of up to 1 MB each. Afterwards the replica processed those of the past seconds as if they had just arrived, and reported a state of five seconds ago as 0.5 s old. A replica that started on a full disk ended.

Cause: while a save was tried again, nothing read the inbox, which was bounded by messages only; waits of proposals had no limit.

Evidence: six tests of test_node.py failed before: no answer within 8 s, 105 MB held, stale_s 0.501 for more than 5, StorageFailed at the start (with the new log file, which needs room at a start).

Change: while saves fail, consensus messages are dropped, commands and joins are refused as not run, and appended commands are answered with an unknown outcome. At the second failure a leader steps down, so that calls through this replica look for the next one. The inbox is bounded by 16 MiB too. A proposal is answered after 5 s; one that was not appended by then, or whose caller is gone, is not appended later. A start on a full disk tries again in the loop and serves meanwhile.

--- a/chervilshift/control/node.py
+++ b/chervilshift/control/node.py
@@ -2,6 +2,7 @@
 
 import math
 from collections.abc import Callable
+from itertools import count
 from random import Random
 
 import anyio
@@ -20,6 +21,8 @@
 from chervilshift.core.raft.messages import (
     COMMAND,
     VOTERS,
+    Append,
+    InstallSnapshot,
     LogEntry,
     RaftMessage,
     Snapshot,
@@ -43,6 +46,9 @@
 # Longest time between two ticks of the consensus.
 TICK_INTERVAL_S = 0.05
 MAX_INBOX_MESSAGES = 4096
+# Entries and snapshots in the inbox. A single message above it is taken into
+# an empty inbox.
+MAX_INBOX_BYTES = 16 << 20
 # Per peer.
 MAX_OUTBOX_MESSAGES = 256
 # Time limits of sending one batch; the second if it contains a snapshot.
@@ -61,6 +67,8 @@
 # Interval of attempts to write to a full or failing disk.
 STORAGE_RETRY_INTERVAL_S = 0.3
 MAX_PENDING_PROPOSALS = 2000
+# A command that was not applied after this time is answered.
+PROPOSAL_TIMEOUT_S = 5.0
 
 COMMAND_DECODER = msgspec.msgpack.Decoder(Command)
 STATE_DECODER = msgspec.msgpack.Decoder(MachineState)
@@ -81,9 +89,13 @@
         self._done = anyio.Event()
 
     def finish(self, outcome: Result[CommandReply, Failure]) -> None:
-        """Set the outcome and wake the caller of `wait`."""
-        self.outcome = outcome
-        self._done.set()
+        """Set the outcome, if there is none, and wake the caller of `wait`.
+
+        A proposal with an outcome is not appended any more.
+        """
+        if self.outcome is None:
+            self.outcome = outcome
+            self._done.set()
 
     async def wait(self) -> Result[CommandReply, Failure]:
         """Wait for the outcome."""
@@ -96,7 +108,8 @@
 
     `run` raises StorageFailed if the disk fails: without durable storage the
     replica must neither vote nor acknowledge entries. With `open_membership`
-    it retries instead and sends nothing meanwhile.
+    it retries instead. Meanwhile it neither sends nor receives, and refuses
+    commands.
     """
 
     def __init__(
@@ -127,6 +140,8 @@
         self._inbox, self._inbox_receiver = anyio.create_memory_object_stream[
             RaftMessage | Proposal
         ](MAX_INBOX_MESSAGES)
+        self._inbox_bytes = 0
+        self._is_retrying = False
         # Committed commands since the last snapshot that had no effect.
         self._failed_indices: set[int] = set()
         self._outboxes: dict[str, anyio.abc.ObjectSendStream] = {}
@@ -141,24 +156,48 @@
     # For other tasks
 
     def deliver(self, message: RaftMessage) -> None:
-        """Queue a consensus message; it is dropped if the inbox is full."""
+        """Queue a consensus message; it is dropped if the inbox is full.
+
+        It is also dropped while saves fail, as it would be old when it is
+        processed. The protocol sends lost messages again.
+        """
+        if self._is_retrying:
+            return
+        size = _payload_bytes(message)
+        if self._inbox_bytes and self._inbox_bytes + size > MAX_INBOX_BYTES:
+            logging.warning("inbox full, consensus message dropped")
+            return
         try:
             self._inbox.send_nowait(message)
         except anyio.WouldBlock:
             logging.warning("inbox full, consensus message dropped")
+            return
+        self._inbox_bytes += size
 
     async def submit(self, command: Command) -> Result[CommandReply, Failure]:
         """Commit and apply a command; return the reply to it.
 
-        Fails with NotLeader on a follower, with AtCapacity if too many
-        commands are pending, with StorageFailed if the disk fails, and with
-        OutcomeUnknown if leadership is lost before the command is applied.
+        Fails with BadRequest if the command can't be encoded or applied, with
+        NotLeader on a follower and while the disk fails, and with AtCapacity
+        if too many commands are pending. It did not run then. Fails with
+        OutcomeUnknown if it was appended, and then leadership was lost, the
+        disk failed or it was not applied in time.
         """
+        if self._is_retrying:
+            return Bad(NotLeader(leader=""))
         if not self.raft.is_leader:
             return Bad(NotLeader(leader=self.leader_address()))
         proposal = Proposal(command=command)
-        await self._inbox.send(proposal)
-        return await proposal.wait()
+        try:
+            self._inbox.send_nowait(proposal)
+        except anyio.WouldBlock:
+            return Bad(_too_many_pending())
+        try:
+            with anyio.move_on_after(PROPOSAL_TIMEOUT_S):
+                return await proposal.wait()
+        finally:
+            proposal.finish(Bad(_not_applied_in_time(proposal)))
+        return proposal.outcome
 
     def leader_address(self) -> str:
         """Return the RPC address of the leader, or "" if it is not known."""
@@ -168,8 +207,10 @@
     def join(self, voter: Voter) -> Result[None, Failure]:
         """Start to replicate to a replica that is not a voter yet.
 
-        Fails with NotLeader on a follower.
+        Fails with NotLeader on a follower and while the disk fails.
         """
+        if self._is_retrying:
+            return Bad(NotLeader(leader=""))
         if not self.raft.is_leader:
             return Bad(NotLeader(leader=self.leader_address()))
         if self.raft.add_learner(voter, self._clock.monotonic()):
@@ -234,12 +275,13 @@
 
         Raises CorruptLog or StorageFailed.
         """
-        recovered = self._storage.load()
+        recovered = self._storage.recover()
         if isinstance(recovered, Bad):
             raise recovered.failure()
         self._start(recovered.unwrap())
         async with anyio.create_task_group() as tg:
             task_status.started()
+            await self._persist(self._storage.reopen)
             while True:
                 await self._run_once(tg)
 
@@ -293,6 +335,7 @@
         with anyio.move_on_after(TICK_INTERVAL_S):
             batch.append(await self._inbox_receiver.receive())
         batch.extend(_receive_waiting(self._inbox_receiver))
+        self._inbox_bytes = 0
         return batch
 
     def _process(self, message: RaftMessage | Proposal) -> None:
@@ -300,14 +343,10 @@
         if not isinstance(message, Proposal):
             self.raft.step(message, now)
             return
+        if message.outcome is not None:
+            return
         if len(self._pending) >= MAX_PENDING_PROPOSALS:
-            message.finish(
-                Bad(
-                    AtCapacity(
-                        customer="all", reason="too many pending commands"
-                    )
-                )
-            )
+            message.finish(Bad(_too_many_pending()))
             return
         encoded = _encode_command(message.command)
         if isinstance(encoded, Bad):
@@ -357,21 +396,35 @@
     async def _persist(self, write: Callable, *args: object) -> None:
         """Write on a thread; with open membership, retry until it succeeds.
 
-        A failed write fails all pending proposals. While it retries, the
-        replica sends nothing, so the others elect a leader without it.
+        A failed write ends all waits of proposals. While it retries, the
+        replica sends nothing, so the others elect a leader without it. A
+        leader steps down at the second failure, so that calls that reach this
+        replica look for the next one.
         """
-        while True:
+        for attempt in count(1):
             result = await anyio.to_thread.run_sync(write, *args)
             if not isinstance(result, Bad):
-                return
+                break
             self._events.emit("storage_failed", reason=str(result.failure()))
-            for proposal in self._pending.values():
-                proposal.finish(Bad(result.failure()))
-            self._pending = {}
+            self._is_retrying = True
+            self._fail_proposals("a save failed")
             if not self._open_membership:
                 raise result.failure()
+            if attempt > 1:
+                self.raft.step_down(self._clock.monotonic())
             await anyio.sleep(STORAGE_RETRY_INTERVAL_S)
             await anyio.to_thread.run_sync(self._storage.reopen)
+        self._is_retrying = False
+
+    def _fail_proposals(self, reason: str) -> None:
+        """End all waits of proposals and empty the inbox."""
+        for proposal in self._pending.values():
+            proposal.finish(Bad(OutcomeUnknown(key="command", reason=reason)))
+        self._pending = {}
+        for message in _receive_waiting(self._inbox_receiver):
+            if isinstance(message, Proposal):
+                message.finish(Bad(NotLeader(leader="")))
+        self._inbox_bytes = 0
 
     def _restore(self, snapshot: Snapshot) -> None:
         state = STATE_DECODER.decode(snapshot.data) if snapshot.data else None
@@ -531,6 +584,15 @@
                 await anyio.sleep(TICK_INTERVAL_S)
 
 
+def _payload_bytes(message: RaftMessage) -> int:
+    """Return the size of the entries or the snapshot in a message."""
+    if isinstance(message, Append):
+        return sum(len(entry.data) for entry in message.entries)
+    if isinstance(message, InstallSnapshot):
+        return len(message.snapshot.data)
+    return 0
+
+
 def _encode_command(command: Command) -> Result[bytes, Failure]:
     """Encode a command, if replicas can decode it."""
     try:
@@ -548,6 +610,16 @@
     return Success(data)
 
 
+def _too_many_pending() -> Failure:
+    return AtCapacity(customer="all", reason="too many pending commands")
+
+
+def _not_applied_in_time(proposal: Proposal) -> Failure:
+    if proposal.term:
+        return OutcomeUnknown(key="command", reason="not applied in time")
+    return AtCapacity(customer="all", reason="not appended in time")
+
+
 def _leadership_lost() -> Failure:
     return OutcomeUnknown(key="command", reason="leadership was lost")
 
--- a/chervilshift/core/raft/leadership.py
+++ b/chervilshift/core/raft/leadership.py
@@ -51,15 +51,13 @@
             now - self._quorum_acked_at(now)
             > self.timing.election_timeout_max_s
         ):
-            self._become_follower(self.term, now)
-            self.leader_id = None
+            self.step_down(now)
             return
         if self.transferring_to and now > self._transfer_deadline:
             # The target may still receive TimeoutNow and win an election
             # that the other voters do not refuse, so the lease is given up
             # by stepping down.
-            self._become_follower(self.term, now)
-            self.leader_id = None
+            self.step_down(now)
             return
         if now >= self._heartbeat_due_at:
             self._heartbeat_due_at = now + self.timing.heartbeat_interval_s
--- a/chervilshift/core/raft/node.py
+++ b/chervilshift/core/raft/node.py
@@ -247,6 +247,12 @@
         self._try_transfer(now)
         return True
 
+    def step_down(self, now: float) -> None:
+        """Give up leadership, if this replica has it."""
+        if self.is_leader:
+            self._become_follower(self.term, now)
+            self.leader_id = None
+
     # Output
 
     def take_ready(self) -> Ready:
--- a/tests/control/test_node.py
+++ b/tests/control/test_node.py
@@ -4,6 +4,9 @@
 from random import Random
 
 import anyio
+import msgspec
+import pytest
+from returns.result import Failure as Bad
 from returns.result import Success
 
 from chervilshift.control.node import Node
@@ -11,11 +14,15 @@
 from chervilshift.core.commands import (
     AdvanceTime,
     IssueFence,
+    Ok,
 )
 from chervilshift.core.ledger import Ledger
-from chervilshift.core.raft.messages import Voter
+from chervilshift.core.raft.messages import Append, LogEntry, Voter
 from chervilshift.errors import (
+    AtCapacity,
     BadRequest,
+    NotLeader,
+    OutcomeUnknown,
 )
 from chervilshift.events import EventLog, HybridClock
 from tests.control.model_disk import ModelDisk
@@ -95,6 +102,142 @@
     replica.run(limited)
 
 
+def test_command_is_answered_while_the_disk_is_full():
+    """It stayed unanswered as long as the disk was full."""
+    replica = Replica()
+    outcomes = []
+
+    async def play(node):
+        replica.full = True
+        async with anyio.create_task_group() as tg:
+            for _ in range(3):
+                tg.start_soon(submit_into, outcomes, node, FENCE)
+                await anyio.sleep(1.0)
+        assert len(outcomes) == 3
+        appended, *refused = [o.failure() for o in outcomes]
+        assert isinstance(appended, OutcomeUnknown)
+        assert all(isinstance(f, NotLeader) for f in refused)
+        replica.full = False
+        with anyio.fail_after(ANSWER_S):
+            while isinstance(await node.submit(FENCE), Bad):
+                await anyio.sleep(0.1)
+
+    run_limited(replica, play)
+
+
+def test_command_behind_a_save_that_hangs_is_answered_and_not_run():
+    replica = Replica()
+    outcomes = []
+
+    async def play(node):
+        replica.save_s = 30.0
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(submit_into, outcomes, node, FENCE)
+            await anyio.sleep(0.5)
+            tg.start_soon(submit_into, outcomes, node, FENCE)
+            await anyio.sleep(ANSWER_S)
+            assert len(outcomes) == 2
+            tg.cancel_scope.cancel()
+        replica.save_s = 0.001
+        appended, queued = [o.failure() for o in outcomes]
+        assert isinstance(appended, OutcomeUnknown)
+        assert isinstance(queued, AtCapacity)
+        fence = node.machine.fence
+        await anyio.sleep(40.0)
+        last = (await node.submit(AdvanceTime(elapsed_s=0.0))).unwrap()
+        assert last == Ok()
+        # The first command ran once; the one behind it never.
+        assert node.machine.fence > fence
+        commands = [
+            e.data
+            for e in node.raft.log.between(1, node.raft.commit)
+            if e.kind == "command"
+        ]
+        assert commands.count(msgspec.msgpack.encode(FENCE)) == 1
+
+    run_limited(replica, play)
+
+
+def heartbeat(node: Node, entries=(), *, term: int = 5) -> Append:
+    return Append(
+        src=voter("b").id,
+        dst=voter("a").id,
+        sender=voter("b"),
+        term=term,
+        prev_index=node.raft.log.snapshot.index,
+        prev_term=node.raft.log.snapshot.term,
+        commit=node.raft.commit,
+        sent_at=0.0,
+        entries=entries,
+    )
+
+
+def held_bytes(node: Node) -> int:
+    held = []
+    while node._inbox_receiver.statistics().current_buffer_used:
+        held.append(node._inbox_receiver.receive_nowait())
+    return sum(len(e.data) for message in held for e in message.entries)
+
+
+@pytest.mark.parametrize("fault", ["full", "hangs"])
+def test_messages_during_a_save_are_held_in_bounded_memory(fault):
+    """4,096 messages of 1 MB were held."""
+    replica = Replica(names=("a", "b", "c"))
+
+    async def play(node):
+        replica.full = fault == "full"
+        replica.save_s = 30.0 if fault == "hangs" else 0.001
+        node.deliver(heartbeat(node))
+        await anyio.sleep(1.0)
+        entry = LogEntry(index=2, term=5, data=bytes(1 << 20))
+        for _ in range(100):
+            node.deliver(heartbeat(node, (entry,)))
+        assert held_bytes(node) <= MAX_HELD_BYTES
+
+    run_limited(replica, play)
+
+
+def test_age_of_the_state_counts_the_time_of_a_full_disk():
+    """Heartbeats that had waited for it counted as new."""
+    replica = Replica(names=("a", "b", "c"))
+
+    async def play(node):
+        node.deliver(heartbeat(node))
+        await anyio.sleep(0.5)
+        replica.full = True
+        for _ in range(20):
+            node.deliver(heartbeat(node, term=6))
+            await anyio.sleep(0.1)
+        await anyio.sleep(5.0)
+        replica.full = False
+        await anyio.sleep(0.5)
+        assert node.stale_s() >= 5.0
+
+    run_limited(replica, play)
+
+
+def test_replica_that_starts_on_a_full_disk_serves_and_goes_on():
+    replica = Replica()
+    replica.full = True
+
+    async def run() -> None:
+        async with anyio.create_task_group() as tg:
+            replica.names = ("a", "no lease to wait for")
+            with anyio.fail_after(1.0):
+                await replica.start(tg)
+            await anyio.sleep(3.0)
+            assert isinstance(
+                (await replica.node.submit(FENCE)).failure(), NotLeader
+            )
+            replica.full = False
+            with anyio.fail_after(ANSWER_S):
+                while not replica.node.has_lease():
+                    await anyio.sleep(0.05)
+            tg.cancel_scope.cancel()
+
+    run_virtual(run, lambda: 0.001)
+
+
 def test_command_that_cannot_be_encoded_is_refused():
     """It ended the process."""
 
