Control: compact the log after 8 MiB too

Cause: the log was compacted after 1,000 entries whatever their size, so large documents could fill a disk of 128 MB and the memory of control; a full disk then never got room again, as the compaction comes after a save.

Evidence: test_log_of_large_documents_is_compacted_by_its_size failed before: 62.9 MB for 60 documents of 1 MB, 33.6 allowed.

Change: compaction after 8 MiB of applied entries or 1,000 entries.

--- a/chervilshift/control/node.py
+++ b/chervilshift/control/node.py
@@ -54,9 +54,10 @@
 # Time limits of sending one batch; the second if it contains a snapshot.
 SEND_TIMEOUT_S = 1.0
 SNAPSHOT_TIMEOUT_S = 30.0
-# The log is compacted after this many applied entries. The newest of them are
-# kept for followers that are slightly behind.
+# The log is compacted after this many applied entries or bytes. The newest of
+# the entries are kept for followers that are slightly behind.
 COMPACT_AFTER_ENTRIES = 1000
+COMPACT_AFTER_BYTES = 8 << 20
 KEPT_ENTRIES = 200
 # Interval at which the leader appends the elapsed time to the log.
 ADVANCE_TIME_INTERVAL_S = 5.0
@@ -137,6 +138,8 @@
         self.raft: Raft | None = None
         self.machine = StateMachine()
         self._applied_index = 0
+        # Size of the entries that were applied since the last snapshot.
+        self._applied_bytes = 0
         self._inbox, self._inbox_receiver = anyio.create_memory_object_stream[
             RaftMessage | Proposal
         ](MAX_INBOX_MESSAGES)
@@ -322,10 +325,7 @@
             self._send(tg, message)
         self._apply_committed()
         self._fail_lost_proposals()
-        if (
-            self._applied_index - self.raft.log.full_snapshot.index
-            > COMPACT_AFTER_ENTRIES
-        ):
+        if self._must_compact():
             await self._compact()
         self._report_role()
 
@@ -430,6 +430,7 @@
         state = STATE_DECODER.decode(snapshot.data) if snapshot.data else None
         self.machine = StateMachine(state=state)
         self._applied_index = snapshot.index
+        self._applied_bytes = 0
         self._failed_indices = set()
         self._notify_config_watchers()
 
@@ -446,6 +447,7 @@
 
     def _apply(self, entry: LogEntry) -> None:
         self._applied_index = entry.index
+        self._applied_bytes += len(entry.data)
         if entry.kind == VOTERS:
             voters = self.raft.log.voters_at(entry.index)
             self._events.emit("voters", voters=[v.id for v in voters])
@@ -500,6 +502,13 @@
             proposal.finish(Bad(_leadership_lost()))
         self._pending = {}
 
+    def _must_compact(self) -> bool:
+        applied = self._applied_index - self.raft.log.full_snapshot.index
+        return (
+            applied > COMPACT_AFTER_ENTRIES
+            or self._applied_bytes > COMPACT_AFTER_BYTES
+        )
+
     async def _compact(self) -> None:
         index = self._applied_index
         snapshot = Snapshot(
@@ -509,6 +518,7 @@
             data=msgspec.msgpack.encode(self.machine.state()),
         )
         self.raft.log.compact(snapshot, KEPT_ENTRIES)
+        self._applied_bytes = 0
         self._failed_indices = set()
         hard_state = self._hard_state()
         entries = self.raft.log.between(index + 1, self.raft.log.last_index)
--- a/tests/control/model_disk.py
+++ b/tests/control/model_disk.py
@@ -127,6 +127,10 @@
     def close(self, fd):
         del self._files[fd]
 
+    def used_bytes(self) -> int:
+        """Return the size of all files."""
+        return sum(len(file.cached) for file in self._names.values())
+
     # Faults
 
     def end_process(self) -> None:
--- a/tests/control/test_node.py
+++ b/tests/control/test_node.py
@@ -16,6 +16,7 @@
     IssueFence,
     Ok,
 )
+from chervilshift.core.fleet.commands import AcceptServing
 from chervilshift.core.ledger import Ledger
 from chervilshift.core.raft.messages import Append, LogEntry, Voter
 from chervilshift.errors import (
@@ -294,3 +295,18 @@
         assert node.machine.state() == states[0]
 
     run_limited(replica, play_again)
+
+
+def test_log_of_large_documents_is_compacted_by_its_size():
+    """1,000 entries could fill the disk, and then nothing made room."""
+    replica = Replica()
+    sizes = []
+
+    async def play(node):
+        for version in range(1, 61):
+            document = AcceptServing(version=version, document=bytes(1 << 20))
+            (await node.submit(document)).unwrap()
+            sizes.append(replica.disk.used_bytes())
+
+    run_limited(replica, play)
+    assert max(sizes) <= MAX_HELD_BYTES
