Leader calls: a replica that knows no leader doesn't hide it

Callers saw: a voter that was removed while its disk was full asked to join for ever, under a leader that was neither a seed nor in its own voter set. Changes put at it depended on the same search and were refused, though all processes ran and all disks had room.

Cause: each refusal replaced the leader that others had named. A replica that knows none, such as the asking one itself or another removed one, is often asked last, so the next round began without the leader, as did each call. Same class: a first address that never answers used up the time of each call.

Change: a leader that is named is called next, in the same round; only an answer sets or clears the one to begin with. Addresses without an answer are called last.

--- a/chervilshift/wire/leader.py
+++ b/chervilshift/wire/leader.py
@@ -1,6 +1,6 @@
 """Client that finds the leader of the control replicas and calls it."""
 
-from itertools import chain
+from collections import deque
 
 import anyio
 from returns.result import Failure as Bad
@@ -15,16 +15,17 @@
 
 RETRY_INTERVAL_S = 0.1
 REPLICA_CALL_TIMEOUT_S = 1.5
+MAX_SILENT_ADDRESSES = 64
 
 
 class LeaderClient:
     """Calls the leader among the replicas at `addresses`.
 
     A replica that is not the leader names the one that it takes for it;
-    that one is called next.
+    that one is called next. Replicas that did not answer are called last.
     """
 
-    __slots__ = ("_clients", "_clock", "_leader_hint", "addresses")
+    __slots__ = ("_clients", "_clock", "_leader", "_silent", "addresses")
 
     def __init__(
         self, *, addresses: tuple[str, ...], clients: Clients, clock: Clock
@@ -32,7 +33,10 @@
         self.addresses = addresses
         self._clients = clients
         self._clock = clock
-        self._leader_hint = ""
+        # The address that answered last, empty if it no longer does.
+        self._leader = ""
+        # Addresses without an answer, the one called last at the end.
+        self._silent: dict[str, None] = {}
 
     async def call(
         self, body: Message, timeout_s: float
@@ -47,7 +51,13 @@
             PeerUnreachable(address="control", reason="none")
         )
         while (remaining_s := deadline_at - self._clock.monotonic()) > 0:
-            for address in self._candidate_addresses():
+            waiting = deque(self._candidate_addresses())
+            called = set()
+            while waiting:
+                address = waiting.popleft()
+                if address in called:
+                    continue
+                called.add(address)
                 last_reply = await self._call_replica(
                     address, body, min(remaining_s, 1e9)
                 )
@@ -56,6 +66,11 @@
                 remaining_s = deadline_at - self._clock.monotonic()
                 if remaining_s <= 0:
                     return last_reply
+                named = last_reply.failure().fields.get("leader")
+                if named in self._silent:
+                    waiting.append(named)
+                elif named:
+                    waiting.appendleft(named)
             await anyio.sleep(RETRY_INTERVAL_S)
         return last_reply
 
@@ -64,18 +79,24 @@
     ) -> Result[Message, Failure]:
         timeout_s = min(REPLICA_CALL_TIMEOUT_S, remaining_s)
         reply = await self._clients.at(address).call(body, timeout_s)
+        self._silent.pop(address, None)
         if not _needs_other_replica(reply):
-            self._leader_hint = address
-        elif isinstance(reply.failure(), NotLeader):
-            self._leader_hint = reply.failure().fields.get("leader") or ""
-        elif address == self._leader_hint:
-            self._leader_hint = ""
+            self._leader = address
+            return reply
+        if address == self._leader:
+            self._leader = ""
+        if isinstance(reply.failure(), PeerUnreachable):
+            self._silent[address] = None
+            while len(self._silent) > MAX_SILENT_ADDRESSES:
+                del self._silent[next(iter(self._silent))]
         return reply
 
     def _candidate_addresses(self) -> tuple[str, ...]:
-        """Return the addresses to call, with the hinted leader first."""
-        hinted = (self._leader_hint,) if self._leader_hint else ()
-        return tuple(dict.fromkeys(chain(hinted, self.addresses)))
+        """Return the addresses to call, with the last leader first."""
+        known = (self._leader,) if self._leader else ()
+        answering = (a for a in self.addresses if a not in self._silent)
+        silent = (a for a in self._silent if a in self.addresses)
+        return tuple(dict.fromkeys((*known, *answering, *silent)))
 
 
 def _needs_other_replica(reply: Result) -> bool:
