--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -37,6 +37,14 @@
         self.unplanned_faults = 0
         self.stopping = False
         self.fault_active = False
+        self.command = [
+            sys.executable,
+            "-m",
+            "chervilshift",
+            "routed",
+            role,
+        ]
+        self.environment: dict[str, str] = {}
         self.log = folder / f"{name}.log"
         self._path = folder / f"{name}.yaml"
         self._popen: subprocess.Popen | None = None
@@ -49,8 +57,10 @@
         self._log_offset = self.log.stat().st_size if self.log.exists() else 0
         with self.log.open("ab") as log:
             self._popen = subprocess.Popen(
-                [sys.executable, "-m", "chervilshift", "routed", self.role],
-                env=os.environ | {"CHERVILSHIFT_SETTINGS": str(self._path)},
+                self.command,
+                env=os.environ
+                | self.environment
+                | {"CHERVILSHIFT_SETTINGS": str(self._path)},
                 stdout=log,
                 stderr=log,
             )
