--- a/chervilshift/control/node.py
+++ b/chervilshift/control/node.py
@@ -2,6 +2,7 @@
 
 import math
 from collections.abc import Callable
+from itertools import count
 from random import Random
 
 import anyio
@@ -20,6 +21,8 @@
 from chervilshift.core.raft.messages import (
     COMMAND,
     VOTERS,
+    Append,
+    InstallSnapshot,
     LogEntry,
     RaftMessage,
     Snapshot,
@@ -29,6 +32,7 @@
 from chervilshift.core.raft.state import LEADER, HardState, Ready, Timing
 from chervilshift.errors import (
     AtCapacity,
+    BadRequest,
     Failure,
     NotLeader,
     OutcomeUnknown,
@@ -42,14 +46,18 @@
 # Longest time between two ticks of the consensus.
 TICK_INTERVAL_S = 0.05
 MAX_INBOX_MESSAGES = 4096
+# Entries and snapshots in the inbox. A single message above it is taken into
+# an empty inbox.
+MAX_INBOX_BYTES = 16 << 20
 # Per peer.
 MAX_OUTBOX_MESSAGES = 256
 # Time limits of sending one batch; the second if it contains a snapshot.
 SEND_TIMEOUT_S = 1.0
 SNAPSHOT_TIMEOUT_S = 30.0
-# The log is compacted after this many applied entries. The newest of them are
-# kept for followers that are slightly behind.
+# The log is compacted after this many applied entries or bytes. The newest of
+# the entries are kept for followers that are slightly behind.
 COMPACT_AFTER_ENTRIES = 1000
+COMPACT_AFTER_BYTES = 8 << 20
 KEPT_ENTRIES = 200
 # Interval at which the leader appends the elapsed time to the log.
 ADVANCE_TIME_INTERVAL_S = 5.0
@@ -60,6 +68,8 @@
 # Interval of attempts to write to a full or failing disk.
 STORAGE_RETRY_INTERVAL_S = 0.3
 MAX_PENDING_PROPOSALS = 2000
+# A command that was not applied after this time is answered.
+PROPOSAL_TIMEOUT_S = 5.0
 
 COMMAND_DECODER = msgspec.msgpack.Decoder(Command)
 STATE_DECODER = msgspec.msgpack.Decoder(MachineState)
@@ -80,9 +90,13 @@
         self._done = anyio.Event()
 
     def finish(self, outcome: Result[CommandReply, Failure]) -> None:
-        """Set the outcome and wake the caller of `wait`."""
-        self.outcome = outcome
-        self._done.set()
+        """Set the outcome, if there is none, and wake the caller of `wait`.
+
+        A proposal with an outcome is not appended any more.
+        """
+        if self.outcome is None:
+            self.outcome = outcome
+            self._done.set()
 
     async def wait(self) -> Result[CommandReply, Failure]:
         """Wait for the outcome."""
@@ -95,7 +109,8 @@
 
     `run` raises StorageFailed if the disk fails: without durable storage the
     replica must neither vote nor acknowledge entries. With `open_membership`
-    it retries instead and sends nothing meanwhile.
+    it retries instead. Meanwhile it neither sends nor receives, and refuses
+    commands.
     """
 
     def __init__(
@@ -123,9 +138,15 @@
         self.raft: Raft | None = None
         self.machine = StateMachine()
         self._applied_index = 0
+        # Size of the entries that were applied since the last snapshot.
+        self._applied_bytes = 0
         self._inbox, self._inbox_receiver = anyio.create_memory_object_stream[
             RaftMessage | Proposal
         ](MAX_INBOX_MESSAGES)
+        self._inbox_bytes = 0
+        self._is_retrying = False
+        # Committed commands since the last snapshot that had no effect.
+        self._failed_indices: set[int] = set()
         self._outboxes: dict[str, anyio.abc.ObjectSendStream] = {}
         self._unknown_peers: set[str] = set()
         self._pending: dict[int, Proposal] = {}
@@ -138,24 +159,48 @@
     # For other tasks
 
     def deliver(self, message: RaftMessage) -> None:
-        """Queue a consensus message; it is dropped if the inbox is full."""
+        """Queue a consensus message; it is dropped if the inbox is full.
+
+        It is also dropped while saves fail, as it would be old when it is
+        processed. The protocol sends lost messages again.
+        """
+        if self._is_retrying:
+            return
+        size = _payload_bytes(message)
+        if self._inbox_bytes and self._inbox_bytes + size > MAX_INBOX_BYTES:
+            logging.warning("inbox full, consensus message dropped")
+            return
         try:
             self._inbox.send_nowait(message)
         except anyio.WouldBlock:
             logging.warning("inbox full, consensus message dropped")
+            return
+        self._inbox_bytes += size
 
     async def submit(self, command: Command) -> Result[CommandReply, Failure]:
         """Commit and apply a command; return the reply to it.
 
-        Fails with NotLeader on a follower, with AtCapacity if too many
-        commands are pending, with StorageFailed if the disk fails, and with
-        OutcomeUnknown if leadership is lost before the command is applied.
+        Fails with BadRequest if the command can't be encoded or applied, with
+        NotLeader on a follower and while the disk fails, and with AtCapacity
+        if too many commands are pending. It did not run then. Fails with
+        OutcomeUnknown if it was appended, and then leadership was lost, the
+        disk failed or it was not applied in time.
         """
+        if self._is_retrying:
+            return Bad(NotLeader(leader=""))
         if not self.raft.is_leader:
             return Bad(NotLeader(leader=self.leader_address()))
         proposal = Proposal(command=command)
-        await self._inbox.send(proposal)
-        return await proposal.wait()
+        try:
+            self._inbox.send_nowait(proposal)
+        except anyio.WouldBlock:
+            return Bad(_too_many_pending())
+        try:
+            with anyio.move_on_after(PROPOSAL_TIMEOUT_S):
+                return await proposal.wait()
+        finally:
+            proposal.finish(Bad(_not_applied_in_time(proposal)))
+        return proposal.outcome
 
     def leader_address(self) -> str:
         """Return the RPC address of the leader, or "" if it is not known."""
@@ -165,8 +210,10 @@
     def join(self, voter: Voter) -> Result[None, Failure]:
         """Start to replicate to a replica that is not a voter yet.
 
-        Fails with NotLeader on a follower.
+        Fails with NotLeader on a follower and while the disk fails.
         """
+        if self._is_retrying:
+            return Bad(NotLeader(leader=""))
         if not self.raft.is_leader:
             return Bad(NotLeader(leader=self.leader_address()))
         if self.raft.add_learner(voter, self._clock.monotonic()):
@@ -231,12 +278,13 @@
 
         Raises CorruptLog or StorageFailed.
         """
-        recovered = self._storage.load()
+        recovered = self._storage.recover()
         if isinstance(recovered, Bad):
             raise recovered.failure()
         self._start(recovered.unwrap())
         async with anyio.create_task_group() as tg:
             task_status.started()
+            await self._persist(self._storage.reopen)
             while True:
                 await self._run_once(tg)
 
@@ -277,10 +325,7 @@
             self._send(tg, message)
         self._apply_committed()
         self._fail_lost_proposals()
-        if (
-            self._applied_index - self.raft.log.full_snapshot.index
-            > COMPACT_AFTER_ENTRIES
-        ):
+        if self._must_compact():
             await self._compact()
         self._report_role()
 
@@ -290,6 +335,7 @@
         with anyio.move_on_after(TICK_INTERVAL_S):
             batch.append(await self._inbox_receiver.receive())
         batch.extend(_receive_waiting(self._inbox_receiver))
+        self._inbox_bytes = 0
         return batch
 
     def _process(self, message: RaftMessage | Proposal) -> None:
@@ -297,17 +343,16 @@
         if not isinstance(message, Proposal):
             self.raft.step(message, now)
             return
+        if message.outcome is not None:
+            return
         if len(self._pending) >= MAX_PENDING_PROPOSALS:
-            message.finish(
-                Bad(
-                    AtCapacity(
-                        customer="all", reason="too many pending commands"
-                    )
-                )
-            )
+            message.finish(Bad(_too_many_pending()))
+            return
+        encoded = _encode_command(message.command)
+        if isinstance(encoded, Bad):
+            message.finish(encoded)
             return
-        data = msgspec.msgpack.encode(message.command)
-        index = self.raft.propose(data, now)
+        index = self.raft.propose(encoded.unwrap(), now)
         if index is None:
             message.finish(Bad(NotLeader(leader=self.leader_address())))
             return
@@ -351,26 +396,42 @@
     async def _persist(self, write: Callable, *args: object) -> None:
         """Write on a thread; with open membership, retry until it succeeds.
 
-        A failed write fails all pending proposals. While it retries, the
-        replica sends nothing, so the others elect a leader without it.
+        A failed write ends all waits of proposals. While it retries, the
+        replica sends nothing, so the others elect a leader without it. A
+        leader steps down at the second failure, so that calls that reach this
+        replica look for the next one.
         """
-        while True:
+        for attempt in count(1):
             result = await anyio.to_thread.run_sync(write, *args)
             if not isinstance(result, Bad):
-                return
+                break
             self._events.emit("storage_failed", reason=str(result.failure()))
-            for proposal in self._pending.values():
-                proposal.finish(Bad(result.failure()))
-            self._pending = {}
+            self._is_retrying = True
+            self._fail_proposals("a save failed")
             if not self._open_membership:
                 raise result.failure()
+            if attempt > 1:
+                self.raft.step_down(self._clock.monotonic())
             await anyio.sleep(STORAGE_RETRY_INTERVAL_S)
             await anyio.to_thread.run_sync(self._storage.reopen)
+        self._is_retrying = False
+
+    def _fail_proposals(self, reason: str) -> None:
+        """End all waits of proposals and empty the inbox."""
+        for proposal in self._pending.values():
+            proposal.finish(Bad(OutcomeUnknown(key="command", reason=reason)))
+        self._pending = {}
+        for message in _receive_waiting(self._inbox_receiver):
+            if isinstance(message, Proposal):
+                message.finish(Bad(NotLeader(leader="")))
+        self._inbox_bytes = 0
 
     def _restore(self, snapshot: Snapshot) -> None:
         state = STATE_DECODER.decode(snapshot.data) if snapshot.data else None
         self.machine = StateMachine(state=state)
         self._applied_index = snapshot.index
+        self._applied_bytes = 0
+        self._failed_indices = set()
         self._notify_config_watchers()
 
     def _apply_committed(self) -> None:
@@ -386,21 +447,53 @@
 
     def _apply(self, entry: LogEntry) -> None:
         self._applied_index = entry.index
+        self._applied_bytes += len(entry.data)
         if entry.kind == VOTERS:
             voters = self.raft.log.voters_at(entry.index)
             self._events.emit("voters", voters=[v.id for v in voters])
         if entry.kind != COMMAND:
             return
+        # A replica of an older release that can't decode a command ends here:
+        # passing over it would make the state differ from the others'.
         command = COMMAND_DECODER.decode(entry.data)
-        reply = self.machine.apply(entry.index, command)
+        reply = self._apply_command(entry.index, command)
         proposal = self._pending.pop(entry.index, None)
         if proposal is None:
             return
         if proposal.term == entry.term:
-            proposal.finish(Success(reply))
+            proposal.finish(reply)
         else:
             proposal.finish(Bad(_leadership_lost()))
 
+    def _apply_command(
+        self, index: int, command: Command
+    ) -> Result[CommandReply, Failure]:
+        """Apply a command; one that raises has no effect on any replica."""
+        try:
+            return Success(self.machine.apply(index, command))
+        except (MemoryError, RecursionError):
+            # These depend on the process, so other replicas may apply it.
+            raise
+        except Exception as exc:
+            name = type(command).__name__
+            logging.exception("%s at %d can't be applied", name, index)
+            self._events.emit("command_failed", index=index, command=name)
+            self._failed_indices.add(index)
+            self._rebuild(index)
+            return Bad(BadRequest(reason=f"{name} can't be applied: {exc}"))
+
+    def _rebuild(self, index: int) -> None:
+        """Restore the state before `index`, which may be partly changed."""
+        snapshot = self.raft.log.full_snapshot
+        state = STATE_DECODER.decode(snapshot.data) if snapshot.data else None
+        self.machine = StateMachine(state=state)
+        for entry in self.raft.log.between(snapshot.index + 1, index - 1):
+            if entry.kind == COMMAND and (
+                entry.index not in self._failed_indices
+            ):
+                command = COMMAND_DECODER.decode(entry.data)
+                self.machine.apply(entry.index, command)
+
     def _fail_lost_proposals(self) -> None:
         """Fail pending proposals after the loss of leadership."""
         if self.raft.is_leader or not self._pending:
@@ -409,6 +502,13 @@
             proposal.finish(Bad(_leadership_lost()))
         self._pending = {}
 
+    def _must_compact(self) -> bool:
+        applied = self._applied_index - self.raft.log.full_snapshot.index
+        return (
+            applied > COMPACT_AFTER_ENTRIES
+            or self._applied_bytes > COMPACT_AFTER_BYTES
+        )
+
     async def _compact(self) -> None:
         index = self._applied_index
         snapshot = Snapshot(
@@ -418,6 +518,8 @@
             data=msgspec.msgpack.encode(self.machine.state()),
         )
         self.raft.log.compact(snapshot, KEPT_ENTRIES)
+        self._applied_bytes = 0
+        self._failed_indices = set()
         hard_state = self._hard_state()
         entries = self.raft.log.between(index + 1, self.raft.log.last_index)
         await self._persist(
@@ -492,6 +594,42 @@
                 await anyio.sleep(TICK_INTERVAL_S)
 
 
+def _payload_bytes(message: RaftMessage) -> int:
+    """Return the size of the entries or the snapshot in a message."""
+    if isinstance(message, Append):
+        return sum(len(entry.data) for entry in message.entries)
+    if isinstance(message, InstallSnapshot):
+        return len(message.snapshot.data)
+    return 0
+
+
+def _encode_command(command: Command) -> Result[bytes, Failure]:
+    """Encode a command, if replicas can decode it."""
+    try:
+        data = msgspec.msgpack.encode(command)
+        COMMAND_DECODER.decode(data)
+    except (
+        msgspec.MsgspecError,
+        OverflowError,
+        TypeError,
+        ValueError,
+    ) as exc:
+        name = type(command).__name__
+        logging.error("%s can't be encoded: %s", name, exc)
+        return Bad(BadRequest(reason=f"{name} can't be encoded: {exc}"))
+    return Success(data)
+
+
+def _too_many_pending() -> Failure:
+    return AtCapacity(customer="all", reason="too many pending commands")
+
+
+def _not_applied_in_time(proposal: Proposal) -> Failure:
+    if proposal.term:
+        return OutcomeUnknown(key="command", reason="not applied in time")
+    return AtCapacity(customer="all", reason="not appended in time")
+
+
 def _leadership_lost() -> Failure:
     return OutcomeUnknown(key="command", reason="leadership was lost")
 
