Placement: spread over equal endpoints, and expect untried ones to refuse too

Seen: with 300 gateways of one request a second each and ten of 20 endpoints that refuse all for 6 s, 0.31 of the requests were taken within two attempts.

Cause: endpoints below half of their room cost the same, and all gateways chose the first of them; one that refuses has no load and stays among them. Each gateway asked the refusing ones in the same order, and a gateway that had found one that takes requests preferred those that it had not tried just as much.

Change: one of equal endpoints is chosen at random. An endpoint that a gateway has not tried lately is expected to fail as often as those of the service that it has; the expectation decays as the failure rates do. Nothing is shared between gateways, so no sound endpoint is held on the word of others.

The two new tests of placement failed on the old code.

--- a/chervilshift/core/fleet/health.py
+++ b/chervilshift/core/fleet/health.py
@@ -33,12 +33,18 @@
     def __init__(self, *, neutral: float):
         self._neutral = neutral
         self._value = neutral
-        self._updated_at = 0.0
+        self._updated_at = float("-inf")
 
     def value(self, now: float) -> float:
         """Return the mean, decayed up to `now`."""
-        decay = 0.5 ** (max(0.0, now - self._updated_at) / DECAY_HALF_LIFE_S)
-        return self._neutral + (self._value - self._neutral) * decay
+        if self._value == self._neutral:
+            return self._neutral
+        distance = self._value - self._neutral
+        return self._neutral + distance * self.weight(now)
+
+    def weight(self, now: float) -> float:
+        """Return the part of the mean that has not decayed, 0 to 1."""
+        return 0.5 ** (max(0.0, now - self._updated_at) / DECAY_HALF_LIFE_S)
 
     def add(self, sample: float, now: float) -> None:
         """Add a sample."""
@@ -116,6 +122,17 @@
         """Return the share of attempts that fail, 0 to 1."""
         return self._failures.value(now)
 
+    def failure_weight(self, now: float) -> float:
+        """Return how recent the attempts are, 0 to 1, 0 without any."""
+        return self._failures.weight(now)
+
+    def expected_failure_rate(self, usual: float, now: float) -> float:
+        """Return the failure rate, `usual` as far as attempts are old."""
+        rate = self._failures.value(now)
+        if not usual:
+            return rate
+        return rate + usual * (1.0 - self._failures.weight(now))
+
     def slowness(self, now: float) -> float:
         """Return the ratio of actual to expected reply time."""
         return self._slowness.value(now)
--- a/chervilshift/core/fleet/placement.py
+++ b/chervilshift/core/fleet/placement.py
@@ -9,12 +9,17 @@
 streams, and long streams avoid engines with much prefill. Each prompt has a
 home, the engine where its shared parts are cached, chosen by rendezvous
 hashing. For plain services the cost is the predicted reply time.
+
+An endpoint that this gateway has not tried lately is expected to fail as often
+as those of its service that it has. Among equals one is chosen at random, so
+that the gateways of a fleet don't all ask the same.
 """
 
 import hashlib
 from collections import OrderedDict, defaultdict
 from collections.abc import Iterable
 from itertools import chain
+from random import Random
 
 from chervilshift.core.fleet.health import Health
 from chervilshift.core.fleet.model import (
@@ -59,6 +64,8 @@
 MAX_CACHED_PARTS = 400
 # A failed call costs the caller about one more call.
 FAILURE_COST_S = 0.3
+# Failure rates that sum up to less make no difference to placement.
+NEGLIGIBLE_FAILURE_RATE = 0.01
 # Weight of the newest reply in a service's latency ratio; small, since every
 # reply of its endpoints is a sample.
 LATENCY_RATIO_WEIGHT = 0.05
@@ -257,9 +264,16 @@
     over the replies of all its endpoints.
     """
 
-    __slots__ = ("_endpoints", "_latency_ratios", "_region", "_regions")
+    __slots__ = (
+        "_endpoints",
+        "_latency_ratios",
+        "_region",
+        "_regions",
+        "_rng",
+    )
 
-    def __init__(self, *, region: str, regions: dict[str, str]):
+    def __init__(self, *, region: str, regions: dict[str, str], rng: Random):
+        self._rng = rng
         self._region = region
         self._regions = regions
         self._endpoints: dict[str, Endpoint] = {}
@@ -331,9 +345,10 @@
         `excluding` are the ids of endpoints not to be used. Endpoints
         excluded by their health are used only if there is no other.
         """
+        endpoints = self.endpoints_of(spec.name)
         usable = [
             endpoint
-            for endpoint in self.endpoints_of(spec.name)
+            for endpoint in endpoints
             if endpoint.usable(now) and endpoint.id not in excluding
         ]
         not_excluded = [e for e in usable if not e.health.is_excluded(now)]
@@ -341,20 +356,29 @@
         if not candidates:
             return None
         latency_ratio = self._latency_ratios[spec.name]
+        failure_rate = _usual_failure_rate(endpoints, now)
         if spec.engine is None:
             choices = [
-                _plain_choice(e, latency_ratio, now) for e in candidates
+                _plain_choice(e, latency_ratio, failure_rate, now)
+                for e in candidates
             ]
         else:
             home = self._home(candidates, work)
             slots = spec.engine.slots
             choices = [
                 _engine_choice(
-                    e, slots, work, latency_ratio, now, home=e is home
+                    e,
+                    slots,
+                    work,
+                    latency_ratio,
+                    failure_rate,
+                    now,
+                    home=e is home,
                 )
                 for e in candidates
             ]
-        return min(choices, key=lambda choice: choice.cost_s)
+        least_s = min(choice.cost_s for choice in choices)
+        return self._rng.choice([c for c in choices if c.cost_s == least_s])
 
     def observe(self, choice: Choice, actual_s: float, now: float) -> None:
         """Learn from the time until a reply began.
@@ -394,6 +418,7 @@
     slots: int,
     work: Work,
     latency_ratio: float,
+    usual_failure_rate: float,
     now: float,
     *,
     home: bool,
@@ -428,7 +453,7 @@
         + stream_delay_cost_s
         + PREFILL_EXPOSURE_WEIGHT * prefill_exposure_s
     )
-    cost_s += FAILURE_COST_S * endpoint.health.failure_rate(now)
+    cost_s += _failure_cost_s(endpoint, usual_failure_rate, now)
     cost_s += 0.0 if home else NON_HOME_COST_S
     return Choice(
         endpoint=endpoint,
@@ -440,12 +465,15 @@
 
 
 def _plain_choice(
-    endpoint: Endpoint, latency_ratio: float, now: float
+    endpoint: Endpoint,
+    latency_ratio: float,
+    usual_failure_rate: float,
+    now: float,
 ) -> Choice:
     utilization = endpoint.total_active() / endpoint.record.slots
     baseline_s = PLAIN_CALL_S * (1 + max(0.0, utilization - 0.5) * 2)
     wait_s = _predict(endpoint, baseline_s * latency_ratio, now)
-    cost_s = wait_s + FAILURE_COST_S * endpoint.health.failure_rate(now)
+    cost_s = wait_s + _failure_cost_s(endpoint, usual_failure_rate, now)
     return Choice(
         endpoint=endpoint,
         baseline_s=baseline_s,
@@ -455,6 +483,23 @@
     )
 
 
+def _usual_failure_rate(endpoints: Iterable[Endpoint], now: float) -> float:
+    """Return the mean failure rate of the endpoints tried recently."""
+    failures = sum(e.health.failure_rate(now) for e in endpoints)
+    if failures < NEGLIGIBLE_FAILURE_RATE:
+        return 0.0
+    weights = sum(e.health.failure_weight(now) for e in endpoints)
+    return failures / max(1.0, weights)
+
+
+def _failure_cost_s(
+    endpoint: Endpoint, usual_failure_rate: float, now: float
+) -> float:
+    health = endpoint.health
+    rate = health.expected_failure_rate(usual_failure_rate, now)
+    return FAILURE_COST_S * rate
+
+
 def _predict(endpoint: Endpoint, baseline_s: float, now: float) -> float:
     """Return the predicted wait, corrected by health and distance."""
     health = endpoint.health
--- a/chervilshift/gateway/process.py
+++ b/chervilshift/gateway/process.py
@@ -184,12 +184,13 @@
 
     def _make_state(self) -> GatewayState:
         settings = self._settings
+        rng = SystemRandom()
         return GatewayState(
-            rng=SystemRandom(),
+            rng=rng,
             gateway_id=settings.process,
             info=self._info,
             placement=Placement(
-                region=settings.region, regions=settings.regions
+                region=settings.region, regions=settings.regions, rng=rng
             ),
             limit_policy=settings.limit_policy(),
             retry_policy=RetryPolicy(
--- a/tests/core/fleet/test_holds_under_load.py
+++ b/tests/core/fleet/test_holds_under_load.py
@@ -69,7 +69,9 @@
     def start(self) -> None:
         """Start anew, without any memory."""
         self.holds = EndpointHolds(rng=self.rng)
-        self.placement = Placement(region="here", regions={"a": "here"})
+        self.placement = Placement(
+            region="here", regions={"a": "here"}, rng=self.rng
+        )
         self.placement.update_endpoints(
             endpoint.record for endpoint in self.endpoints.values()
         )
--- a/tests/core/fleet/test_placement.py
+++ b/tests/core/fleet/test_placement.py
@@ -4,6 +4,7 @@
 """
 
 from collections import Counter
+from random import Random
 
 from chervilshift.core.fleet.model import (
     DRAINING,
@@ -43,8 +44,8 @@
     return EndpointRecord(**(fields | changes))
 
 
-def make_placement(*records: EndpointRecord) -> Placement:
-    placement = Placement(region="here", regions=REGIONS)
+def make_placement(*records: EndpointRecord, seed: int = 1) -> Placement:
+    placement = Placement(region="here", regions=REGIONS, rng=Random(seed))
     placement.update_endpoints(records)
     return placement
 
@@ -166,6 +167,34 @@
     assert failing.health.failure_rate(12.0) < 0.1
 
 
+def test_gateways_do_not_all_ask_the_first_of_equal_endpoints():
+    records = [record(f"p{n}", service="app") for n in range(4)]
+    asked = Counter(
+        make_placement(*records, seed=seed)
+        .choose(PLAIN, Work(), 0.0)
+        .endpoint.id
+        for seed in range(200)
+    )
+    assert min(asked.get(r.id, 0) for r in records) > 25
+
+
+def test_untried_endpoints_are_not_preferred_while_tried_ones_refuse():
+    records = [record(f"p{n}", service="app") for n in range(8)]
+    for seed in range(20):
+        placement = make_placement(*records, seed=seed)
+        *refusing, sound = placement.endpoints_of("app")[:4]
+        for endpoint in refusing:
+            endpoint.health.record_failure(100.0)
+        sound.health.record_success(100.0)
+        assert placement.choose(PLAIN, Work(), 100.5).endpoint is sound
+        # Without samples, nothing is held against the others for good.
+        later = {
+            placement.choose(PLAIN, Work(), 200.0).endpoint.id
+            for _ in range(50)
+        }
+        assert len(later) > 1
+
+
 def test_endpoint_that_says_nothing_for_long_gets_no_more():
     placement = make_placement(record("e1"), record("e2"))
     first = placement.choose(ENGINES, prompt("t", "x"), 0.0)
