--- a/tests/core/fleet/test_tables.py
+++ b/tests/core/fleet/test_tables.py
@@ -4,6 +4,8 @@
 process, and a table that only grows ends it.
 """
 
+from random import Random
+
 import msgspec
 
 from chervilshift.core.fleet.crashreports import (
@@ -38,7 +40,7 @@
 
 
 def test_services_of_former_configurations_are_forgotten():
-    placement = Placement(region="here", regions={})
+    placement = Placement(region="here", regions={}, rng=Random(1))
     for number in range(3 * MAX_UNNAMED):
         spec = ServiceSpec(name=f"s{number}", max_connections=1)
         record = msgspec.structs.replace(ready_endpoint(), service=spec.name)
