A stream that pauses for a second is not cut and moved

Callers saw a stream that was interrupted at three times the allowed pause (0.9 s and 1.2 s with pauses of 300 and 400 ms) and went on from another endpoint after reading its prompt again, although the endpoint was sound and fell silent for a second only. Each such pause cost a retry of the service's budget and what the endpoint had done; where both endpoints paused, all six streams were sent twice.

The stream is late from its allowed pause on, so that moving it gains nothing until the endpoint is known to hang. It is now left after 1.6 s at the earliest, before clients disconnect (two seconds or more).

--- a/chervilshift/gateway/dispatch.py
+++ b/chervilshift/gateway/dispatch.py
@@ -57,6 +57,9 @@
 # A stream that pauses for this multiple of the route's allowed gap is regarded
 # as stuck; clients disconnect at eight times the gap.
 MAX_GAP_FACTOR = 3.0
+# Sound endpoints may be silent for a second or so. A longer silence is that of
+# an endpoint that hangs; clients disconnect after two seconds or more.
+MAX_SOUND_SILENCE_S = 1.6
 # Larger than any event of a stream; an endpoint that sends more without
 # ending the event sends no event stream.
 MAX_EVENT_BYTES = 256 << 10
@@ -335,9 +338,8 @@
         head_s = max(retry_at - now, MIN_WAIT_FACTOR * choice.wait_s)
         if route.kind != STREAM:
             return ProgressTimeouts(head_s=head_s, chunk_s=head_s)
-        return ProgressTimeouts(
-            head_s=head_s, chunk_s=MAX_GAP_FACTOR * route.gap_s
-        )
+        max_pause_s = max(MAX_GAP_FACTOR * route.gap_s, MAX_SOUND_SILENCE_S)
+        return ProgressTimeouts(head_s=head_s, chunk_s=max_pause_s)
 
     def _attempt_headers(
         self, exchange: Exchange, endpoint_id: str, now: float
--- /dev/null
+++ b/tests/platform/test_silence.py
@@ -0,0 +1,157 @@
+"""Endpoints that send nothing for a second or so, and go on.
+
+A time limit that takes such a pause for an endpoint that hangs ends whole
+answers, sends requests again that are being answered, and keeps a sound
+endpoint from its work.
+"""
+
+from contextlib import suppress
+
+import anyio
+import pytest
+
+from tests.cluster import free_address
+from tests.platform.rawhttp import read_request
+from tests.platform.standin import (
+    ANNOUNCE_INTERVAL_MS,
+    Endpoint,
+    Platform,
+    config,
+    eventually,
+)
+from tests.platform.test_path import ALL_EVENT_IDS, event_ids, run_scenario
+
+PAUSE_S = 1.2
+HEAD = (
+    b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: s\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\n"
+)
+LAST_CHUNK = b"0\r\n\r\n"
+# Where a reply pauses, as its number of chunks sent before and the bytes of
+# the next part that are sent too. The head is the first part.
+PAUSES = {
+    "before the head": (0, 0),
+    "in the head": (0, 30),
+    "before the first chunk": (1, 0),
+    "between chunks": (3, 0),
+    "in a chunk": (3, 9),
+    "before the last chunk": (6, 0),
+}
+OBJECTIVE_MS, GAP_MS = 600, 300
+
+
+class PausingEndpoint(Endpoint):
+    """Sends a reply of five chunks; the first `paused` ones pause once."""
+
+    def __init__(self, *, name: str, service: str, pause: str, paused: int):
+        super().__init__(name=name, service=service, address=free_address())
+        self._pause_at = PAUSES[pause]
+        self._paused = paused
+
+    async def run(self, platform: Platform) -> None:
+        """Serve and announce until cancelled."""
+        host, port = self.address.split(":")
+        listener = await anyio.create_tcp_listener(
+            local_host=host, local_port=int(port)
+        )
+        async with listener, anyio.create_task_group() as tg:
+            tg.start_soon(listener.serve, self._handle)
+            while True:
+                await platform.announce(self, "ready")
+                await anyio.sleep(ANNOUNCE_INTERVAL_MS / 1000)
+
+    async def _handle(self, stream) -> None:
+        ends = (anyio.EndOfStream, anyio.BrokenResourceError)
+        async with stream:
+            with suppress(*ends):
+                while True:
+                    await self._reply(stream, await read_request(stream))
+
+    async def _reply(self, stream, fields: dict[bytes, bytes]) -> None:
+        self.arrivals += 1
+        pauses = self.arrivals <= self._paused
+        first = int(fields.get(b"last-event-id", b"0")) + 1
+        events = (b"id: %d\ndata: x\n\n" % n for n in range(first, 6))
+        parts = [
+            HEAD % fields[b"request-id"],
+            *(b"%x\r\n%s\r\n" % (len(event), event) for event in events),
+            LAST_CHUNK,
+        ]
+        part_count, byte_count = self._pause_at
+        for number, part in enumerate(parts):
+            if pauses and number == part_count:
+                if byte_count:
+                    await stream.send(part[:byte_count])
+                await anyio.sleep(PAUSE_S)
+                part = part[byte_count:]
+            await stream.send(part)
+            await anyio.sleep(0.01)
+
+
+def tight_routes() -> list[dict]:
+    """Return routes with a tight objective and allowed gap."""
+    return [
+        route
+        | {
+            "slo_ms": OBJECTIVE_MS,
+            "gap_target_ms": GAP_MS,
+            "attempts": min(2, route["attempts"]),
+        }
+        for route in config(2)["routes"]
+    ]
+
+
+def play(tmp_path, scenario, *endpoints: PausingEndpoint) -> None:
+    """Play a scenario with a gateway that knows all the endpoints."""
+
+    async def run(platform: Platform) -> None:
+        assert await platform.configure(2, routes=tight_routes()) == 200
+        gateway, _ = platform.gateways[0]
+        async with anyio.create_task_group() as tg:
+            for endpoint in endpoints:
+                tg.start_soon(endpoint.run, platform)
+            await eventually(
+                lambda: (
+                    gateway.state.version == 2
+                    and len(gateway.state.placement.endpoints())
+                    == len(endpoints)
+                )
+            )
+            await scenario(platform)
+            tg.cancel_scope.cancel()
+
+    run_scenario(tmp_path, run)
+
+
+def check_sound(platform: Platform, now: float) -> None:
+    """Check that no endpoint is held or taken for crashed."""
+    gateway, _ = platform.gateways[0]
+    assert not gateway.state.crashes.count
+    for endpoint in gateway.state.placement.endpoints():
+        assert endpoint.usable(now)
+        assert not endpoint.health.is_excluded(now)
+
+
+@pytest.mark.parametrize("pause", list(PAUSES)[3:])
+@pytest.mark.parametrize("path", ["/stream/a", "/once/a"])
+def test_stream_that_pauses_is_not_moved(tmp_path, path, pause):
+    endpoints = [
+        PausingEndpoint(name=name, service="llm", pause=pause, paused=9)
+        for name in ("w1", "w2")
+    ]
+
+    async def scenario(platform: Platform) -> None:
+        replies = []
+
+        async def ask() -> None:
+            replies.append(await platform.send_request(path))
+
+        async with anyio.create_task_group() as tg:
+            for _ in range(6):
+                tg.start_soon(ask)
+        assert all(reply.whole for reply in replies)
+        assert all(event_ids(r.body) == ALL_EVENT_IDS for r in replies)
+        assert sum(e.arrivals for e in endpoints) == len(replies) == 6
+        check_sound(platform, anyio.current_time())
+
+    play(tmp_path, scenario, *endpoints)
