An endpoint is left only for one that is not silent too

Callers whose request could be repeated lost their place at a sound endpoint that paused for a second: the request was sent once more, to the same endpoint where it is the only one, or to another one that was as silent (a switch that pauses stops all of a service). Each cost a retry of the budget, and a request that left when others had just spent the budget got a 502 although its answer was under way: the budget was looked at when the attempt began and charged after it had been given up.

It is looked at again every 50 ms.

--- a/chervilshift/gateway/chooser.py
+++ b/chervilshift/gateway/chooser.py
@@ -1,7 +1,7 @@
 """Chooses the endpoint for the next attempt of a request."""
 
 from chervilshift.clock import Clock
-from chervilshift.core.fleet.placement import Choice
+from chervilshift.core.fleet.placement import Choice, Endpoint
 from chervilshift.gateway.admission import RateLimiter
 from chervilshift.gateway.exchange import Exchange
 from chervilshift.gateway.state import GatewayState
@@ -46,6 +46,25 @@
             )
         return choice
 
+    def has_alternative(self, exchange: Exchange, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint other than this one is likely to reply.
+
+        It takes requests, did not fail this one and is not silent itself.
+        """
+        now = self._clock.monotonic()
+        others = self._state.placement.endpoints_of(exchange.service)
+        barred_ids = self._state.held_endpoints(exchange.service)
+        barred_ids |= self._other_versions(exchange)
+        barred_ids |= self._state.exhausted_endpoints()
+        barred_ids |= exchange.failed_ids | {endpoint.id}
+        return any(
+            other.usable(now)
+            and not other.health.is_excluded(now)
+            and not other.health.stalled_s(now)
+            for other in others
+            if other.id not in barred_ids
+        )
+
     def explain(self, exchange: Exchange) -> tuple[str, float]:
         """Return why there is no endpoint, and for how many seconds.
 
--- a/chervilshift/gateway/dispatch.py
+++ b/chervilshift/gateway/dispatch.py
@@ -6,7 +6,7 @@
 
 from chervilshift.clock import Clock
 from chervilshift.core.fleet.model import STREAM, Customer, Route
-from chervilshift.core.fleet.placement import Choice, Placed
+from chervilshift.core.fleet.placement import Choice, Endpoint, Placed
 from chervilshift.core.fleet.routes import pick_target
 from chervilshift.core.fleet.stopping import Stopping
 from chervilshift.errors import (
@@ -186,7 +186,7 @@
                 retry_after_s = max(TRANSIENT_RETRY_AFTER_S, wait_s)
                 await self._fail(exchange, downstream, reason, retry_after_s)
                 return
-            if exchange.attempts_sent and not self._spend_retry(exchange):
+            if exchange.attempts_sent and not self._pay_retry(exchange):
                 await self._fail(
                     exchange,
                     downstream,
@@ -231,7 +231,11 @@
                 self._state.wall_s(),
             )
 
-    def _spend_retry(self, exchange: Exchange) -> bool:
+    def _pay_retry(self, exchange: Exchange) -> bool:
+        """Take a permit for another attempt, unless the exchange has one."""
+        if exchange.retry_paid:
+            exchange.retry_paid = False
+            return True
         return self._state.retry_budget(exchange.service).withdraw(
             self._state.gateway_count, self._clock.monotonic()
         )
@@ -336,10 +340,41 @@
             exchange.arrived_at + (1 - RETRY_RESERVE_SHARE) * route.objective_s
         )
         head_s = max(retry_at - now, MIN_WAIT_FACTOR * choice.wait_s)
+
+        def may_leave(silence_s: float) -> bool:
+            return self._may_leave(exchange, choice.endpoint, silence_s)
+
         if route.kind != STREAM:
-            return ProgressTimeouts(head_s=head_s, chunk_s=head_s)
-        max_pause_s = max(MAX_GAP_FACTOR * route.gap_s, MAX_SOUND_SILENCE_S)
-        return ProgressTimeouts(head_s=head_s, chunk_s=max_pause_s)
+            return ProgressTimeouts(
+                head_s=head_s,
+                first_chunk_s=head_s,
+                chunk_s=head_s,
+                may_leave=may_leave,
+            )
+        max_gap_s = MAX_GAP_FACTOR * route.gap_s
+        return ProgressTimeouts(
+            head_s=head_s,
+            first_chunk_s=max_gap_s,
+            chunk_s=max(max_gap_s, MAX_SOUND_SILENCE_S),
+            may_leave=may_leave,
+        )
+
+    def _may_leave(
+        self, exchange: Exchange, endpoint: Endpoint, silence_s: float
+    ) -> bool:
+        """Return whether an attempt without progress is given up now.
+
+        An endpoint that may be sound is left only for one that is not silent
+        too. The permit of the next attempt is taken at once: without it, the
+        answer that may still come would be lost.
+        """
+        if not self._origins.is_clear(exchange):
+            return False
+        hangs = silence_s >= MAX_SOUND_SILENCE_S
+        if not hangs and not self._chooser.has_alternative(exchange, endpoint):
+            return False
+        exchange.retry_paid = self._pay_retry(exchange)
+        return exchange.retry_paid
 
     def _attempt_headers(
         self, exchange: Exchange, endpoint_id: str, now: float
--- a/chervilshift/gateway/exchange.py
+++ b/chervilshift/gateway/exchange.py
@@ -22,7 +22,8 @@
     Times are monotonic, in seconds. `limit_cost` is what it is charged to its
     customer's limit, and `charged` whether it was. `maybe_ran` is true once
     an endpoint may have run it, and `usage_counted` once it is counted as
-    begun. `attempts_sent` counts the attempts whose request was sent, and
+    begun. `attempts_sent` counts the attempts whose request was sent,
+    `retry_paid` tells whether the budget was charged for the next one, and
     `failed_connects` the connections that could not be opened. `failed_ids`
     are the endpoints at which an attempt failed; `attempts` and `failures`
     describe the sent and the failed attempts for logs. `longest_gap_s` is the
@@ -52,6 +53,7 @@
         "maybe_ran",
         "relay",
         "request",
+        "retry_paid",
         "route",
         "service",
         "stream_key",
@@ -104,6 +106,7 @@
         self.usage_counted = False
         self.maybe_ran = False
         self.attempts_sent = 0
+        self.retry_paid = False
         self.failed_connects = 0
         self.failed_ids: set[str] = set()
         self.failures: list[str] = []
--- a/chervilshift/gateway/upstream.py
+++ b/chervilshift/gateway/upstream.py
@@ -1,6 +1,7 @@
 """One attempt of a request at one endpoint."""
 
-from collections.abc import AsyncIterator
+import asyncio
+from collections.abc import AsyncIterator, Callable
 
 import anyio
 import httpcore
@@ -15,6 +16,8 @@
 # Only with these statuses is an endpoint's statement that it did not run the
 # request accepted.
 NOT_RUN_STATUSES = (503, 429, 421, 400)
+# An attempt that may not be left yet is looked at again after this time.
+RECHECK_S = 0.05
 # Larger than any reply of a plain service.
 MAX_REPLY_BODY_BYTES = 16 << 20
 
@@ -57,21 +60,83 @@
         await self._response.aclose()
 
 
+def _always(silence_s: float) -> bool:
+    return True
+
+
 class ProgressTimeouts:
     """How long an attempt may make no progress, in seconds.
 
     `head_s` applies to sending the request and up to the reply's head,
-    `chunk_s` to each chunk of its body. None sets no bound but the request's
-    deadline.
+    `first_chunk_s` to the first chunk of its body and `chunk_s` to each
+    further one. None sets no bound but the request's deadline. After these
+    times the attempt ends as soon as `may_leave`, which gets the time without
+    progress, allows it.
     """
 
-    __slots__ = ("head_s", "chunk_s")
+    __slots__ = ("chunk_s", "first_chunk_s", "head_s", "may_leave")
 
     def __init__(
-        self, *, head_s: float | None = None, chunk_s: float | None = None
+        self,
+        *,
+        head_s: float | None = None,
+        first_chunk_s: float | None = None,
+        chunk_s: float | None = None,
+        may_leave: Callable[[float], bool] = _always,
     ):
         self.head_s = head_s
+        self.first_chunk_s = first_chunk_s
         self.chunk_s = chunk_s
+        self.may_leave = may_leave
+
+
+class _Wait:
+    """Context manager that cancels its body after a time without progress.
+
+    `expired` tells whether it did.
+    """
+
+    __slots__ = (
+        "_limit_s",
+        "_loop",
+        "_may_leave",
+        "_scope",
+        "_started_at",
+        "_timer",
+        "expired",
+    )
+
+    def __init__(
+        self, *, limit_s: float | None, may_leave: Callable[[float], bool]
+    ):
+        self._limit_s = limit_s
+        self._may_leave = may_leave
+        self._loop = asyncio.get_running_loop()
+        self._scope = anyio.CancelScope()
+        self._started_at = self._loop.time()
+        self._timer: asyncio.TimerHandle | None = None
+        self.expired = False
+
+    def __enter__(self) -> "_Wait":
+        self._scope.__enter__()
+        if self._limit_s is not None:
+            self._timer = self._loop.call_later(
+                max(0.0, self._limit_s), self._check
+            )
+        return self
+
+    def __exit__(self, *exc_info: object) -> bool | None:
+        if self._timer is not None:
+            self._timer.cancel()
+        swallowed = self._scope.__exit__(*exc_info)
+        self.expired = self._scope.cancelled_caught
+        return swallowed
+
+    def _check(self) -> None:
+        if self._may_leave(self._loop.time() - self._started_at):
+            self._scope.cancel()
+        else:
+            self._timer = self._loop.call_later(RECHECK_S, self._check)
 
 
 class Upstream:
@@ -82,7 +147,14 @@
     the request.
     """
 
-    __slots__ = ("_conn", "_pool", "_codec", "_endpoint_id", "_reply")
+    __slots__ = (
+        "_codec",
+        "_conn",
+        "_endpoint_id",
+        "_pool",
+        "_progress",
+        "_reply",
+    )
 
     def __init__(
         self,
@@ -96,6 +168,7 @@
         self._conn = conn
         self._pool = pool
         self._codec = codec
+        self._progress = ProgressTimeouts()
         self._reply: Reply | None = None
 
     @property
@@ -146,7 +219,7 @@
     ) -> Reply:
         """Send the request; return its reply, whose body is not read yet."""
         origin = self._conn.origin
-        timeouts = {"read": progress.head_s, "write": progress.head_s}
+        self._progress = progress
         request = httpcore.Request(
             method,
             httpcore.URL(
@@ -157,23 +230,18 @@
             ),
             headers=[*headers, *_length_header(method, body)],
             content=body,
-            extensions={"timeout": timeouts},
         )
         self._conn.limit_head()
-        response = None
         try:
-            # The read timeout starts anew with each byte; this one does not.
-            with anyio.move_on_after(progress.head_s):
+            with self._wait(progress.head_s) as wait:
                 response = await self._conn.http.handle_async_request(request)
         except HTTP_ERRORS as exc:
             raise self._broken(exc) from exc
-        if response is None:
+        if wait.expired:
             raise self.failure(
                 f"no whole reply head within {progress.head_s:.3f} s"
             )
         self._conn.lift_limit()
-        # httpcore reads this dict again for the body, from its first chunk on.
-        timeouts["read"] = progress.chunk_s
         head = self._codec.reply_head(response.status, response.headers)
         self._reply = Reply(
             status=response.status,
@@ -205,11 +273,23 @@
 
     async def iterate(self, reply: Reply) -> AsyncIterator[bytes]:
         """Yield the body's chunks; returns only when the body is complete."""
-        try:
-            async for chunk in reply.chunks():
-                yield chunk
-        except HTTP_ERRORS as exc:
-            raise self._broken(exc) from exc
+        chunks = reply.chunks()
+        limit_s = self._progress.first_chunk_s
+        while True:
+            try:
+                with self._wait(limit_s) as wait:
+                    chunk = await anext(chunks, None)
+            except HTTP_ERRORS as exc:
+                raise self._broken(exc) from exc
+            if wait.expired:
+                raise self.failure(f"no data within {limit_s:.3f} s")
+            if chunk is None:
+                return
+            yield chunk
+            limit_s = self._progress.chunk_s
+
+    def _wait(self, limit_s: float | None) -> _Wait:
+        return _Wait(limit_s=limit_s, may_leave=self._progress.may_leave)
 
     async def _check_head(
         self, head: ReplyHead, status: int, request_id: bytes
--- a/tests/platform/test_silence.py
+++ b/tests/platform/test_silence.py
@@ -37,7 +37,9 @@
     "in a chunk": (3, 9),
     "before the last chunk": (6, 0),
 }
-OBJECTIVE_MS, GAP_MS = 600, 300
+# Objective and timeout by service.
+LIMITS_MS = {"llm": (600, 5000), "app": (400, 2000)}
+GAP_MS = 300
 
 
 class PausingEndpoint(Endpoint):
@@ -93,11 +95,13 @@
     return [
         route
         | {
-            "slo_ms": OBJECTIVE_MS,
+            "slo_ms": slo_ms,
             "gap_target_ms": GAP_MS,
+            "timeout_ms": timeout_ms,
             "attempts": min(2, route["attempts"]),
         }
         for route in config(2)["routes"]
+        for slo_ms, timeout_ms in [LIMITS_MS[route["service"]]]
     ]
 
 
@@ -132,26 +136,82 @@
         assert not endpoint.health.is_excluded(now)
 
 
-@pytest.mark.parametrize("pause", list(PAUSES)[3:])
-@pytest.mark.parametrize("path", ["/stream/a", "/once/a"])
-def test_stream_that_pauses_is_not_moved(tmp_path, path, pause):
+PATHS = ["/stream/a", "/once/a", "/read/a", "/write/a"]
+
+
+def service_of(path: str) -> str:
+    """Return the service of a route."""
+    return "llm" if path in ("/stream/a", "/once/a") else "app"
+
+
+@pytest.mark.parametrize("pause", PAUSES)
+@pytest.mark.parametrize("path", PATHS)
+def test_pause_of_the_only_endpoint_is_waited_for(tmp_path, path, pause):
+    endpoint = PausingEndpoint(
+        name="w1", service=service_of(path), pause=pause, paused=1
+    )
+
+    async def scenario(platform: Platform) -> None:
+        reply = await platform.send_request(path)
+        assert (reply.status, reply.whole) == (200, True)
+        assert event_ids(reply.body) == ALL_EVENT_IDS
+        assert endpoint.arrivals == 1
+        check_sound(platform, anyio.current_time())
+
+    play(tmp_path, scenario, endpoint)
+
+
+@pytest.mark.parametrize("pause", PAUSES)
+@pytest.mark.parametrize("path", PATHS)
+def test_pause_of_all_endpoints_is_waited_for(tmp_path, path, pause):
     endpoints = [
-        PausingEndpoint(name=name, service="llm", pause=pause, paused=9)
+        PausingEndpoint(
+            name=name, service=service_of(path), pause=pause, paused=9
+        )
         for name in ("w1", "w2")
     ]
 
     async def scenario(platform: Platform) -> None:
         replies = []
 
-        async def ask() -> None:
-            replies.append(await platform.send_request(path))
+        async def ask(number: int) -> None:
+            # Prompts of different subjects begin at different endpoints.
+            prompt = ("Prompt-Prefix", f"a{number}:100,b{number}:50")
+            replies.append(
+                await platform.send_request(path, headers=(prompt,))
+            )
 
         async with anyio.create_task_group() as tg:
-            for _ in range(6):
-                tg.start_soon(ask)
+            for number in range(6):
+                tg.start_soon(ask, number)
+        assert all(e.arrivals for e in endpoints)
         assert all(reply.whole for reply in replies)
         assert all(event_ids(r.body) == ALL_EVENT_IDS for r in replies)
         assert sum(e.arrivals for e in endpoints) == len(replies) == 6
         check_sound(platform, anyio.current_time())
 
     play(tmp_path, scenario, *endpoints)
+
+
+@pytest.mark.parametrize("pause", list(PAUSES)[:2])
+def test_read_leaves_a_pausing_endpoint_for_a_sound_one_in_time(
+    tmp_path, pause
+):
+    endpoints = [
+        PausingEndpoint(name="w1", service="app", pause=pause, paused=1),
+        PausingEndpoint(name="w2", service="app", pause=pause, paused=0),
+    ]
+
+    async def scenario(platform: Platform) -> None:
+        began_at = anyio.current_time()
+        while not endpoints[0].arrivals:
+            sent_at = anyio.current_time()
+            reply = await platform.send_request("/read/a")
+            assert (reply.status, reply.whole) == (200, True)
+            took_s = anyio.current_time() - sent_at
+            assert took_s < LIMITS_MS["app"][0] / 1000
+        assert endpoints[1].arrivals
+        await anyio.sleep_until(began_at + 2 * PAUSE_S)
+        check_sound(platform, anyio.current_time())
+
+    play(tmp_path, scenario, *endpoints)
