What is learnt from a silence ends with it

Callers were kept away from a sound endpoint after it had paused for a second: the attempts that were given up in the pause excluded it again and again, twice as long each time, and the data that came at its end did not end the exclusion unless it was a whole reply or a first event; streams that went on did not count. Each of these attempts also was a failure of its own in the failure rate, so that a busy endpoint looked as if it failed nearly all requests.

Data now ends an exclusion for silence (not one as unreachable), and attempts that fail while an endpoint is excluded as silent are one failure.

--- a/chervilshift/core/fleet/health.py
+++ b/chervilshift/core/fleet/health.py
@@ -55,6 +55,7 @@
 
     __slots__ = (
         "_excluded_until",
+        "_excluded_as_silent",
         "_exclusions",
         "_failures",
         "_in_flight",
@@ -69,6 +70,7 @@
         # Exclusions since the last success.
         self._exclusions = 0
         self._excluded_until = float("-inf")
+        self._excluded_as_silent = False
         self._in_flight = 0
         self._last_activity_at = 0.0
         self.replied_at = float("-inf")
@@ -84,22 +86,30 @@
         self._in_flight -= 1
 
     def record_activity(self, now: float) -> None:
-        """Record that the endpoint sent data."""
+        """Record that the endpoint sent data; it is no longer silent."""
         self._last_activity_at = now
+        if self._excluded_as_silent:
+            self._end_exclusion()
 
     def record_success(self, now: float) -> None:
         """Record a successful reply; ends an exclusion."""
         self.record_activity(now)
         self.replied_at = now
-        self._exclusions = 0
-        self._excluded_until = float("-inf")
+        self._end_exclusion()
         self._failures.add(0.0, now)
 
     def record_failure(self, now: float) -> None:
-        """Record a failed attempt; excludes a stalled endpoint."""
+        """Record a failed attempt; excludes a stalled endpoint.
+
+        Further attempts that fail in the same silence tell nothing new.
+        """
+        stalled = self.stalled_s(now) > 0
+        if stalled and self._excluded_as_silent and self.is_excluded(now):
+            return
         self._failures.add(1.0, now)
-        if self.stalled_s(now) and not self.is_excluded(now):
+        if stalled and not self.is_excluded(now):
             self._exclude(now)
+            self._excluded_as_silent = True
 
     def record_unreachable(self, now: float) -> None:
         """Record a failed connection; excludes the endpoint for a while.
@@ -143,6 +153,12 @@
         exclusion_s = min(EXCLUSION_MAX_S, EXCLUSION_S * 2**self._exclusions)
         self._excluded_until = now + exclusion_s
         self._exclusions += 1
+        self._excluded_as_silent = False
+
+    def _end_exclusion(self) -> None:
+        self._exclusions = 0
+        self._excluded_until = float("-inf")
+        self._excluded_as_silent = False
 
     def replied_recently(self, now: float) -> bool:
         """Whether a recent reply outweighs control's mark as silent."""
--- a/tests/core/fleet/test_silence.py
+++ b/tests/core/fleet/test_silence.py
@@ -4,10 +4,14 @@
 work once it goes on.
 """
 
+from itertools import product
+
 import pytest
 
 from chervilshift.core.fleet.health import EXCLUSION_S, Health
 
+PAUSES_S = (1.0, 1.2, 1.5)
+
 
 @pytest.mark.parametrize("count", [1, 2, 8, 30])
 @pytest.mark.parametrize("spread_s", [0.0, 0.1, 0.4])
@@ -27,3 +31,44 @@
     health.record_unreachable(EXCLUSION_S)
     assert health.is_excluded(EXCLUSION_S + 1.5 * EXCLUSION_S)
     assert not health.is_excluded(EXCLUSION_S + 2 * EXCLUSION_S)
+
+
+@pytest.mark.parametrize(
+    ("pause_s", "limits_s"),
+    product(
+        PAUSES_S, [(0.26,), (0.39, 0.52), (0.26, 0.52, 0.98, 1.3), (0.9,)]
+    ),
+)
+def test_exclusion_for_silence_ends_with_the_silence(pause_s, limits_s):
+    """Attempts are given up one after the other; a last one is answered."""
+    health = Health()
+    health.record_start(0.0)
+    for limit_s in limits_s:
+        health.record_start(0.0)
+        if limit_s < pause_s:
+            health.record_failure(limit_s)
+            health.record_end()
+    assert health.is_excluded(limits_s[0] + 0.1)
+    health.record_activity(pause_s)
+    assert not health.is_excluded(pause_s)
+    # The next failure is the first one again.
+    health.record_failure(pause_s + 1.0)
+    assert not health.is_excluded(pause_s + 1.0 + EXCLUSION_S)
+
+
+def test_data_does_not_end_an_exclusion_as_unreachable():
+    health = Health()
+    health.record_start(0.0)
+    health.record_unreachable(0.1)
+    health.record_activity(0.2)
+    assert health.is_excluded(0.3)
+
+
+@pytest.mark.parametrize("count", [1, 3, 20])
+def test_attempts_given_up_in_one_silence_are_one_failure(count):
+    once, often = Health(), Health()
+    for health, failures in ((once, 1), (often, count)):
+        health.record_start(0.0)
+        for _ in range(failures):
+            health.record_failure(0.5)
+    assert often.failure_rate(0.6) == once.failure_rate(0.6)
