Replies that one silence held up are one observation of slowness

Callers were kept away from a sound endpoint for seconds after a pause of one second: each of the replies that came when it went on counted as a sample of ten times the usual time, so that calls cost up to nine times the usual there and the other endpoints were filled beyond their slots first. They are one sample now, of at most three times the usual time. The latency ratio of the service, by which hanging endpoints are told from slow ones, is updated by the same replies only.

An endpoint that is slow all the time is still seen as such by five calls one after the other.

--- a/chervilshift/core/fleet/health.py
+++ b/chervilshift/core/fleet/health.py
@@ -14,6 +14,9 @@
 DECAY_HALF_LIFE_S = 3.0
 # Bounds of one slowness sample, the ratio of actual to expected time.
 SLOWNESS_MIN, SLOWNESS_MAX = 0.5, 10.0
+# Largest sample from replies that a silence held up. It tells little of how
+# the endpoint will reply when it goes on.
+SILENCE_SLOWNESS_MAX = 3.0
 # An unreachable endpoint is excluded from selection; the time doubles with
 # each exclusion in a row, up to the maximum.
 EXCLUSION_S, EXCLUSION_MAX_S = 0.5, 4.0
@@ -60,6 +63,8 @@
         "_failures",
         "_in_flight",
         "_last_activity_at",
+        "_resumed_at",
+        "_silence_observed",
         "_slowness",
         "replied_at",
     )
@@ -73,6 +78,9 @@
         self._excluded_as_silent = False
         self._in_flight = 0
         self._last_activity_at = 0.0
+        # The end of the last silence, and whether a reply told of it.
+        self._resumed_at = float("-inf")
+        self._silence_observed = False
         self.replied_at = float("-inf")
 
     def record_start(self, now: float) -> None:
@@ -87,6 +95,9 @@
 
     def record_activity(self, now: float) -> None:
         """Record that the endpoint sent data; it is no longer silent."""
+        if self.stalled_s(now):
+            self._resumed_at = now
+            self._silence_observed = False
         self._last_activity_at = now
         if self._excluded_as_silent:
             self._end_exclusion()
@@ -120,11 +131,22 @@
         if not self.is_excluded(now):
             self._exclude(now)
 
-    def observe(self, expected_s: float, actual_s: float, now: float) -> None:
-        """Update the slowness from the time that one reply took."""
+    def observe(self, expected_s: float, actual_s: float, now: float) -> bool:
+        """Update the slowness from the time that one reply took.
+
+        Replies that one silence held up are one observation; returns false
+        for the further ones.
+        """
+        slowness_max = SLOWNESS_MAX
+        if now - actual_s < self._resumed_at:
+            if self._silence_observed:
+                return False
+            self._silence_observed = True
+            slowness_max = SILENCE_SLOWNESS_MAX
         ratio = actual_s / max(expected_s, 0.01)
-        ratio = min(SLOWNESS_MAX, max(SLOWNESS_MIN, ratio))
+        ratio = min(slowness_max, max(SLOWNESS_MIN, ratio))
         self._slowness.add(ratio, now)
+        return True
 
     def failure_rate(self, now: float) -> float:
         """Return the share of attempts that fail, 0 to 1."""
--- a/chervilshift/core/fleet/placement.py
+++ b/chervilshift/core/fleet/placement.py
@@ -364,7 +364,9 @@
         """
         record, health = choice.endpoint.record, choice.endpoint.health
         latency_ratio = self._latency_ratios[record.service]
-        health.observe(choice.baseline_s * latency_ratio, actual_s, now)
+        expected_s = choice.baseline_s * latency_ratio
+        if not health.observe(expected_s, actual_s, now):
+            return
         ratio = actual_s / max(choice.baseline_s, 0.01)
         latency_ratio += LATENCY_RATIO_WEIGHT * (ratio - latency_ratio)
         self._latency_ratios[record.service] = min(
--- a/tests/core/fleet/test_silence.py
+++ b/tests/core/fleet/test_silence.py
@@ -4,13 +4,32 @@
 work once it goes on.
 """
 
+from contextlib import ExitStack
 from itertools import product
 
+import msgspec
 import pytest
 
 from chervilshift.core.fleet.health import EXCLUSION_S, Health
+from chervilshift.core.fleet.model import ServiceSpec
+from chervilshift.core.fleet.placement import Placed, Placement, Work
+from tests.core.fleet.records import ready_endpoint
 
+SPEC = ServiceSpec(name="pool", max_connections=1000)
 PAUSES_S = (1.0, 1.2, 1.5)
+CALL_S = 0.06
+SLOTS = 8
+
+
+def make_placement(count: int = 3) -> Placement:
+    placement = Placement(region="here", regions={"a": "here"})
+    placement.update_endpoints(
+        msgspec.structs.replace(
+            ready_endpoint(f"e{n}"), address=f"e{n}:80", slots=SLOTS
+        )
+        for n in range(count)
+    )
+    return placement
 
 
 @pytest.mark.parametrize("count", [1, 2, 8, 30])
@@ -72,3 +91,44 @@
         for _ in range(failures):
             health.record_failure(0.5)
     assert often.failure_rate(0.6) == once.failure_rate(0.6)
+
+
+@pytest.mark.parametrize(("pause_s", "held"), product(PAUSES_S, [1, 4, 8]))
+def test_endpoint_gets_its_share_after_a_pause(pause_s, held):
+    """All replies that were held up come at once when the pause ends."""
+    placement = make_placement()
+    choices = {}
+    for endpoint in placement.endpoints():
+        others = {e.id for e in placement.endpoints()} - {endpoint.id}
+        choices[endpoint.id] = placement.choose(
+            SPEC, Work(), 0.0, frozenset(others)
+        )
+    paused = choices["e0"]
+    with ExitStack() as stack:
+        for _ in range(held):
+            stack.enter_context(Placed(choice=paused, now=0.0))
+        for name, number in product(("e1", "e2"), range(100)):
+            now = pause_s * number / 100
+            choices[name].endpoint.health.record_success(now)
+            placement.observe(choices[name], CALL_S, now)
+        for _ in range(held):
+            paused.endpoint.health.record_success(pause_s)
+            placement.observe(paused, pause_s, pause_s)
+    with ExitStack() as stack:
+        for _ in range(3 * SLOTS):
+            choice = placement.choose(SPEC, Work(), pause_s + 0.1)
+            stack.enter_context(Placed(choice=choice, now=pause_s + 0.1))
+        active = {e.id: e.active for e in placement.endpoints()}
+    assert active["e0"] >= SLOTS / 2
+
+
+def test_endpoint_that_is_slow_is_seen_as_slow_by_a_few_calls():
+    placement = make_placement(2)
+    slow = placement.choose(SPEC, Work(), 0.0, frozenset({"e1"}))
+    for number in range(5):
+        now = 0.4 * number
+        with Placed(choice=slow, now=now):
+            slow.endpoint.health.record_success(now + 0.3)
+            placement.observe(slow, 0.3, now + 0.3)
+    assert slow.endpoint.health.slowness(2.0) > 1.5
+    assert placement.choose(SPEC, Work(), 2.0).endpoint is not slow.endpoint
