A reply of any status ends an endpoint's silence

Callers were kept away for half a second or more from an endpoint that had answered with an error, or refused, after a quarter of a second: only success counted as data, so the answer itself was taken for a failure amid silence.

test_error_after_a_pause_does_not_exclude_an_endpoint: before, both cases failed; now both pass.

--- a/chervilshift/gateway/dispatch.py
+++ b/chervilshift/gateway/dispatch.py
@@ -306,7 +306,10 @@
                     self._progress_timeouts(exchange, placed.choice),
                 )
             except EndpointFailed as exc:
-                endpoint.health.record_failure(self._clock.monotonic())
+                now = self._clock.monotonic()
+                if upstream.head is not None:
+                    endpoint.health.record_activity(now)
+                endpoint.health.record_failure(now)
                 if not exc.sent:
                     exchange.maybe_ran = maybe_ran_before
                 raise
@@ -409,6 +412,7 @@
         now = self._clock.monotonic()
         self._count_usage(exchange)
         failed = reply.status >= 500
+        placed.endpoint.health.record_activity(now)
         if failed:
             placed.endpoint.health.record_failure(now)
         else:
--- a/tests/platform/test_silence.py
+++ b/tests/platform/test_silence.py
@@ -26,6 +26,7 @@
     b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: s\r\n"
     b"Transfer-Encoding: chunked\r\n\r\n"
 )
+ERROR_HEAD = HEAD.replace(b"200 OK", b"500 Failed")
 LAST_CHUNK = b"0\r\n\r\n"
 # Where a reply pauses, as its number of chunks sent before and the bytes of
 # the next part that are sent too. The head is the first part.
@@ -45,8 +46,17 @@
 class PausingEndpoint(Endpoint):
     """Sends a reply of five chunks; the first `paused` ones pause once."""
 
-    def __init__(self, *, name: str, service: str, pause: str, paused: int):
+    def __init__(
+        self,
+        *,
+        name: str,
+        service: str,
+        pause: str,
+        paused: int,
+        head: bytes = HEAD,
+    ):
         super().__init__(name=name, service=service, address=free_address())
+        self._head = head
         self._pause_at = PAUSES[pause]
         self._paused = paused
 
@@ -75,7 +85,7 @@
         first = int(fields.get(b"last-event-id", b"0")) + 1
         events = (b"id: %d\ndata: x\n\n" % n for n in range(first, 6))
         parts = [
-            HEAD % fields[b"request-id"],
+            self._head % fields[b"request-id"],
             *(b"%x\r\n%s\r\n" % (len(event), event) for event in events),
             LAST_CHUNK,
         ]
@@ -215,3 +225,21 @@
         check_sound(platform, anyio.current_time())
 
     play(tmp_path, scenario, *endpoints)
+
+
+@pytest.mark.parametrize("path", ["/once/a", "/write/a"])
+def test_error_after_a_pause_does_not_exclude_an_endpoint(tmp_path, path):
+    endpoint = PausingEndpoint(
+        name="w1",
+        service=service_of(path),
+        pause="before the head",
+        paused=1,
+        head=ERROR_HEAD,
+    )
+
+    async def scenario(platform: Platform) -> None:
+        reply = await platform.send_request(path)
+        assert reply.status == 500
+        check_sound(platform, anyio.current_time())
+
+    play(tmp_path, scenario, endpoint)
