--- a/chervilshift/core/fleet/placement.py
+++ b/chervilshift/core/fleet/placement.py
@@ -356,6 +356,18 @@
             ]
         return min(choices, key=lambda choice: choice.cost_s)
 
+    def has_responsive(
+        self, service: str, now: float, excluding: frozenset[str]
+    ) -> bool:
+        """Return whether an endpoint may be used that is not silent."""
+        return any(
+            endpoint.usable(now)
+            and not endpoint.health.is_excluded(now)
+            and not endpoint.health.stalled_s(now)
+            for endpoint in self.endpoints_of(service)
+            if endpoint.id not in excluding
+        )
+
     def observe(self, choice: Choice, actual_s: float, now: float) -> None:
         """Learn from the time until a reply began.
 
--- a/chervilshift/gateway/chooser.py
+++ b/chervilshift/gateway/chooser.py
@@ -49,20 +49,14 @@
     def has_alternative(self, exchange: Exchange, endpoint: Endpoint) -> bool:
         """Return whether an endpoint other than this one is likely to reply.
 
-        It takes requests, did not fail this one and is not silent itself.
+        It did not fail the request before.
         """
-        now = self._clock.monotonic()
-        others = self._state.placement.endpoints_of(exchange.service)
         barred_ids = self._state.held_endpoints(exchange.service)
         barred_ids |= self._other_versions(exchange)
         barred_ids |= self._state.exhausted_endpoints()
         barred_ids |= exchange.failed_ids | {endpoint.id}
-        return any(
-            other.usable(now)
-            and not other.health.is_excluded(now)
-            and not other.health.stalled_s(now)
-            for other in others
-            if other.id not in barred_ids
+        return self._state.placement.has_responsive(
+            exchange.service, self._clock.monotonic(), barred_ids
         )
 
     def explain(self, exchange: Exchange) -> tuple[str, float]:
