The budget is looked at before the endpoints when an attempt is kept

Requests that wait at loaded endpoints while the retry budget is spent are looked at again and again; the cheap check comes first, and every 0.1 s is often enough. With it the test of what accepts no connection: an endpoint whose queue of connections is full is not taken for crashed.

--- a/chervilshift/gateway/dispatch.py
+++ b/chervilshift/gateway/dispatch.py
@@ -371,6 +371,10 @@
         too. The permit of the next attempt is taken at once: without it, the
         answer that may still come would be lost.
         """
+        budget = self._state.retry_budget(exchange.service)
+        now = self._clock.monotonic()
+        if not budget.available(self._state.gateway_count, now):
+            return False
         if not self._origins.is_clear(exchange):
             return False
         hangs = silence_s >= MAX_SOUND_SILENCE_S
--- a/chervilshift/gateway/upstream.py
+++ b/chervilshift/gateway/upstream.py
@@ -17,7 +17,7 @@
 # request accepted.
 NOT_RUN_STATUSES = (503, 429, 421, 400)
 # An attempt that may not be left yet is looked at again after this time.
-RECHECK_S = 0.05
+RECHECK_S = 0.1
 # Larger than any reply of a plain service.
 MAX_REPLY_BODY_BYTES = 16 << 20
 
--- a/tests/core/fleet/test_silence_under_load.py
+++ b/tests/core/fleet/test_silence_under_load.py
@@ -24,7 +24,7 @@
 OBJECTIVE_S = 0.4
 LEAVE_AFTER_S = 0.26
 MAX_SOUND_SILENCE_S = 1.6
-RECHECK_S = 0.05
+RECHECK_S = 0.1
 NEWS_INTERVAL_S = 0.25
 LENGTH_S = 20.0
 CALL_S = (0.03, 0.09)
--- /dev/null
+++ b/tests/gateway/test_connections.py
@@ -0,0 +1,62 @@
+"""Connections to endpoints that accept none for a while.
+
+A connection that isn't accepted is no refusal: an endpoint that pauses must
+not be taken for one that has crashed.
+"""
+
+import socket
+from contextlib import ExitStack
+
+import anyio
+import httpcore
+import pytest
+
+from chervilshift.clock import SystemClock
+from chervilshift.gateway.connections import ConnectionPool
+from tests.cluster import free_address
+
+# More than a listener with the shortest queue holds.
+FILLING_CONNECTIONS = 4
+
+
+def listen(stack: ExitStack, address: str) -> tuple[str, int]:
+    """Listen without accepting; return the address."""
+    host, port = address.split(":")
+    listener = stack.enter_context(socket.socket())
+    listener.bind((host, int(port)))
+    listener.listen(0)
+    return host, int(port)
+
+
+def test_endpoint_that_accepts_no_connection_is_not_refused():
+    address = free_address()
+
+    async def run() -> None:
+        pool = ConnectionPool(clock=SystemClock())
+        assert await pool.is_refused("e1", address)
+        with ExitStack() as stack:
+            target = listen(stack, address)
+            for _ in range(FILLING_CONNECTIONS):
+                waiting = stack.enter_context(socket.socket())
+                waiting.setblocking(False)
+                waiting.connect_ex(target)
+            assert not await pool.is_refused("e1", address)
+            with pytest.raises(httpcore.ConnectTimeout):
+                await pool.acquire("e1", address)
+        assert pool.open_count("e1") == 0
+
+    anyio.run(run)
+
+
+def test_connection_that_is_accepted_late_is_open_at_once():
+    address = free_address()
+
+    async def run() -> None:
+        pool = ConnectionPool(clock=SystemClock())
+        with ExitStack() as stack:
+            listen(stack, address)
+            with anyio.fail_after(0.5):
+                conn = await pool.acquire("e1", address)
+            await pool.discard(conn)
+
+    anyio.run(run)
