--- a/chervilshift/core/fleet/placement.py
+++ b/chervilshift/core/fleet/placement.py
@@ -385,6 +385,18 @@
         least_s = min(choice.cost_s for choice in choices)
         return self._rng.choice([c for c in choices if c.cost_s == least_s])
 
+    def has_responsive(
+        self, service: str, now: float, excluding: frozenset[str]
+    ) -> bool:
+        """Return whether an endpoint may be used that is not silent."""
+        return any(
+            endpoint.usable(now)
+            and not endpoint.health.is_excluded(now)
+            and not endpoint.health.stalled_s(now)
+            for endpoint in self.endpoints_of(service)
+            if endpoint.id not in excluding
+        )
+
     def observe(self, choice: Choice, actual_s: float, now: float) -> None:
         """Learn from the time until a reply began.
 
@@ -393,7 +405,9 @@
         """
         record, health = choice.endpoint.record, choice.endpoint.health
         latency_ratio = self._latency_ratios[record.service]
-        health.observe(choice.baseline_s * latency_ratio, actual_s, now)
+        expected_s = choice.baseline_s * latency_ratio
+        if not health.observe(expected_s, actual_s, now):
+            return
         ratio = actual_s / max(choice.baseline_s, 0.01)
         latency_ratio += LATENCY_RATIO_WEIGHT * (ratio - latency_ratio)
         self._latency_ratios[record.service] = min(
