Streams: ask an engine for its incarnation before sending to it

Seen: an endpoint that starts anew under its id as another version takes requests, which name the id only, before its announcement is known. It was taken for the old version, streams went on there, and callers got pieces of two versions in one answer.

Cause: nothing in a reply tells the incarnation. The endpoint's own report (GET /api/report) does: it bears the time of the start, like all that an endpoint says of itself.

Change: on a connection to an engine that is new to resumable streams, the gateway asks for the report first. The connection ends with the process, so the answer holds as long as it. On another incarnation than the announced, or none within 0.5 s, nothing is sent, and the endpoint counts as unreachable. Without an incarnation in the report, new streams are sent but none that goes on. The decision is `is_incarnation`, which the simulation uses as well; its endpoints name themselves when a stream is sent.

The two new tests with real processes fail without the question. The stand-in endpoints of tests answer reports, and don't count them as requests.

Cost: a round trip and a report for each new connection to an engine that resumable streams use. Services without engines have no report and are as before.

--- a/chervilshift/core/fleet/origins.py
+++ b/chervilshift/core/fleet/origins.py
@@ -25,6 +25,7 @@
     "OriginSnapshot",
     "OriginTable",
     "decide_origin",
+    "is_incarnation",
     "keep_s",
     "stream_key",
 ]
@@ -285,6 +286,20 @@
                 held.reported = True
 
 
+def is_incarnation(
+    born_ms: int, named_ms: int | None, *, goes_on: bool
+) -> bool:
+    """Return whether a stream may be sent on a connection to an endpoint.
+
+    `born_ms` is the announced incarnation, `named_ms` the one that was named
+    on the connection, None without any. A stream that goes on is not sent to
+    one that is not known.
+    """
+    if named_ms is None:
+        return not goes_on
+    return named_ms == born_ms
+
+
 def decide_origin(
     recorded: Iterable[Origin], services: Iterable[str]
 ) -> Origin | None:
--- a/chervilshift/gateway/connections.py
+++ b/chervilshift/gateway/connections.py
@@ -97,10 +97,12 @@
 
     `reused` is true from its second request on. `expires_at` is the monotonic
     time after which an idle connection is no longer used. `refused_id` is the
-    id of the last request that was refused on it.
+    id of the last request that was refused on it. `born_ms` is the incarnation
+    that the endpoint has named on it, None before that.
     """
 
     __slots__ = (
+        "born_ms",
         "endpoint_id",
         "expires_at",
         "_stream",
@@ -126,6 +128,7 @@
         )
         self.reused = False
         self.refused_id = b""
+        self.born_ms: int | None = None
         self.idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         self.expires_at = float("inf")
 
--- a/chervilshift/gateway/dispatch.py
+++ b/chervilshift/gateway/dispatch.py
@@ -6,7 +6,8 @@
 
 from chervilshift.clock import Clock
 from chervilshift.core.fleet.model import STREAM, Customer, Route
-from chervilshift.core.fleet.placement import Choice, Placed
+from chervilshift.core.fleet.origins import is_incarnation
+from chervilshift.core.fleet.placement import Choice, Endpoint, Placed
 from chervilshift.core.fleet.routes import pick_target
 from chervilshift.core.fleet.stopping import Stopping
 from chervilshift.errors import (
@@ -57,6 +58,8 @@
 # A stream that pauses for this multiple of the route's allowed gap is regarded
 # as stuck; clients disconnect at eight times the gap.
 MAX_GAP_FACTOR = 3.0
+# An endpoint names its incarnation at once, also one that is full.
+REPORT_TIMEOUT_S = 0.5
 # Larger than any event of a stream; an endpoint that sends more without
 # ending the event sends no event stream.
 MAX_EVENT_BYTES = 256 << 10
@@ -281,6 +284,7 @@
             endpoint.health.record_unreachable(self._clock.monotonic())
             raise
         async with upstream:
+            await self._check_incarnation(exchange, endpoint, upstream)
             sent_at = self._clock.monotonic()
             self._metrics.observe("connect", sent_at - connect_began_at)
             exchange.attempts_sent += 1
@@ -315,6 +319,33 @@
                     exchange, placed, upstream, reply, downstream, sent_at
                 )
 
+    async def _check_incarnation(
+        self, exchange: Exchange, endpoint: Endpoint, upstream: Upstream
+    ) -> None:
+        """Check that a stream which may be taken up reaches what it should.
+
+        An endpoint that has started anew under its id may be of another
+        version. Raises EndpointFailed; nothing was sent then.
+        """
+        spec = self._state.table.cfg.services.get(exchange.service)
+        if not exchange.route.resumable or spec is None or not spec.engine:
+            return
+        try:
+            named_ms = await upstream.named_born_ms(REPORT_TIMEOUT_S)
+            if not is_incarnation(
+                endpoint.record.born_ms,
+                named_ms,
+                goes_on=exchange.version is not None,
+            ):
+                raise upstream.not_sent(
+                    f"serves as incarnation {named_ms}, announced is "
+                    f"{endpoint.record.born_ms}"
+                )
+        except EndpointFailed:
+            exchange.failed_connects += 1
+            endpoint.health.record_unreachable(self._clock.monotonic())
+            raise
+
     def _progress_timeouts(
         self, exchange: Exchange, choice: Choice
     ) -> ProgressTimeouts:
--- a/chervilshift/gateway/protocol.py
+++ b/chervilshift/gateway/protocol.py
@@ -183,7 +183,12 @@
 
 
 class HeaderCodec(Protocol):
-    """Translates between a client protocol's headers and these types."""
+    """Translates between a client protocol's headers and these types.
+
+    `report_target` is where engines report on themselves.
+    """
+
+    report_target: bytes
 
     def decode(self, scope: dict) -> Result[ClientRequest, Failure]:
         """Decode a request's head from an ASGI scope."""
@@ -199,6 +204,9 @@
     def reply_head(self, status: int, headers: Headers) -> ReplyHead:
         """Decode the head of an endpoint's reply."""
 
+    def reported_born_ms(self, status: int, body: bytes) -> int | None:
+        """Return the incarnation that a report names, None if it is none."""
+
     def response_headers(self, headers: Headers) -> Headers:
         """Return the headers of an endpoint's reply that the client gets.
 
--- a/chervilshift/gateway/upstream.py
+++ b/chervilshift/gateway/upstream.py
@@ -135,6 +135,46 @@
             else:
                 await self._pool.discard(self._conn)
 
+    async def named_born_ms(self, timeout_s: float) -> int | None:
+        """Return the incarnation that serves the connection.
+
+        It is asked for once per connection; None if the endpoint names none.
+        """
+        conn = self._conn
+        if conn.born_ms is not None:
+            return conn.born_ms
+        request = httpcore.Request(
+            "GET",
+            httpcore.URL(
+                scheme=conn.origin.scheme,
+                host=conn.origin.host,
+                port=conn.origin.port,
+                target=self._codec.report_target,
+            ),
+            headers=[(b"host", conn.origin.host)],
+        )
+        conn.limit_head()
+        chunks = []
+        response = None
+        try:
+            with anyio.move_on_after(timeout_s):
+                response = await conn.http.handle_async_request(request)
+                async for chunk in response.stream:
+                    chunks.append(chunk)
+                await response.aclose()
+        except HTTP_ERRORS as exc:
+            raise self.not_sent(f"no report, {_describe(exc)}") from exc
+        if response is None or not conn.http.is_idle():
+            raise self.not_sent("no whole report on an open connection")
+        head = self._codec.reply_head(response.status, response.headers)
+        if head.request_id:
+            raise self.not_sent("reply to a request instead of a report")
+        conn.lift_limit()
+        conn.born_ms = self._codec.reported_born_ms(
+            response.status, b"".join(chunks)
+        )
+        return conn.born_ms
+
     async def send(
         self,
         method: str,
@@ -249,6 +289,12 @@
             broken=broken,
         )
 
+    def not_sent(self, reason: str) -> EndpointFailed:
+        """Return the failure of an attempt that was not sent."""
+        return EndpointFailed(
+            endpoint=self._endpoint_id, reason=reason, sent=False
+        )
+
     def _broken(self, exc: Exception) -> EndpointFailed:
         broken = not isinstance(exc, httpcore.TimeoutException)
         return self.failure(_describe(exc), broken=broken)
--- a/chervilshift/platform/announcements.py
+++ b/chervilshift/platform/announcements.py
@@ -1,4 +1,7 @@
-"""Decodes endpoints' announcements; an invalid one adds no endpoint."""
+"""Decodes what endpoints say of themselves.
+
+An invalid announcement adds no endpoint.
+"""
 
 import msgspec
 from returns.result import Failure as Bad
@@ -21,7 +24,7 @@
     is_token,
 )
 
-__all__ = ["decode_announcement", "decode_departure"]
+__all__ = ["decode_announcement", "decode_departure", "decode_report"]
 
 ANNOUNCED_STATES = (READY, DRAINING)
 
@@ -47,8 +50,13 @@
     born: Count | None = None
 
 
+class _Report(msgspec.Struct):
+    born: Count
+
+
 ANNOUNCEMENT_DECODER = msgspec.json.Decoder(_Announcement)
 DEPARTURE_DECODER = msgspec.json.Decoder(_Departure)
+REPORT_DECODER = msgspec.json.Decoder(_Report)
 
 
 def decode_announcement(
@@ -94,3 +102,9 @@
     if not isinstance(decoded, Bad) and decoded.unwrap().born is not None:
         born_ms = decoded.unwrap().born
     return msgspec.structs.replace(record, state=GONE, born_ms=born_ms)
+
+
+def decode_report(body: bytes) -> int | None:
+    """Return the incarnation that a report names, None if it names none."""
+    decoded = decode_json(body, REPORT_DECODER)
+    return None if isinstance(decoded, Bad) else decoded.unwrap().born
--- a/chervilshift/platform/headers.py
+++ b/chervilshift/platform/headers.py
@@ -13,6 +13,7 @@
     PromptPart,
     ReplyHead,
 )
+from chervilshift.platform.announcements import decode_report
 from chervilshift.untrusted import parse_count, parse_integer, parse_number
 
 __all__ = ["PlatformHeaderCodec"]
@@ -84,6 +85,8 @@
 
     __slots__ = ()
 
+    report_target = b"/api/report"
+
     def decode(self, scope: dict) -> Result[ClientRequest, Failure]:
         """Decode a request's head.
 
@@ -174,6 +177,10 @@
             else None,
         )
 
+    def reported_born_ms(self, status: int, body: bytes) -> int | None:
+        """Return the incarnation that a report names, None if it is none."""
+        return decode_report(body) if status == 200 else None
+
     def response_headers(self, headers: Headers) -> Headers:
         """Return a reply's headers without those of its connection.
 
--- a/tests/core/origin_simulation.py
+++ b/tests/core/origin_simulation.py
@@ -25,6 +25,7 @@
     OpenStreams,
     Origin,
     decide_origin,
+    is_incarnation,
     keep_s,
     stream_key,
 )
@@ -49,7 +50,10 @@
 
 
 class Endpoint:
-    """One endpoint; it takes requests that name its id while it is up."""
+    """One endpoint; it takes requests that name its id while it is up.
+
+    It names its incarnation on each connection before the first stream.
+    """
 
     def __init__(self, *, id: str, version: str, born_ms: int):
         self.id = id
@@ -407,7 +411,16 @@
     ) -> bool:
         """Send a stream to an endpoint; return whether its events come."""
         up = {endpoint.id: endpoint for endpoint in self.endpoints}
-        records = (r for r in gateway.place(version) if r.id in up)
+        records = (
+            record
+            for record in gateway.place(version)
+            if record.id in up
+            and is_incarnation(
+                record.born_ms,
+                up[record.id].born_ms,
+                goes_on=version is not None,
+            )
+        )
         record = next(records, None)
         if record is None:
             return False
--- a/tests/platform/crashing.py
+++ b/tests/platform/crashing.py
@@ -46,7 +46,6 @@
         super().__init__(service=service, **fields)
         self.bad = bad
         self.deadly = deadly
-        self.born = 1000
         self.bad_arrivals: list[float] = []
         self.deadly_arrivals: defaultdict[bytes, list[float]] = defaultdict(
             list
@@ -55,10 +54,6 @@
         self._clock = SystemClock()
         self._process = anyio.CancelScope()
 
-    def announcement(self, state: str = "ready", **changes) -> bytes:
-        """Return the body of the next announcement."""
-        return super().announcement(state, **{"born": self.born} | changes)
-
     async def run(self, platform: Platform) -> None:
         """Serve, crash and restart until cancelled."""
         host, port = self.address.split(":")
@@ -75,7 +70,7 @@
                             await platform.announce(self, "ready")
                         await anyio.sleep(ANNOUNCE_INTERVAL_S)
             self.crashed_at.append(self._clock.monotonic())
-            self.born += 1
+            self.born_ms += 1
             self.seq = 0
             await anyio.sleep(REBOOT_S)
 
@@ -88,7 +83,7 @@
                 return
 
     async def _serve_one(self, stream) -> None:
-        fields = await read_request(stream)
+        fields = await read_request(stream, self.born_ms)
         prefix = fields.get(b"prompt-prefix", b"").split(b",")
         parts = {entry.strip().split(b":")[0] for entry in prefix[:-1]}
         self.arrivals += 1
--- a/tests/platform/rawhttp.py
+++ b/tests/platform/rawhttp.py
@@ -7,6 +7,8 @@
 __all__ = ["BODY", "read_request", "serve_raw"]
 
 BODY = b":body"
+REPORT_HEAD = b"GET /api/report "
+REPORT = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s"
 
 
 async def serve_raw(platform: Platform, tg, endpoint: Endpoint) -> None:
@@ -21,14 +23,19 @@
     await eventually(lambda: bool(placement.endpoints()))
 
 
-async def read_request(stream) -> dict[bytes, bytes]:
+async def read_request(stream, born_ms: int = 1000) -> dict[bytes, bytes]:
     """Read one whole request; return its headers, in lower case.
 
-    The body is the value of `BODY`.
+    The body is the value of `BODY`. Requests for a report are answered with
+    the incarnation.
     """
     data = b""
     while b"\r\n\r\n" not in data:
         data += await stream.receive()
+        if data.startswith(REPORT_HEAD) and data.endswith(b"\r\n\r\n"):
+            report = b'{"born":%d}' % born_ms
+            await stream.send(REPORT % (len(report), report))
+            data = b""
     head, _, body = data.partition(b"\r\n\r\n")
     fields = dict(
         line.lower().split(b": ", 1) for line in head.split(b"\r\n")[1:]
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -65,10 +65,11 @@
     `events` is the number of events of a whole stream. `limit_per_s` is the
     rate that its replies state, None for none, `retry_after` what its
     refusals state, and `leaving` whether its replies say that it leaves.
-    `version` is that of its software, which its replies name too.
-    `arrivals` counts all
-    requests; `runs` holds the headers of those that were run, `bodies` their
-    bodies. `cancelled` counts the hanging requests whose client disconnected.
+    `version` is that of its software, which its replies name too, and
+    `born_ms` the incarnation that it reports, None for no report.
+    `arrivals` counts all requests but those for reports; `runs` holds the
+    headers of those that were run, `bodies` their bodies. `cancelled` counts
+    the hanging requests whose client disconnected.
     """
 
     def __init__(
@@ -96,6 +97,7 @@
         self.cancelled = 0
         self.seq = 0
         self.state = "ready"
+        self.born_ms: int | None = 1000
 
     def announcement(self, state: str = "ready", **changes) -> bytes:
         """Return the body of the next announcement."""
@@ -109,7 +111,7 @@
             "state": state,
             "cold_left_ms": 0,
             "seq": self.seq,
-            "born": 1000,
+            "born": self.born_ms or 1000,
         }
         return msgspec.json.encode(fields | changes)
 
@@ -122,6 +124,11 @@
             body += message.get("body", b"")
             if not message.get("more_body"):
                 break
+        if scope["path"] == "/api/report":
+            report = {"stage": "mixed", "seq": 2, "born": self.born_ms}
+            status = 200 if self.born_ms is not None else 404
+            await _respond(send, status, [], msgspec.json.encode(report))
+            return
         self.arrivals += 1
         behaviour = self.behave(self.arrivals)
         if headers.get(b"expect-instance") != self.name.encode():
@@ -516,15 +523,20 @@
         )
 
 
-async def _respond(send, status: int, headers: list) -> None:
+async def _respond(
+    send, status: int, headers: list, body: bytes = b"{}"
+) -> None:
     await send(
         {
             "type": "http.response.start",
             "status": status,
-            "headers": [*headers, (b"content-length", b"2")],
+            "headers": [
+                *headers,
+                (b"content-length", str(len(body)).encode()),
+            ],
         }
     )
-    await send({"type": "http.response.body", "body": b"{}"})
+    await send({"type": "http.response.body", "body": body})
 
 
 async def _write(send, data: bytes) -> None:
--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -14,6 +14,7 @@
     "api/config",
     "api/instances",
     "api/ready",
+    "api/report",
     "api/resolve",
     'born"',
     "Deadline-Ms",
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -91,6 +91,21 @@
     assert decode_departure(record, b"\xff").born_ms == 77
 
 
+def test_report_names_the_incarnation_that_serves():
+    codec = PlatformHeaderCodec()
+    assert codec.reported_born_ms(200, b'{"busy":false,"born":77}') == 77
+    assert codec.reported_born_ms(503, b'{"born":77}') is None
+
+
+@pytest.mark.parametrize(
+    "body",
+    [b"", b"\xff", b"[77]", b"{}"]
+    + [b'{"born":%s}' % born for born in (b"-1", b'"77"', b"null", b"1e99")],
+)
+def test_odd_report_names_no_incarnation(body):
+    assert PlatformHeaderCodec().reported_born_ms(200, body) is None
+
+
 def scope(*headers: tuple[bytes, bytes], path: bytes = b"/a/b") -> dict:
     return {
         "method": "POST",
--- a/tests/platform/test_stream_versions.py
+++ b/tests/platform/test_stream_versions.py
@@ -223,3 +223,49 @@
         assert (await fleet.take_up(1, "of-another-gateway")).status == 503
 
     run_scenario(tmp_path, scenario)
+
+
+class Restarted(Endpoint):
+    """Runs v2 since a restart, while its last announcement was of v1."""
+
+    def __init__(self):
+        super().__init__(
+            name="a2", service="llm", address=free_address(), version="v2"
+        )
+        self.born_ms = 2000
+
+    def announcement(self, state: str = "ready", **changes) -> bytes:
+        return super().announcement(state, born=1000, version="v1")
+
+
+def test_stream_of_an_endpoint_that_started_anew_is_not_joined(tmp_path):
+    """Its id is the same, and its new announcement is not known yet."""
+
+    async def scenario(fleet: Fleet) -> None:
+        restarted = Restarted()
+        await fleet.platform.add_endpoint(restarted)
+        await fleet.add("a1")
+        for number in range(12):
+            begun = await fleet.begin(f"{number:016x}")
+            reply = await fleet.take_up(number % GATEWAYS, f"{number:016x}")
+            assert_goes_on(reply, begun)
+            assert version_of(reply) == "v1"
+        assert not restarted.runs
+
+    run_scenario(tmp_path, scenario)
+
+
+def test_stream_does_not_go_on_at_an_endpoint_that_names_no_incarnation(
+    tmp_path,
+):
+    async def scenario(fleet: Fleet) -> None:
+        silent = fleet.endpoints[0]
+        silent.born_ms = None
+        await fleet.add(silent.name)
+        await fleet.begin()
+        runs = len(silent.runs)
+        for gateway in range(GATEWAYS):
+            assert (await fleet.take_up(gateway)).status == 503
+        assert len(silent.runs) == runs
+
+    run_scenario(tmp_path, scenario)
