--- a/tests/platform/rawhttp.py
+++ b/tests/platform/rawhttp.py
@@ -16,6 +16,8 @@
 ]
 
 BODY = b":body"
+REPORT_HEAD = b"GET /api/report "
+REPORT = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s"
 
 
 class NoRequest(Exception):
@@ -50,11 +52,27 @@
             await handle(stream)
 
 
-async def read_request(stream) -> dict[bytes, bytes]:
+async def read_request(stream, born_ms: int = 1000) -> dict[bytes, bytes]:
     """Read one whole request; return its headers, in lower case.
 
-    The body is the value of `BODY`. Raises NoRequest if none begins.
+    The body is the value of `BODY`. Requests for a report are answered with
+    the incarnation. Raises NoRequest if no other request begins.
     """
+    head, body = await _read_head(stream)
+    while head.startswith(REPORT_HEAD):
+        report = b'{"born":%d}' % born_ms
+        await stream.send(REPORT % (len(report), report))
+        head, body = await _read_head(stream)
+    fields = dict(
+        line.lower().split(b": ", 1) for line in head.split(b"\r\n")[1:]
+    )
+    while len(body) < int(fields.get(b"content-length", b"0")):
+        body += await stream.receive()
+    return fields | {BODY: body}
+
+
+async def _read_head(stream) -> tuple[bytes, bytes]:
+    """Return a request's head and what has come of its body."""
     try:
         data = await stream.receive()
     except (anyio.EndOfStream, anyio.BrokenResourceError):
@@ -62,9 +80,4 @@
     while b"\r\n\r\n" not in data:
         data += await stream.receive()
     head, _, body = data.partition(b"\r\n\r\n")
-    fields = dict(
-        line.lower().split(b": ", 1) for line in head.split(b"\r\n")[1:]
-    )
-    while len(body) < int(fields.get(b"content-length", b"0")):
-        body += await stream.receive()
-    return fields | {BODY: body}
+    return head, body
