Test of the slow engine: wait until a stream runs there

Cause: where the engine seemed slow a moment before the test slowed it, as on a busy machine, it got none of the 96 requests, and there was no stream to move; an engine that seemed slow is tried again only after 16 s.

Shown by a forced run in which the engine has gaps of 30 ms before the test begins: "no stream moved; m1 executed 0 requests when slow" (0 of 32, 32 and 64). The test now sends requests until the engine has executed one when slow; the share and the move are checked as before.

--- a/tests/proofs/test_decisions.py
+++ b/tests/proofs/test_decisions.py
@@ -4,10 +4,12 @@
 against long requests that delay short ones.
 """
 
+import time
+
 import pytest
 
 from tests.callers import Follower, follow
-from tests.cluster import Cluster, eventually
+from tests.cluster import WAIT_S, Cluster, eventually
 
 ANSWER_TOKENS = 30
 SLOW_TOKEN_GAP_MS = 200
@@ -61,16 +63,29 @@
             follower.check()
 
 
+def send_until_executed(cluster: Cluster, name: str, before: dict) -> None:
+    """Send requests until an engine executed one since the counts `before`.
+
+    An engine that seemed slow is tried again after some time.
+    """
+    deadline = time.monotonic() + WAIT_S
+    while execution_counts(cluster)[name] == before[name]:
+        assert time.monotonic() < deadline, f"{name} gets no requests"
+        send_requests(cluster, 8)
+
+
 def test_slow_engine_gets_little_and_its_streams_move(engines):
     """An engine turns slow while it still announces itself as usable.
 
-    After 32 requests, in which the entries can measure the slowdown, its
-    share of 64 more stays below 0.125, half of an even share. At least one
-    stream is moved off it.
+    Streams run there then, also if it seemed slow a moment before. After 32
+    requests, in which the entries can measure the slowdown, its share of 64
+    more stays below 0.125, half of an even share. At least one stream is moved
+    off it.
     """
     send_requests(engines, 32)
     at_slowdown = execution_counts(engines)
     engines.standin("m1", gap_ms=SLOW_TOKEN_GAP_MS)
+    send_until_executed(engines, "m1", at_slowdown)
     send_requests(engines, 32)
     before = execution_counts(engines)
     slow_executions = before["m1"] - at_slowdown["m1"]
