Test of an entry host's notice: streams outlast a slow start

What was seen: once of two runs at a load average of 30 the entry's own caller had not reconnected. Cause: a stream lasted 3.2 s, and the entry gives up its streams two seconds after the notice; with three followers that start slowly, the first stream had ended by then.

Checks are unchanged.

--- a/tests/proofs/test_reclaim.py
+++ b/tests/proofs/test_reclaim.py
@@ -11,6 +11,8 @@
 
 ANSWER_TOKENS = 400
 TOKEN_GAP_MS = 8
+# With it a stream lasts 16 s, far longer than a test takes to start several.
+LONG_TOKEN_GAP_MS = 40
 
 
 @pytest.fixture
@@ -45,6 +47,12 @@
     assert status == 200
 
 
+def set_token_gap(cluster: Cluster, gap_ms: float) -> None:
+    """Set the time between tokens of all engines."""
+    for name in cluster.standins:
+        cluster.standin(name, gap_ms=gap_ms)
+
+
 def last_endpoint(cluster: Cluster, follower) -> str:
     """Return the endpoint to which a follower's request was last sent."""
     request_id = follower.stream.request_id
@@ -152,10 +160,12 @@
 
     It exits with 0, and only its own caller reconnects.
     """
+    set_token_gap(fleet, LONG_TOKEN_GAP_MS)
     followers = start_followers(fleet, 3, seed=5)
     send_notice(fleet, "host-e1", 5.0, entry="e2")
     process = fleet.processes["e1"]
     assert process.wait(60) == 0
+    set_token_gap(fleet, TOKEN_GAP_MS)
     for follower in followers:
         follower.check()
     assert followers[0].reconnects
