Reserves of limits: endpoints that ended are forgotten

A control process kept a balance and an open request for the limit of each endpoint that ever stated one. Such names are now kept up to 1,024, as in the other tables; on the code before, the test found 3,072.

--- a/chervilshift/core/fleet/pool.py
+++ b/chervilshift/core/fleet/pool.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 
 from chervilshift.core.fleet.limits import EndpointLimit, Limit, LimitPolicy
+from chervilshift.core.fleet.tables import forget_unnamed
 
 __all__ = ["LimitPool"]
 
@@ -40,6 +41,8 @@
         """Set the limits, and how many processes share them."""
         self._limits = {i.name: i for i in limits if i.rate_per_s > 0}
         self._size = (gateways, replicas)
+        forget_unnamed(self._balances, self._limits)
+        forget_unnamed(self._asked, self._limits)
 
     def add(self, grants: dict[str, float]) -> None:
         """Add what the leader has granted."""
--- a/tests/core/fleet/test_tables.py
+++ b/tests/core/fleet/test_tables.py
@@ -10,9 +10,14 @@
     MAX_PART_ID_CHARS,
     short_id,
 )
-from chervilshift.core.fleet.limits import LimitAccount, LimitPolicy
+from chervilshift.core.fleet.limits import (
+    EndpointLimit,
+    LimitAccount,
+    LimitPolicy,
+)
 from chervilshift.core.fleet.model import Customer, ServiceSpec
 from chervilshift.core.fleet.placement import Placement, Work
+from chervilshift.core.fleet.pool import LimitPool
 from chervilshift.core.fleet.tables import MAX_UNNAMED, forget_unnamed
 from chervilshift.core.fleet.walltime import OFFSET_MAX_AGE_S, WallTime
 from tests.core.fleet.records import ready_endpoint
@@ -37,6 +42,21 @@
     assert account.try_spend(customer, 0.1, 0.0)
 
 
+def test_limits_of_endpoints_that_ended_are_forgotten():
+    pool = LimitPool(
+        policy=LimitPolicy(window_s=8.0, tolerance=0.1, slack=0.0)
+    )
+    for number in range(3 * MAX_UNNAMED):
+        limit = EndpointLimit(name=f"endpoint:{number}", rate_per_s=1.0)
+        pool.configure((limit,), 100, 9)
+        pool.request("g1", {limit.name: 1.0})
+        pool.answered(pool.ask())
+        pool.add({limit.name: 1.0})
+        assert pool.take("g1", {limit.name: 1.0}, {})
+    assert len(pool._balances) <= MAX_UNNAMED + 2
+    assert len(pool._asked) <= MAX_UNNAMED + 2
+
+
 def test_services_of_former_configurations_are_forgotten():
     placement = Placement(region="here", regions={})
     for number in range(3 * MAX_UNNAMED):
