Tests: a removed voter joins under a leader it never knew

A voter is removed while its disk is full; another one, removed before and admitted since, leads when the disk has room.

--- a/tests/control/test_full_disks.py
+++ b/tests/control/test_full_disks.py
@@ -7,7 +7,10 @@
 import pytest
 
 from tests.cluster import free_address
-from tests.control.full_disk_simulation import run_seed
+from tests.control.full_disk_simulation import (
+    FullDiskSimulation,
+    run_seed,
+)
 from tests.platform.standin import call, config
 from tests.soak.processes import Fleet
 
@@ -90,3 +93,50 @@
         c.log.read_text().count("storage_failed") for c in fleet.controls
     ]
     assert all(failures)
+
+
+class LeaderThatJoinedLater(FullDiskSimulation):
+    """A voter is removed, then one that it does not know of leads."""
+
+    async def _fill_disks(self):
+        c3, c4 = self.hosts["c3"], self.hosts["c4"]
+        c3.full = True
+        await self._wait(lambda: self._votes("c3") is False)
+        c3.full, c4.full = False, True
+        await self._wait(
+            lambda: self._votes("c3") and self._votes("c4") is False
+        )
+        with anyio.fail_after(120.0):
+            while (leader := self._leader()) is not c3:
+                if leader is not None:
+                    self._restart(leader)
+                await anyio.sleep(3.0)
+        c4.full = False
+
+    async def _check(self):
+        await super()._check()
+        assert self._votes("c4"), "c4 was not admitted again"
+
+    async def _wait(self, check) -> None:
+        with anyio.fail_after(40.0):
+            while not check():
+                await anyio.sleep(0.05)
+
+    def _leader(self):
+        hosts = self.hosts.values()
+        return next((h for h in hosts if h.node.has_lease()), None)
+
+    def _votes(self, name: str) -> bool | None:
+        """Return whether a host votes, None if there is no leader."""
+        leader = self._leader()
+        if leader is None:
+            return None
+        return name in {v.name for v in leader.node.raft.log.voters}
+
+
+@pytest.mark.parametrize("seed", range(1, 4))
+def test_voter_removed_while_its_disk_was_full_joins_a_leader_it_never_knew(
+    seed,
+):
+    """It asked the replicas it knew, and itself last, which knew none."""
+    LeaderThatJoinedLater(seed=seed).run()
