--- a/tests/control/full_disk_simulation.py
+++ b/tests/control/full_disk_simulation.py
@@ -415,6 +415,7 @@
     parser.add_argument("--hosts", type=int, default=5)
     parser.add_argument("--gateways", type=int, default=0)
     parser.add_argument("--tolerated-losses", type=int, default=1)
+    parser.add_argument("--duration-s", type=float, default=DURATION_S)
     parser.add_argument("--jobs", type=int, default=2)
     args = parser.parse_args()
     seeds = range(args.first, args.first + args.seeds)
@@ -423,11 +424,16 @@
         hosts=args.hosts,
         gateways=args.gateways,
         tolerated_losses=args.tolerated_losses,
+        duration_s=args.duration_s,
     )
+    failed = 0
     with Pool(args.jobs) as pool:
-        failures = [f for f in pool.imap(run, seeds, 2) if f]
-    print(*failures, sep="\n")
-    print(f"{len(failures)} of {len(seeds)} seeds failed")
+        for done, failure in enumerate(pool.imap_unordered(run, seeds), 1):
+            failed += failure is not None
+            if failure is not None:
+                print(failure, flush=True)
+            if done % 10 == 0 or done == len(seeds):
+                print(f"{failed} of {done} seeds failed", flush=True)
 
 
 if __name__ == "__main__":
