Log how reports of streams and questions about them ended

A taken-up stream that is refused, because the version that began it is not known, was logged as source "none" whether the leader said that there is no record, no leader was found or the call failed. Reports that failed, were slow or waited behind a call that hung weren't logged at all.

--- a/chervilshift/core/fleet/origins.py
+++ b/chervilshift/core/fleet/origins.py
@@ -19,6 +19,7 @@
 from chervilshift.core.message import Message
 
 __all__ = [
+    "KEY_BYTES",
     "OpenStreams",
     "Origin",
     "OriginBatch",
--- a/chervilshift/gateway/origins.py
+++ b/chervilshift/gateway/origins.py
@@ -1,16 +1,27 @@
 """Keeps streams at the version of their service that began them."""
 
+from collections.abc import Iterable
+
 import anyio
 from returns.result import Failure as Bad
+from returns.result import Result
 
 from chervilshift.clock import Clock
-from chervilshift.core.fleet.origins import Origin, decide_origin, keep_s
+from chervilshift.core.fleet.origins import (
+    KEY_BYTES,
+    Origin,
+    OriginBatch,
+    decide_origin,
+    keep_s,
+)
 from chervilshift.core.fleet.placement import Endpoint
 from chervilshift.core.fleet.sync import (
     FindOrigin,
     OriginFound,
     RecordStreams,
 )
+from chervilshift.core.message import Message
+from chervilshift.errors import Failure
 from chervilshift.events import EventLog
 from chervilshift.gateway.exchange import Exchange
 from chervilshift.gateway.state import GatewayState
@@ -28,6 +39,8 @@
 # The gateway that began a stream has reported it within this time.
 MAX_FIND_S = 0.5
 FIND_INTERVAL_S = 0.1
+# A report that takes longer is logged.
+SLOW_REPORT_S = 0.2
 
 
 class StreamOrigins:
@@ -59,11 +72,12 @@
         local = [o for o in streams.find(key) if o.service in services]
         if local:
             origin = decide_origin(local, services)
-            self._set(exchange, origin, "local")
+            self._set(exchange, origin, "local", ())
             return origin is not None
         until = self._clock.monotonic() + MAX_FIND_S
+        answers: list[str] = []
         while True:
-            found = await self._ask(exchange, services)
+            found = await self._ask(exchange, services, answers)
             origin = found and _decide(exchange, found, services)
             if origin is not None:
                 streams.begin(
@@ -74,11 +88,12 @@
                     reported=found.recorded,
                 )
                 source = "recorded" if found.recorded else "only version"
-                self._set(exchange, origin, source)
+                self._set(exchange, origin, source, answers)
                 return True
             is_final = found is not None and found.recorded
             if is_final or self._clock.monotonic() >= until:
-                self._set(exchange, None, "recorded" if is_final else "none")
+                source = "recorded" if is_final else "none"
+                self._set(exchange, None, source, answers)
                 return False
             await anyio.sleep(FIND_INTERVAL_S)
 
@@ -122,23 +137,57 @@
             batches = streams.unreported(services, MAX_REPORTED_STREAMS)
             if not batches:
                 continue
+            began_at = self._clock.monotonic()
+            address = self._sync.address
             reply = await self._sync.call(
                 RecordStreams(batches=batches), REPORT_TIMEOUT_S
             )
+            took_s = self._clock.monotonic() - began_at
             if not isinstance(reply, Bad):
                 streams.record_reported(batches)
+            if isinstance(reply, Bad) or took_s > SLOW_REPORT_S:
+                self._log_report(batches, address, took_s, reply)
+
+    def _log_report(
+        self,
+        batches: Iterable[OriginBatch],
+        address: str,
+        took_s: float,
+        reply: Result[Message, Failure],
+    ) -> None:
+        is_failed = isinstance(reply, Bad)
+        self._events.emit(
+            "streams_not_recorded" if is_failed else "streams_recorded_late",
+            urgent=is_failed,
+            address=address,
+            streams=sum(len(b.keys) // KEY_BYTES for b in batches),
+            took_s=round(took_s, 3),
+            reason=str(reply.failure()) if is_failed else "",
+        )
 
     async def _ask(
-        self, exchange: Exchange, services: tuple[str, ...]
+        self,
+        exchange: Exchange,
+        services: tuple[str, ...],
+        answers: list[str],
     ) -> OriginFound | None:
+        """Ask control; what it answered is added to `answers`, for logs."""
         key = exchange.stream_key if exchange.request.resumed_id else b""
+        began_at = self._clock.monotonic()
+        address = self._sync.address
         reply = await self._sync.call(
             FindOrigin(key=key, services=services), FIND_TIMEOUT_S
         )
+        took_s = self._clock.monotonic() - began_at
+        answers.append(f"{address} after {took_s:.3f}: {_describe(reply)}")
         return None if isinstance(reply, Bad) else reply.unwrap()
 
     def _set(
-        self, exchange: Exchange, origin: Origin | None, source: str
+        self,
+        exchange: Exchange,
+        origin: Origin | None,
+        source: str,
+        answers: Iterable[str],
     ) -> None:
         if origin is not None:
             exchange.service, exchange.version = origin.service, origin.version
@@ -151,9 +200,19 @@
             service=exchange.service,
             version=None if origin is None else origin.version,
             source=source,
+            answers=list(answers),
         )
 
 
+def _describe(reply: Result[Message, Failure]) -> str:
+    if isinstance(reply, Bad):
+        return str(reply.failure())
+    found: OriginFound = reply.unwrap()
+    origins = ", ".join(f"{o.service} {o.version}" for o in found.origins)
+    # Only the leader, under its lease, says that there is no record.
+    return f"{'recorded' if found.recorded else 'not recorded'}: {origins}"
+
+
 def _decide(
     exchange: Exchange, found: OriginFound, services: tuple[str, ...]
 ) -> Origin | None:
--- a/chervilshift/gateway/sync.py
+++ b/chervilshift/gateway/sync.py
@@ -85,14 +85,16 @@
         self.request()
         await replied.wait()
 
+    @property
+    def address(self) -> str:
+        """The address of the control process that is called next."""
+        return self._address or self._chooser.choose(self._clock.monotonic())
+
     async def call(
         self, message: Message, timeout_s: float
     ) -> Result[Message, Failure]:
         """Call the control process in use; fails as `Client.call` does."""
-        address = self._address or self._chooser.choose(
-            self._clock.monotonic()
-        )
-        return await self._clients.at(address).call(message, timeout_s)
+        return await self._clients.at(self.address).call(message, timeout_s)
 
     async def announce(self, timeout_s: float) -> None:
         """Send the gateway's current state to all control processes."""
