Commit reports of streams in a task of their own

Control collects the reports of all gateways for 50 ms and commits them together. The call that came first did so, inside a shielded scope. The RPC server ends calls by cancelling their task when the connection ends, which the scope doesn't hold off. The collection was then neither committed nor replaced, and all later reports to this process waited for it until they timed out. A call that times out closes its connection too, so one gateway that is cut off for a moment is enough.

Before, the test failed with "Failure: no answer ...: TimeoutError" for the second gateway's report.

Reports are committed by a task of the process, several at a time; calls only wait for them.

--- a/chervilshift/control/fleet.py
+++ b/chervilshift/control/fleet.py
@@ -432,6 +432,7 @@
         """Relay to the leader as follower, expire endpoints as leader."""
         async with anyio.create_task_group() as tg:
             tg.start_soon(self.relay.run)
+            tg.start_soon(self.origins.run)
             while True:
                 await anyio.sleep(SWEEP_INTERVAL_S)
                 self._configure()
--- a/chervilshift/control/origins.py
+++ b/chervilshift/control/origins.py
@@ -3,6 +3,7 @@
 from collections.abc import Awaitable, Callable
 
 import anyio
+from absl import logging
 from returns.result import Failure as Bad
 from returns.result import Result
 
@@ -19,7 +20,7 @@
     StreamsRecorded,
 )
 from chervilshift.core.message import Message
-from chervilshift.errors import Failure, NotLeader
+from chervilshift.errors import Failure, NotLeader, NotReady
 
 __all__ = ["OriginService"]
 
@@ -34,12 +35,13 @@
 class _Collected:
     """Records to be committed together; `result` is set before `done`."""
 
-    __slots__ = ("batches", "done", "result")
+    __slots__ = ("batches", "begun", "done", "result")
 
     def __init__(self):
         self.batches: list[OriginBatch] = []
+        self.begun = anyio.Event()
         self.done = anyio.Event()
-        self.result: Result | None = None
+        self.result: Result = Bad(NotReady(reason="not committed"))
 
 
 class OriginService:
@@ -72,7 +74,20 @@
         self._ask_leader = ask_leader
         self._serving_config = serving_config
         self._wall_s = wall_s
-        self._collected: _Collected | None = None
+        self._collected = _Collected()
+
+    async def run(self) -> None:
+        """Commit what gateways report, until cancelled.
+
+        Calls of gateways end with their connections, also while what others
+        have reported is collected; so none of them commits.
+        """
+        async with anyio.create_task_group() as tg:
+            while True:
+                await self._collected.begun.wait()
+                await anyio.sleep(COLLECT_S)
+                collected, self._collected = self._collected, _Collected()
+                tg.start_soon(self._commit, collected)
 
     def mixed_services(self) -> tuple[str, ...]:
         """Return the services whose streams have to be recorded."""
@@ -81,14 +96,9 @@
     async def record(self, message: RecordStreams) -> StreamsRecorded:
         """Commit a gateway's records; raises the failure of the commit."""
         collected = self._collected
-        if collected is None:
-            collected = self._collected = _Collected()
-            collected.batches.extend(message.batches)
-            with anyio.CancelScope(shield=True):
-                await self._commit(collected)
-        else:
-            collected.batches.extend(message.batches)
-            await collected.done.wait()
+        collected.batches.extend(message.batches)
+        collected.begun.set()
+        await collected.done.wait()
         if isinstance(collected.result, Bad):
             raise collected.result.failure()
         return StreamsRecorded()
@@ -135,15 +145,17 @@
         return OriginFound(recorded=True, origins=origins) if origins else None
 
     async def _commit(self, collected: _Collected) -> None:
-        await anyio.sleep(COLLECT_S)
-        self._collected = None
         command = NoteStreams(
             batches=tuple(collected.batches),
             now_s=self._wall_s(),
             kept_s=keep_s(self._serving_config()),
         )
-        collected.result = await self._submit(command)
-        collected.done.set()
+        try:
+            collected.result = await self._submit(command)
+        except Exception:
+            logging.exception("unhandled exception while streams are recorded")
+        finally:
+            collected.done.set()
 
     def _since_s(self) -> float:
         return self._wall_s() - keep_s(self._serving_config())
--- a/tests/platform/test_stream_versions.py
+++ b/tests/platform/test_stream_versions.py
@@ -7,8 +7,15 @@
 
 import anyio
 import pytest
-
-from chervilshift.core.fleet.origins import stream_key
+from returns.result import Failure as Bad
+from returns.result import Result, Success
+
+from chervilshift.clock import SystemClock
+from chervilshift.control.origins import COLLECT_S
+from chervilshift.core.fleet.origins import Origin, OriginBatch, stream_key
+from chervilshift.core.fleet.sync import RecordStreams
+from chervilshift.events import HybridClock
+from chervilshift.wire.rpc import Clients
 from tests.cluster import free_address
 from tests.platform.standin import Endpoint, Platform, Reply, eventually
 from tests.platform.test_path import ALL_EVENT_IDS, event_ids
@@ -161,6 +168,37 @@
     run_scenario(tmp_path, scenario)
 
 
+def test_report_is_committed_after_another_gateway_has_hung_up(tmp_path):
+    """The commit of all that is collected ended with the first call."""
+
+    async def scenario(fleet: Fleet) -> None:
+        await eventually(lambda: fleet.platform.leader() is not None)
+        leader = fleet.platform.leader()
+        address = fleet.platform.controls[leader].node.local_voter.address
+        credentials = fleet.platform.control_settings[leader].credentials()
+        hlc = HybridClock(clock=SystemClock())
+        clients = [Clients(hlc=hlc, credentials=credentials) for _ in "ab"]
+
+        async def report(number: int, timeout_s: float) -> Result:
+            batch = OriginBatch(
+                origin=Origin(service="llm", version="v1"),
+                keys=stream_key(b"%d" % number),
+            )
+            return (
+                await clients[number % 2]
+                .at(address)
+                .call(RecordStreams(batches=(batch,)), timeout_s)
+            )
+
+        # Opens the connection.
+        assert isinstance(await report(1, 1.0), Success)
+        assert isinstance(await report(3, COLLECT_S / 2), Bad)
+        assert isinstance(await report(2, 1.0), Success)
+        await eventually(lambda: fleet.is_recorded("3"))
+
+    run_scenario(tmp_path, scenario)
+
+
 def test_stream_whose_version_is_not_known_is_refused_as_not_run(tmp_path):
     async def scenario(fleet: Fleet) -> None:
         await fleet.add("a1", "a2", "b1", "b2")
