Retry budget: what requests earned is spent in a large fleet too

Callers saw that in a fleet of more than 28 gateways no request was ever tried at a second endpoint: a gateway capped all of its permits, also those that its requests had earned, at its share of half of the fixed retries (56 / 2 / 300, under one permit).

What requests earn is now kept apart, for three quarters of a window, so that the retries of a window are earned in it and the one before: with half of the ratio spent, that is within the bound. Where the fixed share is under one permit it is not spent; it covers that gateways then spend whole permits, whose fractions they keep, or a gateway with few requests would never earn one.

--- a/chervilshift/gateway/dispatch.py
+++ b/chervilshift/gateway/dispatch.py
@@ -167,7 +167,9 @@
                 "the version that began the stream is not known",
             )
             return
-        self._state.retry_budget(exchange.service).deposit()
+        self._state.retry_budget(exchange.service).deposit(
+            self._clock.monotonic()
+        )
         while True:
             choice = await self._chooser.choose(exchange)
             if not exchange.attempts_sent and not self._may_begin(exchange):
--- a/chervilshift/gateway/state.py
+++ b/chervilshift/gateway/state.py
@@ -94,6 +94,7 @@
         self._usage_reported_at = float("-inf")
         self._leader_heard_at = float("-inf")
         self.crashes = CrashReports(gateway_id=gateway_id)
+        self._rng = rng
         self.endpoint_limits = EndpointLimits(rng=rng)
         self.holds = EndpointHolds(rng=rng)
         self.open_streams = OpenStreams()
@@ -119,7 +120,9 @@
         """Return a service's retry budget."""
         if service not in self._retry_budgets:
             self._retry_budgets[service] = RetryBudget(
-                policy=self._retry_policy, now=self._clock.monotonic()
+                policy=self._retry_policy,
+                now=self._clock.monotonic(),
+                phase=self._rng.random(),
             )
         return self._retry_budgets[service]
 
