A report of streams that hangs holds up no other

Callers saw that streams which they took up were refused while the control process to which their first gateway reported stood still: the gateway had one report under way at a time, for up to 1.5 s, and gateways with a record of the stream are asked for for 0.5 s only.

After 0.3 s, the time after which a sync isn't waited for either, the next report goes besides it to the control process that is then in use. Before, the test failed: the stream was not reported 0.75 s after its beginning.

--- a/chervilshift/gateway/origins.py
+++ b/chervilshift/gateway/origins.py
@@ -39,8 +39,9 @@
 # The gateway that began a stream has reported it within this time.
 MAX_FIND_S = 0.5
 FIND_INTERVAL_S = 0.1
-# A report that takes longer is logged.
-SLOW_REPORT_S = 0.2
+# A report that takes longer is logged, and not waited for: the next one is
+# sent besides it, to the control process that is then in use.
+SLOW_REPORT_S = 0.3
 
 
 class StreamOrigins:
@@ -126,27 +127,35 @@
         that is known.
         """
         streams = self._state.open_streams
-        while True:
-            await anyio.sleep(REPORT_INTERVAL_S)
-            table = self._state.table
-            cfg = table.cfg if table else None
-            streams.expire(self._clock.monotonic(), keep_s(cfg))
-            services = self._state.mixed_services()
-            if not services:
-                continue
-            batches = streams.unreported(services, MAX_REPORTED_STREAMS)
-            if not batches:
-                continue
-            began_at = self._clock.monotonic()
-            address = self._sync.address
-            reply = await self._sync.call(
-                RecordStreams(batches=batches), REPORT_TIMEOUT_S
-            )
-            took_s = self._clock.monotonic() - began_at
-            if not isinstance(reply, Bad):
-                streams.record_reported(batches)
-            if isinstance(reply, Bad) or took_s > SLOW_REPORT_S:
-                self._log_report(batches, address, took_s, reply)
+        async with anyio.create_task_group() as tg:
+            while True:
+                await anyio.sleep(REPORT_INTERVAL_S)
+                table = self._state.table
+                cfg = table.cfg if table else None
+                streams.expire(self._clock.monotonic(), keep_s(cfg))
+                services = self._state.mixed_services()
+                batches = streams.unreported(services, MAX_REPORTED_STREAMS)
+                if not batches:
+                    continue
+                ended = anyio.Event()
+                tg.start_soon(self._report, batches, ended)
+                with anyio.move_on_after(SLOW_REPORT_S):
+                    await ended.wait()
+
+    async def _report(
+        self, batches: tuple[OriginBatch, ...], ended: anyio.Event
+    ) -> None:
+        began_at = self._clock.monotonic()
+        address = self._sync.address
+        reply = await self._sync.call(
+            RecordStreams(batches=batches), REPORT_TIMEOUT_S
+        )
+        took_s = self._clock.monotonic() - began_at
+        if not isinstance(reply, Bad):
+            self._state.open_streams.record_reported(batches)
+        if isinstance(reply, Bad) or took_s > SLOW_REPORT_S:
+            self._log_report(batches, address, took_s, reply)
+        ended.set()
 
     def _log_report(
         self,
