Test: streams taken up where a new version isn't known yet

A gateway that is cut off from control, or whose answers of control come late, knows endpoints of v1 only and takes them for ready. Streams of v2 that began at another gateway are taken up there: they are refused or go on at v2, and all go on at v2 afterwards.

--- a/tests/platform/test_stream_versions.py
+++ b/tests/platform/test_stream_versions.py
@@ -5,6 +5,8 @@
 in the answer shows it.
 """
 
+from types import SimpleNamespace
+
 import anyio
 import pytest
 from returns.result import Failure as Bad
@@ -14,8 +16,10 @@
 from chervilshift.control.origins import COLLECT_S
 from chervilshift.core.fleet.origins import Origin, OriginBatch, stream_key
 from chervilshift.core.fleet.sync import RecordStreams
+from chervilshift.core.message import Message
+from chervilshift.errors import PeerUnreachable
 from chervilshift.events import HybridClock
-from chervilshift.wire.rpc import Clients
+from chervilshift.wire.rpc import Client, Clients
 from tests.cluster import free_address
 from tests.platform.standin import Endpoint, Platform, Reply, eventually
 from tests.platform.test_path import ALL_EVENT_IDS, event_ids
@@ -84,6 +88,28 @@
         )
 
 
+class OutOfStepClient:
+    """A gateway's client of control, while `faults` says how it is impaired.
+
+    Calls get no answer while the gateway is "cut". While it is "frozen" they
+    are answered, and the answers are read after that.
+    """
+
+    def __init__(self, client: Client, faults: list[str]):
+        self._client = client
+        self._faults = faults
+
+    async def call(self, message: Message, timeout_s: float) -> Result:
+        if self._faults == ["cut"]:
+            await anyio.sleep(timeout_s)
+            address = self._client.address
+            return Bad(PeerUnreachable(address=address, reason="cut off"))
+        reply = await self._client.call(message, timeout_s)
+        while self._faults == ["frozen"]:
+            await anyio.sleep(0.01)
+        return reply
+
+
 def run_scenario(tmp_path, scenario) -> None:
     async def run() -> None:
         async with anyio.create_task_group() as tg:
@@ -199,6 +225,60 @@
     run_scenario(tmp_path, scenario)
 
 
+@pytest.mark.parametrize("fault", ["cut", "frozen"])
+def test_stream_is_taken_up_where_a_new_version_is_not_known_yet(
+    tmp_path, fault
+):
+    """The gateway knows v1 only, which can't go on with streams of v2."""
+
+    async def scenario(fleet: Fleet) -> None:
+        await fleet.add("a1", "a2")
+        gateway, _ = fleet.platform.gateways[1]
+        faults: list[str] = []
+        clients = gateway._sync._clients
+        gateway._sync._clients = SimpleNamespace(
+            at=lambda address: OutOfStepClient(clients.at(address), faults)
+        )
+        placement = gateway.state.placement
+        await eventually(lambda: len(list(placement.endpoints())) == 2)
+        faults.append(fault)
+        first = fleet.platform.gateways[0][0].state.placement
+        async with anyio.create_task_group() as tg:
+            for name in ("b1", "b2"):
+                tg.start_soon(fleet.add, name)
+            await eventually(lambda: len(list(first.endpoints())) == 4)
+            for endpoint in fleet.endpoints[:2]:
+                await fleet.platform.announce(endpoint, "draining")
+            await eventually(
+                lambda: (
+                    sum(
+                        e.record.state == "draining" for e in first.endpoints()
+                    )
+                    == 2
+                )
+            )
+            ids = [f"{number:016x}" for number in range(12)]
+            begun = [await fleet.begin(first_id) for first_id in ids]
+            assert {version_of(reply) for reply in begun} == {"v2"}
+            assert {e.record.state for e in placement.endpoints()} == {"ready"}
+            assert len(list(placement.endpoints())) == 2
+            replies: dict[str, Reply] = {}
+
+            async def take_up(first_id: str) -> None:
+                replies[first_id] = await fleet.take_up(1, first_id)
+
+            for first_id in ids:
+                tg.start_soon(take_up, first_id)
+            await anyio.sleep(1.0)
+            faults.clear()
+        for first_id, reply in zip(ids, begun, strict=True):
+            if replies[first_id].status != 503:
+                assert_goes_on(replies[first_id], reply)
+            assert_goes_on(await fleet.take_up(1, first_id), reply)
+
+    run_scenario(tmp_path, scenario)
+
+
 def test_stream_whose_version_is_not_known_is_refused_as_not_run(tmp_path):
     async def scenario(fleet: Fleet) -> None:
         await fleet.add("a1", "a2", "b1", "b2")
