Quarantine: find a part of most requests that turns bad in time

Seen: a part of half of the requests turned bad.

Cause: such a part ends all endpoints within a second, again each time that they are back. Simultaneous crashes count as one, so the two waves before the bound were four crashes that count, of twelve; a part that was answered before needed five.

Change: a part that was answered before needs five crashes, each counted, and three that are not simultaneous. Of such parts with as many crashes, the one that is a suspect in more of the simultaneous ones comes first; and while the first may still be cleared, none after it is diagnosed, since it is not known what the first leaves unexplained.

The two new tests fail on the old code.

--- a/chervilshift/core/fleet/crashes.py
+++ b/chervilshift/core/fleet/crashes.py
@@ -13,7 +13,7 @@
 proposes next. Times are Unix times.
 """
 
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Iterator
 from itertools import chain, islice
 
 import msgspec
@@ -34,10 +34,11 @@
 # Ids that begin with it are digests of whole requests; no other id does.
 REQUEST_PREFIX = "="
 
-# A part is quarantined once it is a suspect in this many crashes, one that was
-# answered before only after more of them, one that was quarantined before
-# after the first.
+# A part is quarantined once it is a suspect in this many crashes, simultaneous
+# ones counted as one; one that was quarantined before after the first.
 MIN_CRASHES = 3
+# One that was answered before has to be a suspect in this many as well, each
+# of the simultaneous ones counted.
 MIN_CRASHES_AFTER_ANSWERS = 5
 # Crashes this close together count as one: the loss of a failure domain ends
 # many endpoints at once, and a popular part may be waiting at several. A
@@ -151,10 +152,14 @@
         if told and self.told_s is None:
             self.told_s = crash.at_s
 
+    def total(self, explained: Collection[int] = ()) -> int:
+        """Return the number of its crashes, simultaneous ones one by one."""
+        return len(self.crashes.keys() - explained)
+
     def count(self, explained: Collection[int] = ()) -> int:
         """Return the number of its crashes that are not explained yet."""
         if is_request(self.part):
-            return len(self.crashes.keys() - explained)
+            return self.total(explained)
         return len(
             {
                 moment
@@ -265,9 +270,10 @@
         are diagnosed by the crashes that it doesn't explain. Among equals it
         is the part that comes last in prompts: what precedes it occurs without
         it more often than the reverse. Parts that were answered before come
-        after the others. A request that explains crashes is one crash more
-        for each prompt part that these have in common: several such requests
-        point to a part of theirs.
+        after the others; of those with as many crashes, the one that is a
+        suspect in more simultaneous ones too. A request that explains crashes
+        is one crash more for each prompt part that these have in common:
+        several such requests point to a part of theirs.
         """
         suspects = self._find_suspects(
             crash
@@ -275,27 +281,29 @@
             if now_s - crash.at_s >= REPORTED_S
         )
         ripe = {
-            part: held
+            part
             for part, held in suspects.items()
             if part in self._quarantined
             or part in self._expired
             or (held.told_s is not None and now_s - held.told_s >= CLEARING_S)
         }
+        considered = {
+            part: held
+            for part, held in suspects.items()
+            if part in ripe or part in self._answered
+        }
         explained: set[int] = set()
         causes: list[str] = []
         while True:
-            requests = [ripe[part] for part in causes if is_request(part)]
-            eligible = (
-                (part not in self._answered, count, held.position, part)
-                for part, held in ripe.items()
-                if (count := held.count(explained))
-                and count + _shared(held, requests) >= self._threshold(part)
-            )
-            *_, worst = max(eligible, default=(False, 0, 0, ""))
-            if not worst:
+            requests = [suspects[part] for part in causes if is_request(part)]
+            eligible = self._eligible(considered, explained, requests)
+            *_, worst = max(eligible, default=("",))
+            if worst not in ripe:
+                # There is none, or a part in use that may still be cleared:
+                # it is not known yet what it leaves unexplained.
                 break
             causes.append(worst)
-            explained |= ripe[worst].crashes.keys()
+            explained |= suspects[worst].crashes.keys()
         return Diagnosis(
             causes=tuple(p for p in causes if p not in self._quarantined),
             released=tuple(
@@ -307,6 +315,26 @@
             ),
         )
 
+    def _eligible(
+        self,
+        suspects: dict[str, _Suspect],
+        explained: Collection[int],
+        requests: Collection[_Suspect],
+    ) -> Iterator[tuple[bool, int, int, int, str]]:
+        """Yield the parts with enough unexplained crashes, and their rank."""
+        for part, held in suspects.items():
+            count, total = held.count(explained), held.total(explained)
+            shared = _shared(held, requests)
+            if count and self._is_enough(part, count + shared, total + shared):
+                is_new = part not in self._answered
+                yield (
+                    is_new,
+                    count,
+                    0 if is_new else total,
+                    held.position,
+                    part,
+                )
+
     def is_final(self, now_s: float) -> bool:
         """Whether the diagnosis stays until the table changes."""
         newest_s = max((c.at_s for c in self._crashes.values()), default=0.0)
@@ -443,12 +471,16 @@
             )
         )
 
-    def _threshold(self, part: str) -> int:
+    def _is_enough(self, part: str, count: int, total: int) -> bool:
+        """Return whether crashes are enough for a diagnosis.
+
+        `count` takes simultaneous ones as one, `total` does not.
+        """
         if part in self._expired:
-            return 1
+            return count >= 1
         if part in self._answered:
-            return MIN_CRASHES_AFTER_ANSWERS
-        return MIN_CRASHES
+            return count >= MIN_CRASHES and total >= MIN_CRASHES_AFTER_ANSWERS
+        return count >= MIN_CRASHES
 
     def _find_suspects(self, crashes: Iterable[Crash]) -> dict[str, _Suspect]:
         """Return the suspects by part."""
--- a/tests/core/fleet/test_crashes.py
+++ b/tests/core/fleet/test_crashes.py
@@ -110,6 +110,30 @@
     assert table.counts() == {"subject": 1}
 
 
+def test_part_of_all_requests_that_ends_all_endpoints_at_once_is_found():
+    """It was answered before, and counted crashes came too slowly."""
+    waves = [(10.0 + n * 0.15, "head") for n in range(3) for _ in range(4)]
+    table = table_of(*waves, (8.0, "other"))
+    table.clear({"head": 9.0}, 14)
+    assert causes(table) == {"head"}
+    few = table_of(*((10.0 + n, "head") for n in range(4)))
+    few.clear({"head": 9.0}, 5)
+    assert not causes(few)
+    two_moments = table_of(*waves[:8])
+    two_moments.clear({"head": 9.0}, 9)
+    assert not causes(two_moments)
+
+
+def test_part_with_fewer_crashes_does_not_come_before_one_not_cleared_yet():
+    early = [(9.0, "mate"), (9.2, "mate")]
+    later = [(10.0 + n * 0.11, "mate bad") for n in range(3)]
+    table = table_of(*early, *later, (10.4, "bad"), (10.6, "bad"))
+    table.note((crash(20, 10.6, "bad"),), 8)
+    table.clear({"mate": 8.0, "bad": 8.0}, 9)
+    assert not causes(table, 9.0 + CLEARING_S + 0.99)
+    assert causes(table, 10.0 + CLEARING_S) == {"bad"}
+
+
 def test_report_of_a_cleared_part_does_not_make_it_a_suspect_again():
     table = table_of((1, "head bad"))
     table.clear({"head": 2.0}, 2)
