--- a/chervilshift/gateway/dispatch.py
+++ b/chervilshift/gateway/dispatch.py
@@ -220,14 +220,13 @@
         )
 
     def _blocking_part(self, exchange: Exchange) -> str:
-        parts = [part for part, _ in exchange.suspect_parts]
-        return self._state.blocking_part(parts)
+        return self._state.blocking_part(exchange.suspect_ids)
 
     def _record_answer(self, exchange: Exchange) -> None:
         if not exchange.answer_recorded:
             exchange.answer_recorded = True
             self._state.crashes.record_answer(
-                (part for part, _ in exchange.suspect_parts),
+                exchange.suspect_ids,
                 self._state.wall_s(),
             )
 
@@ -243,10 +242,12 @@
             return False
         if not self._origins.is_clear(exchange):
             return False
-        if exc.broken and exchange.is_suspect(self._clock.monotonic()):
-            parts = (part for part, _ in exchange.suspect_parts)
-            if not self._state.crashes.may_repeat(parts):
-                return False
+        if (
+            exc.broken
+            and exchange.is_suspect(self._clock.monotonic())
+            and not self._state.crashes.may_repeat(exchange.suspect_ids)
+        ):
+            return False
         return exchange.route.repeatable or not exchange.maybe_ran
 
     def _record_failure(
--- a/chervilshift/gateway/exchange.py
+++ b/chervilshift/gateway/exchange.py
@@ -118,6 +118,11 @@
         """The request id, for logs."""
         return self.request.id.decode("latin-1")
 
+    @property
+    def suspect_ids(self) -> tuple[str, ...]:
+        """The ids of `suspect_parts`, without their positions."""
+        return tuple(part for part, _ in self.suspect_parts)
+
     @property
     def is_taken_up(self) -> bool:
         """Whether the client has a part of the stream already."""
--- a/chervilshift/gateway/outcomes.py
+++ b/chervilshift/gateway/outcomes.py
@@ -83,7 +83,7 @@
             endpoint=endpoint.id,
             state=endpoint.record.state,
             suspect=exchange.is_suspect(self._clock.monotonic()),
-            parts=[part for part, _ in exchange.suspect_parts],
+            parts=exchange.suspect_ids,
         )
 
 
