Only a pause of 0.8 s or more is forgiven

An endpoint that hangs for some of its requests still sends data for others, and between two of them is often silent for the quarter of a second after which it counts as stalled. Its exclusion ended with this data, the attempts that were given up counted once, and of replies that had waited side by side only the first told of its slowness. An endpoint now has to have sent nothing for 0.8 s with requests in flight; the data that follows then forgets the attempts given up in the pause and ends the exclusion.

--- a/chervilshift/core/fleet/health.py
+++ b/chervilshift/core/fleet/health.py
@@ -14,9 +14,12 @@
 DECAY_HALF_LIFE_S = 3.0
 # Bounds of one slowness sample, the ratio of actual to expected time.
 SLOWNESS_MIN, SLOWNESS_MAX = 0.5, 10.0
-# Largest sample from replies that a silence held up. It tells little of how
+# An endpoint with requests in flight that sends nothing for this long pauses.
+# It often takes less than this to begin a reply.
+PAUSE_S = 0.8
+# Largest sample from replies that a pause held up. It tells little of how
 # the endpoint will reply when it goes on.
-SILENCE_SLOWNESS_MAX = 3.0
+PAUSE_SLOWNESS_MAX = 3.0
 # An unreachable endpoint is excluded from selection; the time doubles with
 # each exclusion in a row, up to the maximum.
 EXCLUSION_S, EXCLUSION_MAX_S = 0.5, 4.0
@@ -64,7 +67,7 @@
         "_in_flight",
         "_last_activity_at",
         "_resumed_at",
-        "_silence_observed",
+        "_pause_observed",
         "_slowness",
         "replied_at",
     )
@@ -78,9 +81,9 @@
         self._excluded_as_silent = False
         self._in_flight = 0
         self._last_activity_at = 0.0
-        # The end of the last silence, and whether a reply told of it.
+        # The end of the last pause, and whether a reply told of it.
         self._resumed_at = float("-inf")
-        self._silence_observed = False
+        self._pause_observed = False
         self.replied_at = float("-inf")
 
     def record_start(self, now: float) -> None:
@@ -94,13 +97,10 @@
         self._in_flight -= 1
 
     def record_activity(self, now: float) -> None:
-        """Record that the endpoint sent data; it is no longer silent."""
-        if self.stalled_s(now):
-            self._resumed_at = now
-            self._silence_observed = False
+        """Record that the endpoint sent data; ends a pause."""
+        if self._in_flight and now - self._last_activity_at >= PAUSE_S:
+            self._end_pause(now)
         self._last_activity_at = now
-        if self._excluded_as_silent:
-            self._end_exclusion()
 
     def record_success(self, now: float) -> None:
         """Record a successful reply; ends an exclusion."""
@@ -110,15 +110,9 @@
         self._failures.add(0.0, now)
 
     def record_failure(self, now: float) -> None:
-        """Record a failed attempt; excludes a stalled endpoint.
-
-        Further attempts that fail in the same silence tell nothing new.
-        """
-        stalled = self.stalled_s(now) > 0
-        if stalled and self._excluded_as_silent and self.is_excluded(now):
-            return
+        """Record a failed attempt; excludes a stalled endpoint."""
         self._failures.add(1.0, now)
-        if stalled and not self.is_excluded(now):
+        if self.stalled_s(now) and not self.is_excluded(now):
             self._exclude(now)
             self._excluded_as_silent = True
 
@@ -134,15 +128,15 @@
     def observe(self, expected_s: float, actual_s: float, now: float) -> bool:
         """Update the slowness from the time that one reply took.
 
-        Replies that one silence held up are one observation; returns false
+        Replies that one pause held up are one observation; returns false
         for the further ones.
         """
         slowness_max = SLOWNESS_MAX
         if now - actual_s < self._resumed_at:
-            if self._silence_observed:
+            if self._pause_observed:
                 return False
-            self._silence_observed = True
-            slowness_max = SILENCE_SLOWNESS_MAX
+            self._pause_observed = True
+            slowness_max = PAUSE_SLOWNESS_MAX
         ratio = actual_s / max(expected_s, 0.01)
         ratio = min(slowness_max, max(SLOWNESS_MIN, ratio))
         self._slowness.add(ratio, now)
@@ -177,6 +171,14 @@
         self._exclusions += 1
         self._excluded_as_silent = False
 
+    def _end_pause(self, now: float) -> None:
+        """Forget what attempts that were given up in the pause told."""
+        self._resumed_at = now
+        self._pause_observed = False
+        self._failures = DecayingMean(neutral=0.0)
+        if self._excluded_as_silent:
+            self._end_exclusion()
+
     def _end_exclusion(self) -> None:
         self._exclusions = 0
         self._excluded_until = float("-inf")
