Resends of calls get what is recorded also while no endpoint is known

What callers saw: an entry without an endpoint for a service refused every call with NoEndpoint (503, not run), also resends of a key whose call had run or was in progress at another entry. Cause: admission came before the ledger, though a recorded answer needs no endpoint.

A call with a key that is refused for want of an endpoint is now looked up by a claim; if the key is new, the claim is settled as not run and the refusal stands. Without a quorum the refusal comes after the time limit of a commit, as for other such calls.

--- a/chervilshift/entry/calls.py
+++ b/chervilshift/entry/calls.py
@@ -85,22 +85,26 @@
             raise NotFound(kind="service", name=name)
         call = await _service_call(request, name, cfg)
         job = self._make_job(name, customer, service, cfg)
+        is_repeatable = call.method in service.repeatable_methods
+        key = request.headers.get(IDEMPOTENCY_KEY_HEADER)
         admitted = self._scheduler.admit(job, cfg)
         if isinstance(admitted, Bad):
             self._metrics.count("refused")
-            raise admitted.failure()
+            failure = admitted.failure()
+            if key and not is_repeatable and isinstance(failure, NoEndpoint):
+                return await self._answer_resend(call, job, key, failure)
+            raise failure
         self._events.emit(
             "admitted", request=job.id, customer=customer, service=name
         )
         self.active += 1
         started_at = self._directory.now()
         try:
-            if call.method in service.repeatable_methods:
+            if is_repeatable:
                 return await self._call_with_retries(call, job, service)
-            key = (
-                request.headers.get(IDEMPOTENCY_KEY_HEADER) or uuid.uuid4().hex
+            return await self._call_at_most_once(
+                call, job, service, key or uuid.uuid4().hex
             )
-            return await self._call_at_most_once(call, job, service, key)
         finally:
             self.active -= 1
             elapsed_s = self._directory.now() - started_at
@@ -160,6 +164,32 @@
         await self._claims.settle(claim, STATE_DONE, service_reply)
         return _forwarded_response(service_reply)
 
+    async def _answer_resend(
+        self, call: ServiceCall, job: Job, key: str, refusal: Failure
+    ) -> Response:
+        """Answer a call from the ledger while no endpoint can run it.
+
+        Raises the refusal if the key is new; it stays free then.
+        """
+        self.active += 1
+        try:
+            claim = self._claims.prepare(
+                job.customer, key, _request_digest(call)
+            )
+            committed = await self._claims.commit(claim)
+            if isinstance(committed, Bad):
+                self._claims.settle_later(claim, "not_run")
+                raise refusal
+            claim_reply = committed.unwrap()
+            if isinstance(claim_reply, Reused):
+                raise KeyReused(key=key)
+            if claim_reply.granted:
+                await self._claims.settle(claim, "not_run")
+                raise refusal
+            return _response_from_ledger(claim_reply, key)
+        finally:
+            self.active -= 1
+
     async def _send_once(
         self, call: ServiceCall, job: Job, service: Service
     ) -> ServiceReply:
--- a/tests/proofs/test_at_most_once.py
+++ b/tests/proofs/test_at_most_once.py
@@ -131,6 +131,29 @@
         assert executions(desk, f"k6-{number}") == 1
 
 
+def test_resend_while_no_service_is_there_gets_what_is_recorded(desk):
+    """A call that has run was refused as not run for want of a service."""
+    first = post(desk.caller("e1"), "k13")
+    assert first[0] == 200
+    for name in ("s1", "s2"):
+        desk.kill(name)
+    eventually(lambda: not desk.endpoints("e2"), "no service is listed")
+    status, reply = post(desk.caller("e2"), "k13")
+    assert (status, reply.content) == (200, first[1].content)
+    assert (b"idempotency-replayed", b"true") in reply.headers
+    status, reply = post(desk.caller("e2"), "k13", 2)
+    assert (status, error_type(reply)) == (422, "KeyReused")
+    status, reply = post(desk.caller("e2"), "k14")
+    assert (status, error_type(reply)) == (503, "NoEndpoint")
+    assert (b"x-not-run", b"true") in reply.headers
+    desk.start("s1", "s2")
+    eventually(
+        lambda: post(desk.caller("e2"), "k14")[0] == 200,
+        "the call succeeds with a service",
+    )
+    assert executions(desk, "k14") == 1
+
+
 def test_entry_killed_after_its_dispatch(desk):
     """The claim of the killed entry keeps the other from dispatching."""
     for name in ("s1", "s2"):
