Relay: what a broken-off relay asked for is asked for again

After an error in a task of control's relay, gateways could wait for grants that nobody asked the leader for.

Cause: a relay that raised or was cancelled was never counted as answered, so LimitPool took what it had asked for as still asked for. Before background tasks were restarted, the process ended and the count with it.

Evidence: both cases of test_relay.py failed before (no answer counted); they pass now.

--- a/chervilshift/control/relay.py
+++ b/chervilshift/control/relay.py
@@ -81,7 +81,14 @@
             return False
         relay = self._make(grants_only)
         sent_at = self._clock.monotonic()
-        result = await self._clients.at(leader).call(relay, RELAY_TIMEOUT_S)
+        try:
+            result = await self._clients.at(leader).call(
+                relay, RELAY_TIMEOUT_S
+            )
+        except BaseException:
+            # What it asked for may be asked for again.
+            self._apply(relay, None, sent_at)
+            raise
         if isinstance(result, Bad):
             logging.info(
                 "relay of %d reports to the leader failed: %s",
