RPC: a reply that can't be decoded is a failed call

A reply of another release, or of another service at the address, raised a ValidationError out of Client.call. The loops that send consensus messages and ask to join stand in the task group of the process, which ended.

Evidence: the new test of test_rpc.py failed before (ValidationError) and passes now. Such calls now fail as PeerUnreachable.

--- a/chervilshift/wire/rpc.py
+++ b/chervilshift/wire/rpc.py
@@ -10,6 +10,7 @@
 from collections.abc import Awaitable, Callable
 
 import anyio
+import msgspec
 from absl import logging
 from grpclib.client import Channel, UnaryUnaryMethod
 from grpclib.const import Cardinality, Handler, Status
@@ -152,8 +153,9 @@
     ) -> Result[Message, errors.Failure]:
         """Send a message and return the reply, or a Failure.
 
-        The failure is PeerUnreachable if the call fails or no reply arrives
-        within `timeout_s`, and otherwise the one that the peer raised.
+        The failure is PeerUnreachable if the call fails or no reply that can
+        be decoded arrives within `timeout_s`, and otherwise the one that the
+        peer raised.
         """
         channel = self._open_channel()
         method = UnaryUnaryMethod(channel, RPC_METHOD, Envelope, Envelope)
@@ -168,6 +170,7 @@
             TimeoutError,
             GRPCError,
             StreamTerminatedError,
+            msgspec.DecodeError,
         ) as exc:
             _restore_cancellations(cancellations)
             self._close_channel(channel)
--- a/tests/wire/test_rpc.py
+++ b/tests/wire/test_rpc.py
@@ -11,6 +11,7 @@
 from chervilshift.errors import NotLeader, PeerUnreachable
 from chervilshift.events import HybridClock
 from chervilshift.settings import EntrySettings, Tls
+from chervilshift.wire import rpc as wire_rpc
 from chervilshift.wire.messages import Ack, ReadVersion, Version
 from chervilshift.wire.rpc import Client, Credentials, RpcServer
 from tests.cluster import free_address
@@ -57,6 +58,22 @@
     assert failure.fields["leader"] == "elsewhere"
 
 
+def test_reply_that_cannot_be_decoded_is_a_failed_call(monkeypatch):
+    """It raised out of the tasks that send to other replicas."""
+    encode = wire_rpc._Codec.encode
+    monkeypatch.setattr(
+        wire_rpc._Codec,
+        "encode",
+        lambda codec, message, kind: (
+            b"\x81\xa4none\x01"
+            if isinstance(message.body, Version)
+            else encode(codec, message, kind)
+        ),
+    )
+    failure = call(without_tls(), without_tls(), Ack()).failure()
+    assert isinstance(failure, PeerUnreachable)
+
+
 def test_wrong_key_is_refused():
     result = call(
         without_tls(), without_tls("another-key-of-some-length"), Ack()
