Control: the age of the state counts the time of a slow save

A replica whose save hung without an error processed the heartbeats that had waited meanwhile as if they had just arrived, and a leader sent messages from before a full or hung disk with the age of its lease at that time. Both stated a state of ten seconds ago as fresh.

Evidence: three tests of test_node.py failed before (stale_s 0.5 though the last heartbeat had arrived 10 s before; lease_age_s 0.1 in messages that a save had held for more than 9 s) and pass now.

Change: messages that waited in the inbox, or for the save before they are sent, count that time in the age that they report. The wait in an outbox, at most the time limit of one batch, is not counted.

--- a/chervilshift/control/node.py
+++ b/chervilshift/control/node.py
@@ -144,6 +144,7 @@
             RaftMessage | Proposal
         ](MAX_INBOX_MESSAGES)
         self._inbox_bytes = 0
+        self._received_at = clock.monotonic()
         self._is_retrying = False
         # Committed commands since the last snapshot that had no effect.
         self._failed_indices: set[int] = set()
@@ -321,8 +322,9 @@
         self.raft.mark_persisted(
             self.raft.log.last_index, self._clock.monotonic()
         )
+        held_s = self._clock.monotonic() - now
         for message in ready.messages:
-            self._send(tg, message)
+            self._send(tg, _aged(message, held_s))
         self._apply_committed()
         self._fail_lost_proposals()
         if self._must_compact():
@@ -330,12 +332,21 @@
         self._report_role()
 
     async def _receive_batch(self) -> list[RaftMessage | Proposal]:
-        """Wait for input or the next tick; return all queued input."""
-        batch = []
-        with anyio.move_on_after(TICK_INTERVAL_S):
-            batch.append(await self._inbox_receiver.receive())
-        batch.extend(_receive_waiting(self._inbox_receiver))
+        """Wait for input or the next tick; return all queued input.
+
+        What is queued already may have waited since the last call.
+        """
+        waited_s = self._clock.monotonic() - self._received_at
+        batch = [
+            _aged(message, waited_s)
+            for message in _receive_waiting(self._inbox_receiver)
+        ]
+        if not batch:
+            with anyio.move_on_after(TICK_INTERVAL_S):
+                batch.append(await self._inbox_receiver.receive())
+            batch.extend(_receive_waiting(self._inbox_receiver))
         self._inbox_bytes = 0
+        self._received_at = self._clock.monotonic()
         return batch
 
     def _process(self, message: RaftMessage | Proposal) -> None:
@@ -603,6 +614,17 @@
     return 0
 
 
+def _aged(
+    message: RaftMessage | Proposal, waited_s: float
+) -> RaftMessage | Proposal:
+    """Count the time that a message has waited in the age it reports."""
+    if not isinstance(message, Append):
+        return message
+    return msgspec.structs.replace(
+        message, lease_age_s=message.lease_age_s + waited_s
+    )
+
+
 def _encode_command(command: Command) -> Result[bytes, Failure]:
     """Encode a command, if replicas can decode it."""
     try:
--- a/tests/control/test_node.py
+++ b/tests/control/test_node.py
@@ -18,7 +18,12 @@
 )
 from chervilshift.core.fleet.commands import AcceptServing
 from chervilshift.core.ledger import Ledger
-from chervilshift.core.raft.messages import Append, LogEntry, Voter
+from chervilshift.core.raft.messages import (
+    Append,
+    AppendReply,
+    LogEntry,
+    Voter,
+)
 from chervilshift.errors import (
     AtCapacity,
     BadRequest,
@@ -217,6 +222,60 @@
     run_limited(replica, play)
 
 
+def test_age_of_the_state_counts_the_time_of_a_save_that_hangs():
+    """A heartbeat that had waited for it counted as new."""
+    replica = Replica(names=("a", "b", "c"))
+
+    async def play(node):
+        node.deliver(heartbeat(node))
+        await anyio.sleep(0.5)
+        replica.save_s = 10.0
+        node.deliver(heartbeat(node, term=6))
+        await anyio.sleep(0.5)
+        node.deliver(heartbeat(node, term=6))
+        await anyio.sleep(0.5)
+        replica.save_s = 0.001
+        await anyio.sleep(9.5)
+        assert node.stale_s() >= 8.0
+
+    run_limited(replica, play)
+
+
+@pytest.mark.parametrize("fault", ["full", "hangs"])
+def test_age_that_a_leader_reports_counts_the_time_of_a_save(fault):
+    """Followers took the lease of before it for a new one."""
+    replica = Replica()
+    sent = []
+
+    async def play(node):
+        node._send = lambda tg, message: sent.append(message)
+        node.join(voter("b"))
+        await anyio.sleep(0.1)
+        reply = AppendReply(
+            src=voter("b").id,
+            dst=voter("a").id,
+            term=node.raft.term,
+            ok=True,
+            match=node.raft.commit,
+            sent_at=LoopClock().monotonic(),
+        )
+        node.deliver(reply)
+        await anyio.sleep(0.1)
+        replica.full = fault == "full"
+        replica.save_s = 10.0 if fault == "hangs" else 0.001
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(submit_into, [], node, FENCE)
+            await anyio.sleep(9.5)
+            sent.clear()
+            replica.full = False
+            replica.save_s = 0.001
+            await anyio.sleep(1.0)
+        old = next(m for m in sent if m.entries)
+        assert old.lease_age_s >= 9.0
+
+    run_limited(replica, play)
+
+
 def test_replica_that_starts_on_a_full_disk_serves_and_goes_on():
     replica = Replica()
     replica.full = True
