Control: a read under the lease returns the newest state

A read of the configuration that waited for the lease could return an older document than the one in force.

Cause: the state was taken before the wait.

--- a/chervilshift/control/fleet.py
+++ b/chervilshift/control/fleet.py
@@ -456,9 +456,10 @@
         return "" if self._node.raft.is_leader else self._node.leader_address()
 
     async def _read_under_lease(self) -> Result[ServingDocument, Failure]:
-        fleet = self._node.machine.fleet
         if not await wait_lease(self._node):
             return Bad(NotLeader(leader=self._node.leader_address()))
+        # A rebuild replaces the state, so it is read after the wait.
+        fleet = self._node.machine.fleet
         if not fleet.version:
             return Bad(NotReady(reason="no configuration yet"))
         return Success(
--- a/tests/control/test_fleet.py
+++ b/tests/control/test_fleet.py
@@ -145,3 +145,19 @@
         fleet._forget_heartbeats()
         assert len(fleet._last_heartbeats) <= 5
     assert "kept" in fleet._last_heartbeats
+
+
+def test_read_amid_a_rebuild_returns_the_newest_document():
+    """It returned the document that the replaced state held."""
+    node = StubNode(misses=3)
+    newer = FleetState()
+    newer.apply(AcceptServing(version=4, document=pack(b"[]")), 2)
+    has_lease = node.has_lease
+
+    def has_lease_of_rebuilt() -> bool:
+        node.machine = SimpleNamespace(fleet=newer)
+        return has_lease()
+
+    node.has_lease = has_lease_of_rebuilt
+    serving = anyio.run(service(node).read_document).unwrap()
+    assert (serving.version, serving.document) == (4, b"[]")
