Control: a leader holds no heartbeats to forward

A leader noted each endpoint's last heartbeat as one to forward and never forwarded or forgot it, so the table grew with each endpoint that ever announced itself, and went to the next leader as if it were new.

Evidence: the new test of test_fleet.py failed before (100 of 100 held) and passes now.

--- a/chervilshift/control/fleet.py
+++ b/chervilshift/control/fleet.py
@@ -510,7 +510,10 @@
             heartbeat.born_ms,
             self._clock.monotonic(),
         )
-        self._unforwarded_heartbeats[heartbeat.endpoint] = heartbeat
+        if self._node.raft.is_leader:
+            self._unforwarded_heartbeats = {}
+        else:
+            self._unforwarded_heartbeats[heartbeat.endpoint] = heartbeat
 
     async def _update_gateways(self) -> None:
         """Commit the set of gateways if it has changed.
--- a/tests/control/test_fleet.py
+++ b/tests/control/test_fleet.py
@@ -161,3 +161,12 @@
     node.has_lease = has_lease_of_rebuilt
     serving = anyio.run(service(node).read_document).unwrap()
     assert (serving.version, serving.document) == (4, b"[]")
+
+
+def test_leader_holds_no_heartbeats_to_forward():
+    """Those of all endpoints since it became leader were held."""
+    fleet = service(StubNode(misses=0))
+    for number in range(100):
+        heartbeat = Heartbeat(endpoint=f"e{number}", born_ms=1)
+        fleet._record_heartbeat(heartbeat)
+    assert not fleet._unforwarded_heartbeats
