Gateways ask again for endpoints that they could not apply

A gateway whose sync raised while it applied endpoints went on without them, and without those it had known, until the next change: the revision was taken over first.

--- a/chervilshift/core/fleet/placement.py
+++ b/chervilshift/core/fleet/placement.py
@@ -287,15 +287,16 @@
 
         State is kept for endpoints of the same incarnation.
         """
-        previous, self._endpoints = self._endpoints, {}
+        endpoints = {}
         for record in records:
-            endpoint = previous.get(record.id)
+            endpoint = self._endpoints.get(record.id)
             if endpoint is None or endpoint.record.born_ms != record.born_ms:
                 endpoint = Endpoint(
                     record=record, remote=self._is_remote(record)
                 )
             endpoint.record = record
-            self._endpoints[record.id] = endpoint
+            endpoints[record.id] = endpoint
+        self._endpoints = endpoints
 
     def change_endpoints(self, records: Iterable[EndpointRecord]) -> None:
         """Take over changed records, and remove endpoints that have ended."""
--- a/chervilshift/gateway/state.py
+++ b/chervilshift/gateway/state.py
@@ -275,12 +275,13 @@
         if reply.document is not None and reply.version > self.version:
             self._apply_document(reply.document)
         if reply.endpoints is not None and reply.revision > self.revision:
-            self.revision = reply.revision
             self._note_new_versions(reply.endpoints)
             if reply.partial:
                 self.placement.change_endpoints(reply.endpoints)
             else:
                 self.placement.update_endpoints(reply.endpoints)
+            # Only now, so that what can't be applied is sent again.
+            self.revision = reply.revision
             self._settle_ended()
         self._lately_mixed = reply.mixed
         if reply.suspicion is not None:
