Announcements without room are refused, not acknowledged

While 16,384 other endpoints were ready, an announcement of a new one was answered with 200 though no replica had recorded it, so the endpoint was never used and took itself to be known.

Cause: the command answered as for an ended endpoint, which control takes for recorded.

Evidence: the new test of test_fleet.py failed before (a success for the second endpoint) and passes now: 503, as the announcement may be taken later.

--- a/chervilshift/control/fleet.py
+++ b/chervilshift/control/fleet.py
@@ -23,6 +23,7 @@
     CommandReply,
     NoteGateways,
 )
+from chervilshift.core.fleet.commands import EndpointKnown
 from chervilshift.core.fleet.distribution import Distributor
 from chervilshift.core.fleet.documents import pack, unpack
 from chervilshift.core.fleet.limits import LimitPolicy
@@ -51,7 +52,7 @@
 )
 from chervilshift.core.fleet.walltime import WallTime
 from chervilshift.core.message import Message
-from chervilshift.errors import Failure, NotLeader, NotReady
+from chervilshift.errors import Failure, NotLeader, NotReady, Unserved
 from chervilshift.events import EventLog
 from chervilshift.wire.leader import LeaderClient
 from chervilshift.wire.messages import Submit
@@ -222,6 +223,7 @@
             AnnounceEndpoint(endpoint=record, now_s=self.wall_s()),
             ANNOUNCE_COMMIT_TIMEOUT_S,
         )
+        reply = reply.bind(_recorded)
         self._events.emit(
             "endpoint",
             endpoint=record.id,
@@ -547,6 +549,12 @@
                 self._events.emit("endpoint_silent", endpoint=record.id)
 
 
+def _recorded(known: EndpointKnown) -> Result[EndpointKnown, Failure]:
+    if not known.state:
+        return Bad(Unserved(reason="too many endpoints are ready"))
+    return Success(known)
+
+
 def _unpacked(serving: ServingDocument) -> Result[ServingDocument, Failure]:
     return unpack(serving.document).map(
         lambda document: ServingDocument(
--- a/chervilshift/core/fleet/commands.py
+++ b/chervilshift/core/fleet/commands.py
@@ -173,7 +173,10 @@
 
 
 class EndpointKnown(Message):
-    """The stored state of the endpoint after the command."""
+    """The stored state of the endpoint after the command.
+
+    It is empty if there is no room for the endpoint.
+    """
 
     state: str
 
--- a/chervilshift/core/fleet/state.py
+++ b/chervilshift/core/fleet/state.py
@@ -278,7 +278,7 @@
         if stored is not None and not self._should_replace(stored, announced):
             return EndpointKnown(state=stored.state)
         if stored is None and not self._make_room(command.now_s, index):
-            return EndpointKnown(state=GONE)
+            return EndpointKnown(state=GONE if announced.state == GONE else "")
         other = self._address_holder(announced)
         if other is not None and other.born_ms > announced.born_ms:
             # A late announcement: a newer endpoint uses the address now.
--- a/tests/control/test_fleet.py
+++ b/tests/control/test_fleet.py
@@ -8,11 +8,13 @@
 
 import anyio
 import pytest
+from returns.result import Failure as Bad
 from returns.result import Success
 
 from chervilshift.clock import SystemClock
 from chervilshift.control import fleet as control_fleet
 from chervilshift.control.fleet import FleetService
+from chervilshift.core.fleet import state as fleet_state
 from chervilshift.core.fleet.commands import AcceptServing, AnnounceEndpoint
 from chervilshift.core.fleet.documents import pack
 from chervilshift.core.fleet.limits import LimitPolicy
@@ -170,3 +172,21 @@
         heartbeat = Heartbeat(endpoint=f"e{number}", born_ms=1)
         fleet._record_heartbeat(heartbeat)
     assert not fleet._unforwarded_heartbeats
+
+
+def test_announcement_without_room_is_not_acknowledged(monkeypatch):
+    """It was acknowledged, though no replica had recorded it."""
+    monkeypatch.setattr(fleet_state, "MAX_ENDPOINTS", 1)
+    node = StubNode(misses=0)
+
+    async def submit(command):
+        return Success(node.machine.fleet.apply(command, 9))
+
+    node.submit = submit
+    fleet = service(node)
+    results = [
+        anyio.run(fleet.announce, ready_endpoint(name)) for name in "abb"
+    ]
+    assert not isinstance(results[0], Bad)
+    assert [r.failure().status for r in results[1:]] == [503, 503]
+    assert node.machine.fleet.endpoint("b") is None
