Duties: a leader in a new term waits as any new leader does

A replica that lost leadership and got it back while its duties did not run (they wait for commits and calls, and start again after an error) went on with reports and orders at once, beside calls that the leader in between had begun.

Cause: only a check while it did not lead ended its right to call the cloud.

Evidence: the new test of test_duties.py failed before (two reports in the first seconds of the term) and passes now.

--- a/chervilshift/control/duties.py
+++ b/chervilshift/control/duties.py
@@ -158,6 +158,7 @@
         self._lease_s = lease_s
         self._clock = clock
         self._events = events
+        self._term = 0
         self._leading_since: float | None = None
         self._next_window: int | None = None
         self._order_states: dict[tuple[str, str, bool], _OrderState] = {}
@@ -189,11 +190,14 @@
         have expired.
         """
         now = self._clock.monotonic()
+        raft = self._node.raft
+        if not raft.is_leader or raft.term != self._term:
+            # Another leader may have made calls between two terms of this one.
+            self._term = raft.term
+            self._leading_since = None
+            self._next_window = None
+            self._order_states = {}
         if not self._node.has_lease():
-            if not self._node.raft.is_leader:
-                self._leading_since = None
-                self._next_window = None
-                self._order_states = {}
             return False
         if self._leading_since is None:
             self._leading_since = now
--- a/tests/control/test_duties.py
+++ b/tests/control/test_duties.py
@@ -307,3 +307,18 @@
         world.run(0.5)
     assert len(world.task._order_states) <= 8
     assert any(key[1] == "a" for key in world.task._order_states)
+
+
+def test_leader_again_after_another_one_waits_out_its_calls():
+    """It went on at once if it had not noticed the other leader's term."""
+    world = World()
+    world.add_usage(7)
+    world.run(2 * WINDOW_S + LEASE_S + CLOUD_CALL_TIMEOUT_S)
+    reported = len(world.cloud.usage)
+    assert reported
+    world.node.raft.term += 2
+    world.clock.advance(WINDOW_S)
+    world.run(LEASE_S + CLOUD_CALL_TIMEOUT_S - 0.3)
+    assert len(world.cloud.usage) == reported
+    world.run(1.0)
+    assert len(world.cloud.usage) > reported
