Gateways end the wait for a body that comes too late for any response

Twelve callers, without a key and for any path, that held back the last byte of a body of 4 MiB made a gateway refuse each request with a body (503) for as long as they stayed connected.

Cause: bodies being read share 48 MiB, and nothing bounded the time of reading one; the request's own time limit began after it.

Evidence: the new test of test_path.py failed before (503 for 200) and passes now.

Change: a body has the time limit of its route or the time that its caller waits, without a route the idle time of connections; then 408.

--- a/chervilshift/gateway/ingress.py
+++ b/chervilshift/gateway/ingress.py
@@ -9,7 +9,9 @@
 from chervilshift.bytebudget import ByteBudget
 from chervilshift.clock import Clock
 from chervilshift.core.fleet.model import Customer, Route
+from chervilshift.core.fleet.routes import RouteTable
 from chervilshift.errors import (
+    BodyTimeout,
     Failure,
     NotFound,
     NotReady,
@@ -113,9 +115,7 @@
             raise NotReady(reason="no configuration received from control yet")
         if self.refusing:
             raise Unserved(reason="this gateway is stopping")
-        body = await downstream.read_body(
-            table.cfg.limits.body_bytes, self._body_memory
-        )
+        body = await self._read_body(table, request, downstream)
         route, customer = self._authorize(request)
         async with anyio.create_task_group() as tg:
             tg.start_soon(_cancel_on_disconnect, downstream, tg.cancel_scope)
@@ -124,6 +124,25 @@
             )
             tg.cancel_scope.cancel()
 
+    async def _read_body(
+        self, table: RouteTable, request: ClientRequest, downstream: Downstream
+    ) -> bytes:
+        """Return the whole request body.
+
+        Raises BodyTimeout if it arrives too late for any response, and what
+        `Downstream.read_body` raises.
+        """
+        limits = table.cfg.limits
+        route = table.match(request.host, request.path)
+        timeout_s = route.timeout_s if route else limits.idle_timeout_s
+        timeout_s = min(request.client_timeout_s or timeout_s, timeout_s)
+        with anyio.move_on_after(timeout_s):
+            return await downstream.read_body(
+                limits.body_bytes, self._body_memory
+            )
+        downstream.close_connection = True
+        raise BodyTimeout(timeout_s=timeout_s)
+
     def _authorize(
         self, request: ClientRequest
     ) -> tuple[Route, Customer | None]:
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -7,6 +7,7 @@
 import msgspec
 import pytest
 
+from chervilshift.addresses import split_address
 from tests.cluster import free_address
 from tests.platform.standin import (
     KEY,
@@ -509,3 +510,31 @@
             assert (reply.status, reply.whole) == (200, True)
 
     run_scenario(tmp_path, scenario, worker("w1"))
+
+
+def test_bodies_that_stall_are_dropped_when_their_callers_stop_waiting(
+    tmp_path,
+):
+    """Twelve of them made a gateway refuse each request with a body."""
+    head = (
+        b"POST /stream/a HTTP/1.1\r\nHost: x\r\nRequest-Id: %d\r\n"
+        b"Deadline-Ms: 2000\r\nContent-Length: 4194304\r\n\r\n"
+    )
+
+    async def scenario(platform: Platform) -> None:
+        gateway = platform.gateways[0][0]
+        host, port = split_address(platform.gateways[0][1].listen)
+        callers = []
+        for number in range(12):
+            caller = await anyio.connect_tcp(host, port)
+            await caller.send(head % number + b"x" * 4_194_303)
+            callers.append(caller)
+        await eventually(lambda: gateway.ingress.active_requests == 12)
+        await anyio.sleep(2.5)
+        reply = await platform.send_request("/stream/a", body=b"x" * 100)
+        assert (reply.status, reply.whole) == (200, True)
+        for caller in callers:
+            assert (await caller.receive()).startswith(b"HTTP/1.1 408")
+            await caller.aclose()
+
+    run_scenario(tmp_path, scenario, worker("w1"))
