--- a/chervilshift/background.py
+++ b/chervilshift/background.py
@@ -5,27 +5,48 @@
 import anyio
 from absl import logging
 
+from chervilshift.clock import Clock
 from chervilshift.events import EventLog
 
 __all__ = ["RESTART_DELAY_S", "keep_running"]
 
-# Between the failure of a task and its restart.
+# Between the failure of a task and its restart. The delay doubles with each
+# failure, up to the maximum, and is the first again after a sound run.
 RESTART_DELAY_S = 0.2
+MAX_RESTART_DELAY_S = 3.2
+SOUND_RUN_S = 10.0
 
 
 async def keep_running(
-    run: Callable[[], Awaitable[None]], *, name: str, events: EventLog
+    run: Callable[[], Awaitable[None]],
+    *,
+    name: str,
+    clock: Clock,
+    events: EventLog,
 ) -> None:
     """Run a task until it returns or is cancelled; restart it after errors.
 
     An error that no caller expected is logged with its traceback, and the
     other tasks of the process go on.
     """
+    delay_s = RESTART_DELAY_S
     while True:
+        began_at = clock.monotonic()
         try:
             await run()
             return
         except Exception as exc:
-            events.emit("task_failed", urgent=True, task=name, error=repr(exc))
-            logging.exception("task %s failed, restart follows", name)
-        await anyio.sleep(RESTART_DELAY_S)
+            if clock.monotonic() - began_at >= SOUND_RUN_S:
+                delay_s = RESTART_DELAY_S
+            events.emit(
+                "task_failed",
+                urgent=True,
+                task=name,
+                error=repr(exc),
+                restart_in_s=delay_s,
+            )
+            logging.exception(
+                "task %s failed, it starts again in %.1f s", name, delay_s
+            )
+        await anyio.sleep(delay_s)
+        delay_s = min(MAX_RESTART_DELAY_S, 2 * delay_s)
--- a/chervilshift/control/process.py
+++ b/chervilshift/control/process.py
@@ -34,7 +34,7 @@
             clock=self._clock,
             events=self._events,
         )
-        tg.start_soon(orders.run)
+        self._start_task(tg, "orders", orders.run)
 
 
 def _check_command(command: Command) -> Result[None, Failure]:
--- a/chervilshift/control/replica.py
+++ b/chervilshift/control/replica.py
@@ -1,5 +1,7 @@
 """Process of one replica: its storage, RPC server and rejoining."""
 
+from collections.abc import Awaitable, Callable
+from functools import partial
 from random import SystemRandom
 
 import anyio
@@ -8,6 +10,7 @@
 from returns.result import Failure as Bad
 
 from chervilshift.addresses import split_address
+from chervilshift.background import keep_running
 from chervilshift.clock import Clock
 from chervilshift.control.node import Node
 from chervilshift.control.server import ControlServer
@@ -73,7 +76,8 @@
         async with anyio.create_task_group() as tg:
             await tg.start(self.node.run)
             await server.start(host, port)
-            tg.start_soon(self._rejoin_loop, local_voter)
+            rejoin = partial(self._rejoin_loop, local_voter)
+            self._start_task(tg, "rejoin", rejoin)
             await self._start_tasks(tg)
             self._events.emit(
                 "started", role="control", replica=local_voter.id
@@ -91,6 +95,19 @@
         self._storage.close()
         self._events.emit("stopped", role="control")
 
+    def _start_task(
+        self, tg: TaskGroup, name: str, task: Callable[[], Awaitable[None]]
+    ) -> None:
+        tg.start_soon(
+            partial(
+                keep_running,
+                task,
+                name=name,
+                clock=self._clock,
+                events=self._events,
+            )
+        )
+
     def _server(self) -> ControlServer:
         return ControlServer(node=self.node)
 
--- a/chervilshift/control/routed.py
+++ b/chervilshift/control/routed.py
@@ -1,11 +1,9 @@
 """Control process that serves gateways: replica, HTTP interfaces, duties."""
 
 from collections.abc import Callable
-from functools import partial
 
 from anyio.abc import TaskGroup
 
-from chervilshift.background import keep_running
 from chervilshift.clock import Clock
 from chervilshift.control.duties import Cloud, DutyTask
 from chervilshift.control.fleet import DecodeConfig, FleetService
@@ -103,10 +101,8 @@
                 self._settings.metrics_listen,
                 IDLE_TIMEOUT_S,
             )
-        for name, task in (("fleet", self.fleet.run), ("duties", duties.run)):
-            tg.start_soon(
-                partial(keep_running, task, name=name, events=self._events)
-            )
+        self._start_task(tg, "fleet", self.fleet.run)
+        self._start_task(tg, "duties", duties.run)
         for app, address in (
             (self._adapter.control_app, self._settings.api_listen),
             (self._adapter.directory_app, self._settings.directory_listen),
--- a/chervilshift/gateway/process.py
+++ b/chervilshift/gateway/process.py
@@ -187,7 +187,13 @@
         self, tg: TaskGroup, name: str, task: Callable[[], Awaitable[None]]
     ) -> None:
         tg.start_soon(
-            partial(keep_running, task, name=name, events=self._events)
+            partial(
+                keep_running,
+                task,
+                name=name,
+                clock=self._clock,
+                events=self._events,
+            )
         )
 
     def reload(self, settings: GatewaySettings) -> None:
