Tests: a port is free only if it is free at all loopback addresses

Tests failed with "Address already in use" on 127.0.0.11 to 13 beside other test runs. Cause: a port was taken for free that was free at 127.0.0.1, while another run had a control process at the same port of its further hosts.

--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -74,11 +74,14 @@
 
 
 def free_address() -> str:
-    """Return a free address below the ephemeral port range."""
+    """Return an address below the ephemeral port range.
+
+    Its port is free at all loopback addresses.
+    """
     for port in PORTS:
         with socket.socket() as sock:
             try:
-                sock.bind(("127.0.0.1", port))
+                sock.bind(("", port))
             except OSError:
                 continue
             return f"127.0.0.1:{port}"
