Tests of pauses and of background errors fit the merged product

The simulated gateways of test_silence_under_load give their retry budget a phase and the time, as the real ones do (12 cases failed with TypeError). After the crash, test_background_errors waits until the gateway knows the endpoint's new incarnation: before that, a resumable stream is refused as not run (503 for 200, once in the whole suite beside load).

--- a/tests/core/fleet/test_silence_under_load.py
+++ b/tests/core/fleet/test_silence_under_load.py
@@ -81,7 +81,9 @@
         self.placement.update_endpoints(
             endpoint.record for endpoint in fleet.endpoints.values()
         )
-        self.budget = RetryBudget(policy=POLICY, now=0.0)
+        self.budget = RetryBudget(
+            policy=POLICY, now=0.0, phase=fleet.rng.random()
+        )
 
     def send(self, call: Call, now: float) -> None:
         """Make the next attempt of a call."""
@@ -177,7 +179,7 @@
 
     def _ask(self, gateway: Gateway, now: float) -> None:
         self.sent += 1
-        gateway.budget.deposit()
+        gateway.budget.deposit(now)
         gateway.send(Call(now), now)
         if now < LENGTH_S:
             self.at(self._next_s(now), lambda at: self._ask(gateway, at))
--- a/tests/platform/test_background_errors.py
+++ b/tests/platform/test_background_errors.py
@@ -79,8 +79,14 @@
         await eventually(lambda: failed)
         await anyio.sleep(3 * RESTART_DELAY_S)
         assert not platform.ended
+        assert crashing.crashed_at
         parts = ("Prompt-Prefix", "aa:100,2:50")
-        await eventually(lambda: gateway.state.placement.endpoints())
+        await eventually(
+            lambda: any(
+                e.record.born_ms == crashing.born_ms
+                for e in gateway.state.placement.endpoints()
+            )
+        )
         reply = await platform.send_request(
             "/stream/a", headers=(parts, counts)
         )
