Endpoints that name no incarnation are asked once a connection

Each resumable stream on a kept connection to such an engine waited for another report, though the docstring says once. The new test saw 3 requests before, 1 now. Upstream builds its requests in one place.

--- a/chervilshift/gateway/connections.py
+++ b/chervilshift/gateway/connections.py
@@ -80,8 +80,9 @@
 
     `reused` is true from its second request on. `expires_at` is the monotonic
     time after which an idle connection is no longer used. `refused_id` is the
-    id of the last request that was refused on it. `born_ms` is the incarnation
-    that the endpoint has named on it, None before that.
+    id of the last request that was refused on it. `report_read` is true once
+    the endpoint was asked for its incarnation on it, and `born_ms` is the one
+    that it named, None without any.
     """
 
     __slots__ = (
@@ -93,6 +94,7 @@
         "idle_timeout_s",
         "origin",
         "refused_id",
+        "report_read",
         "reused",
     )
 
@@ -111,6 +113,7 @@
         )
         self.reused = False
         self.refused_id = b""
+        self.report_read = False
         self.born_ms: int | None = None
         self.idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         self.expires_at = float("inf")
--- a/chervilshift/gateway/upstream.py
+++ b/chervilshift/gateway/upstream.py
@@ -214,17 +214,10 @@
         It is asked for once per connection; None if the endpoint names none.
         """
         conn = self._conn
-        if conn.born_ms is not None:
+        if conn.report_read:
             return conn.born_ms
-        request = httpcore.Request(
-            "GET",
-            httpcore.URL(
-                scheme=conn.origin.scheme,
-                host=conn.origin.host,
-                port=conn.origin.port,
-                target=self._codec.report_target,
-            ),
-            headers=[(b"host", conn.origin.host)],
+        request = self._make_request(
+            "GET", self._codec.report_target, [(b"host", conn.origin.host)]
         )
         conn.limit_head()
         chunks = []
@@ -246,6 +239,7 @@
         conn.born_ms = self._codec.reported_born_ms(
             response.status, b"".join(chunks)
         )
+        conn.report_read = True
         return conn.born_ms
 
     async def send(
@@ -258,18 +252,9 @@
         progress: ProgressTimeouts,
     ) -> Reply:
         """Send the request; return its reply, whose body is not read yet."""
-        origin = self._conn.origin
         self._progress = progress
-        request = httpcore.Request(
-            method,
-            httpcore.URL(
-                scheme=origin.scheme,
-                host=origin.host,
-                port=origin.port,
-                target=target,
-            ),
-            headers=[*headers, *_length_header(method, body)],
-            content=body,
+        request = self._make_request(
+            method, target, [*headers, *_length_header(method, body)], body
         )
         self._conn.limit_head()
         try:
@@ -328,6 +313,22 @@
             yield chunk
             limit_s = self._progress.chunk_s
 
+    def _make_request(
+        self, method: str, target: bytes, headers: Headers, body: bytes = b""
+    ) -> httpcore.Request:
+        origin = self._conn.origin
+        return httpcore.Request(
+            method,
+            httpcore.URL(
+                scheme=origin.scheme,
+                host=origin.host,
+                port=origin.port,
+                target=target,
+            ),
+            headers=headers,
+            content=body,
+        )
+
     def _wait(self, limit_s: float | None) -> _Wait:
         return _Wait(limit_s=limit_s, may_leave=self._progress.may_leave)
 
--- a/tests/gateway/test_connections.py
+++ b/tests/gateway/test_connections.py
@@ -13,6 +13,8 @@
 
 from chervilshift.clock import SystemClock
 from chervilshift.gateway.connections import ConnectionPool
+from chervilshift.gateway.upstream import Upstream
+from chervilshift.platform.headers import PlatformHeaderCodec
 from tests.cluster import free_address
 
 # More than a listener with the shortest queue holds.
@@ -60,3 +62,34 @@
             await pool.discard(conn)
 
     anyio.run(run)
+
+
+def test_endpoint_that_names_no_incarnation_is_asked_once_a_connection():
+    address = free_address()
+    heads: list[bytes] = []
+
+    async def handle(stream) -> None:
+        async with stream:
+            while True:
+                heads.append(await stream.receive())
+                await stream.send(
+                    b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"
+                )
+
+    async def run() -> None:
+        host, port = address.split(":")
+        listener = await anyio.create_tcp_listener(
+            local_host=host, local_port=int(port)
+        )
+        pool = ConnectionPool(clock=SystemClock())
+        async with listener, anyio.create_task_group() as tg:
+            tg.start_soon(listener.serve, handle)
+            upstream = await Upstream.connect(
+                "e1", address, pool, PlatformHeaderCodec()
+            )
+            for _ in range(3):
+                assert await upstream.named_born_ms(1.0) is None
+            tg.cancel_scope.cancel()
+
+    anyio.run(run)
+    assert len(heads) == 1
