--- a/chervilshift/control/process.py
+++ b/chervilshift/control/process.py
@@ -34,7 +34,7 @@
             clock=self._clock,
             events=self._events,
         )
-        self._start_task(tg, "orders", orders.run)
+        self._tasks.start(tg, "orders", orders.run)
 
 
 def _check_command(command: Command) -> Result[None, Failure]:
--- a/chervilshift/control/replica.py
+++ b/chervilshift/control/replica.py
@@ -1,6 +1,5 @@
 """Process of one replica: its storage, RPC server and rejoining."""
 
-from collections.abc import Awaitable, Callable
 from functools import partial
 from random import SystemRandom
 
@@ -10,7 +9,7 @@
 from returns.result import Failure as Bad
 
 from chervilshift.addresses import split_address
-from chervilshift.background import keep_running
+from chervilshift.background import BackgroundTasks
 from chervilshift.clock import Clock
 from chervilshift.control.node import Node
 from chervilshift.control.server import ControlServer
@@ -45,6 +44,7 @@
         self._settings = settings
         self._events = events
         self._clock = clock
+        self._tasks = BackgroundTasks(clock=clock, events=events)
         self._storage = Storage(folder=settings.data_folder)
         self._clients = Clients(
             hlc=events.hlc, credentials=settings.credentials()
@@ -77,7 +77,7 @@
             await tg.start(self.node.run)
             await server.start(host, port)
             rejoin = partial(self._rejoin_loop, local_voter)
-            self._start_task(tg, "rejoin", rejoin)
+            self._tasks.start(tg, "rejoin", rejoin)
             await self._start_tasks(tg)
             self._events.emit(
                 "started", role="control", replica=local_voter.id
@@ -95,19 +95,6 @@
         self._storage.close()
         self._events.emit("stopped", role="control")
 
-    def _start_task(
-        self, tg: TaskGroup, name: str, task: Callable[[], Awaitable[None]]
-    ) -> None:
-        tg.start_soon(
-            partial(
-                keep_running,
-                task,
-                name=name,
-                clock=self._clock,
-                events=self._events,
-            )
-        )
-
     def _server(self) -> ControlServer:
         return ControlServer(node=self.node)
 
--- a/chervilshift/control/routed.py
+++ b/chervilshift/control/routed.py
@@ -101,8 +101,8 @@
                 self._settings.metrics_listen,
                 IDLE_TIMEOUT_S,
             )
-        self._start_task(tg, "fleet", self.fleet.run)
-        self._start_task(tg, "duties", duties.run)
+        self._tasks.start(tg, "fleet", self.fleet.run)
+        self._tasks.start(tg, "duties", duties.run)
         for app, address in (
             (self._adapter.control_app, self._settings.api_listen),
             (self._adapter.directory_app, self._settings.directory_listen),
--- a/chervilshift/gateway/process.py
+++ b/chervilshift/gateway/process.py
@@ -1,15 +1,13 @@
 """One gateway process: wiring, readiness and graceful shutdown."""
 
-from collections.abc import Awaitable, Callable
-from functools import partial
+from collections.abc import Callable
 from random import SystemRandom
 from secrets import token_hex
 
 import anyio
-from anyio.abc import TaskGroup
 from returns.result import Result
 
-from chervilshift.background import keep_running
+from chervilshift.background import BackgroundTasks
 from chervilshift.clock import Clock
 from chervilshift.core.fleet.controls import ControlChooser
 from chervilshift.core.fleet.model import ServingConfig
@@ -148,12 +146,10 @@
     ) -> None:
         """Serve until `stop` is set, then drain and return."""
         async with anyio.create_task_group() as tg:
-            for name, task in (
-                ("sync", self._sync.run),
-                ("crash probe", self._crash_probe.run),
-                ("stream origins", self._origins.run),
-            ):
-                self._start_task(tg, name, task)
+            tasks = BackgroundTasks(clock=self._clock, events=self._events)
+            tasks.start(tg, "sync", self._sync.run)
+            tasks.start(tg, "crash probe", self._crash_probe.run)
+            tasks.start(tg, "stream origins", self._origins.run)
             self._http = await tg.start(
                 serve_app,
                 self.ingress,
@@ -174,7 +170,7 @@
                     self._settings.metrics_listen,
                     PROBE_IDLE_TIMEOUT_S,
                 )
-            self._start_task(tg, "connections", self._maintain)
+            tasks.start(tg, "connections", self._maintain)
             self._events.emit("started", role="gateway")
             task_status.started()
             await stop.wait()
@@ -183,19 +179,6 @@
         self._clients.close()
         self._events.emit("stopped", role="gateway")
 
-    def _start_task(
-        self, tg: TaskGroup, name: str, task: Callable[[], Awaitable[None]]
-    ) -> None:
-        tg.start_soon(
-            partial(
-                keep_running,
-                task,
-                name=name,
-                clock=self._clock,
-                events=self._events,
-            )
-        )
-
     def reload(self, settings: GatewaySettings) -> None:
         """Apply changed seeds; changed addresses need a restart."""
         self._sync.set_seeds(tuple(settings.control))
