Stream versions: derive what a configuration or endpoints imply once

Each reply to a gateway's sync, each question for a stream and each commit of records went through all routes for the longest timeout of a stream, and each gateway went through all endpoints ten times a second for services with several versions. OriginTable.note no longer copies its keys to look at the oldest. No change of behaviour.

--- a/chervilshift/core/fleet/model.py
+++ b/chervilshift/core/fleet/model.py
@@ -3,6 +3,8 @@
 Durations are seconds, sizes are bytes and token counts are tokens.
 """
 
+from functools import cached_property
+
 import msgspec
 
 from chervilshift.core.message import Message
@@ -149,7 +151,7 @@
     idle_timeout_s: float = 15.0
 
 
-class ServingConfig(Message):
+class ServingConfig(Message, dict=True):
     """One version of the routes, services, customers and their limits."""
 
     version: int
@@ -158,6 +160,12 @@
     limits: ServingLimits
     customers: tuple[Customer, ...] = ()
 
+    @cached_property
+    def longest_stream_s(self) -> float:
+        """The longest timeout of a stream route, 0 without one."""
+        timeouts = (r.timeout_s for r in self.routes if r.kind == STREAM)
+        return max(timeouts, default=0.0)
+
 
 class EndpointRecord(Message):
     """The last announcement of an endpoint.
--- a/chervilshift/core/fleet/origins.py
+++ b/chervilshift/core/fleet/origins.py
@@ -15,7 +15,7 @@
 from collections.abc import Container, Iterable, Iterator
 from hashlib import blake2b
 
-from chervilshift.core.fleet.model import STREAM, ServingConfig
+from chervilshift.core.fleet.model import ServingConfig
 from chervilshift.core.message import Message
 
 __all__ = [
@@ -51,9 +51,7 @@
 
 def keep_s(cfg: ServingConfig | None) -> float:
     """Return how long after its beginning a stream may be taken up."""
-    routes = cfg.routes if cfg else ()
-    timeouts = (r.timeout_s for r in routes if r.kind == STREAM)
-    return STREAM_SLACK_S + 2 * max(timeouts, default=0.0)
+    return STREAM_SLACK_S + 2 * (cfg.longest_stream_s if cfg else 0.0)
 
 
 class Origin(Message, tag=False, array_like=True):
@@ -152,7 +150,8 @@
             place = (int(now_s), batch.origin)
             self._recorded[place] = self._recorded.get(place, b"") + batch.keys
             self._size_bytes += len(batch.keys)
-        for place in tuple(self._recorded):
+        while self._recorded:
+            place = next(iter(self._recorded))
             is_old = place[0] < now_s - kept_s
             if not is_old and self._size_bytes <= MAX_RECORDED_BYTES:
                 break
--- a/chervilshift/gateway/state.py
+++ b/chervilshift/gateway/state.py
@@ -99,6 +99,7 @@
         self.endpoint_limits = EndpointLimits(rng=rng)
         self.holds = EndpointHolds(rng=rng)
         self.open_streams = OpenStreams()
+        self._mixed_now: frozenset[str] = frozenset()
         self._lately_mixed: tuple[str, ...] = ()
         self.report_interval_s = DIRECT_INTERVAL_S
         self.usage = UsageCounter(window_s=usage_window_s)
@@ -151,11 +152,7 @@
 
     def mixed_services(self) -> frozenset[str]:
         """Return the services that have or lately had several versions."""
-        versions: defaultdict[str, set[str]] = defaultdict(set)
-        for endpoint in self.placement.endpoints():
-            versions[endpoint.record.service].add(endpoint.record.version)
-        mixed = (s for s, found in versions.items() if len(found) > 1)
-        return frozenset(mixed).union(self._lately_mixed)
+        return self._mixed_now.union(self._lately_mixed)
 
     def record_prefill(self, service: str, tokens: int) -> None:
         """Count prompt tokens that an endpoint has to prefill."""
@@ -283,6 +280,7 @@
                 self.placement.change_endpoints(reply.endpoints)
             else:
                 self.placement.update_endpoints(reply.endpoints)
+            self._mixed_now = self._find_mixed()
             # Only now, so that what can't be applied is sent again.
             self.revision = reply.revision
             self._settle_ended()
@@ -308,6 +306,12 @@
             )
             self.endpoint_limits.apply_grants(reply.grants, reply.waits, now)
 
+    def _find_mixed(self) -> frozenset[str]:
+        versions: defaultdict[str, set[str]] = defaultdict(set)
+        for endpoint in self.placement.endpoints():
+            versions[endpoint.record.service].add(endpoint.record.version)
+        return frozenset(s for s, found in versions.items() if len(found) > 1)
+
     def _note_new_versions(self, records: Iterable[EndpointRecord]) -> None:
         """Note endpoints that have started anew with another version."""
         known = {e.id: e.record.version for e in self.placement.endpoints()}
