One reader for request bodies of gateways and control

Both collected a body's parts within a limit and a budget of bytes in loops of their own; HeldBody serves both. Tests pass the budget when they make the client's side; their assertions are the same. No change of behaviour.

--- a/chervilshift/gateway/downstream.py
+++ b/chervilshift/gateway/downstream.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from chervilshift.bytebudget import ByteBudget
+from chervilshift.bytebudget import HeldBody
 from chervilshift.errors import BodyTooLarge, Failure, Unserved
 from chervilshift.gateway.protocol import Headers
 
@@ -22,50 +22,47 @@
     """Sends one response over ASGI.
 
     `started` is true once its head is sent, `finished` once its last part
-    is. With `close_connection` the head asks the client to close. `body_bytes`
-    of the request's body have been read.
+    is. With `close_connection` the head asks the client to close. `body` is
+    the request's.
     """
 
     __slots__ = (
         "_receive",
         "_send",
-        "body_bytes",
+        "body",
         "close_connection",
         "finished",
         "started",
     )
 
     def __init__(
-        self, *, receive: Callable, send: Callable, close_connection: bool
+        self,
+        *,
+        receive: Callable,
+        send: Callable,
+        close_connection: bool,
+        body: HeldBody,
     ):
         self._receive = receive
         self._send = send
         self.close_connection = close_connection
-        self.body_bytes = 0
+        self.body = body
         self.started = False
         self.finished = False
 
-    async def read_body(self, limit_bytes: int, budget: ByteBudget) -> bytes:
-        """Return the whole request body; its bytes are taken from `budget`.
+    async def read_body(self, limit_bytes: int) -> bytes:
+        """Return the whole request body.
 
         Raises ClientDisconnected, BodyTooLarge, or Unserved without room.
         """
-        chunks = []
-        while True:
-            message = await self._receive()
-            if message["type"] == "http.disconnect":
-                raise ClientDisconnected
-            chunks.append(message.get("body", b""))
-            self.body_bytes += len(chunks[-1])
-            has_room = budget.take(len(chunks[-1]))
-            if self.body_bytes > limit_bytes:
-                self.close_connection = True
-                raise BodyTooLarge(limit_bytes=limit_bytes)
-            if not has_room:
-                self.close_connection = True
-                raise Unserved(reason="too many bytes of bodies held")
-            if not message.get("more_body"):
-                return b"".join(chunks)
+        try:
+            data = await self.body.read(self._receive, limit_bytes)
+        except (BodyTooLarge, Unserved):
+            self.close_connection = True
+            raise
+        if data is None:
+            raise ClientDisconnected
+        return data
 
     async def wait_disconnected(self) -> None:
         """Return when the client disconnected or the response is complete."""
--- a/chervilshift/gateway/ingress.py
+++ b/chervilshift/gateway/ingress.py
@@ -6,7 +6,7 @@
 from absl import logging
 from returns.result import Failure as Bad
 
-from chervilshift.bytebudget import ByteBudget
+from chervilshift.bytebudget import ByteBudget, HeldBody
 from chervilshift.clock import Clock
 from chervilshift.core.fleet.model import Customer, Route
 from chervilshift.core.fleet.routes import RouteTable
@@ -69,7 +69,10 @@
     ) -> None:
         """Serve one request."""
         downstream = Downstream(
-            receive=receive, send=send, close_connection=self.stopping
+            receive=receive,
+            send=send,
+            close_connection=self.stopping,
+            body=HeldBody(budget=self._body_memory),
         )
         self.active_requests += 1
         try:
@@ -87,7 +90,7 @@
                 await downstream.refuse(Failure())
         finally:
             self.active_requests -= 1
-            self._body_memory.give_back(downstream.body_bytes)
+            downstream.body.give_back()
 
     def _log_refusal(self, scope: dict, exc: Failure) -> None:
         """Log why a request was refused before it reached the dispatcher."""
@@ -137,9 +140,7 @@
         timeout_s = route.timeout_s if route else limits.idle_timeout_s
         timeout_s = min(request.client_timeout_s or timeout_s, timeout_s)
         with anyio.move_on_after(timeout_s):
-            return await downstream.read_body(
-                limits.body_bytes, self._body_memory
-            )
+            return await downstream.read_body(limits.body_bytes)
         downstream.close_connection = True
         raise BodyTimeout(timeout_s=timeout_s)
 
--- a/chervilshift/platform/api.py
+++ b/chervilshift/platform/api.py
@@ -1,7 +1,6 @@
 """The HTTP interfaces of a control process, as ASGI apps."""
 
-from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import asynccontextmanager
+from collections.abc import Awaitable, Callable
 from urllib.parse import parse_qs
 
 import anyio
@@ -9,7 +8,7 @@
 from absl import logging
 from returns.result import Failure as Bad
 
-from chervilshift.bytebudget import ByteBudget
+from chervilshift.bytebudget import ByteBudget, HeldBody
 from chervilshift.control.fleet import FleetService
 from chervilshift.core.fleet.model import GONE, EndpointRecord
 from chervilshift.errors import (
@@ -51,7 +50,7 @@
     fleet: FleetService, body_timeout_s: float = BODY_TIMEOUT_S
 ) -> App:
     """Return the app that serves operators and endpoints."""
-    bodies = _Bodies(timeout_s=body_timeout_s)
+    budget = ByteBudget(limit_bytes=MAX_HELD_BYTES)
 
     async def app(scope: dict, receive: Callable, send: Callable) -> None:
         path, method = scope["path"], scope["method"]
@@ -60,13 +59,16 @@
             if path == CONFIG_PATH
             else MAX_ANNOUNCEMENT_BYTES
         )
+        held = HeldBody(budget=budget)
         try:
-            async with bodies.read(receive, limit_bytes) as body:
-                if body is not None:
-                    await _serve(fleet, method, path, body, send)
+            body = await _read_body(held, receive, limit_bytes, body_timeout_s)
+            if body is not None:
+                await _serve(fleet, method, path, body, send)
         except (BodyTimeout, BodyTooLarge, Unserved) as exc:
             logging.info("%s %s: %s", method, path[:64], exc)
             await send_json(send, exc.status, _error_body(exc))
+        finally:
+            held.give_back()
 
     return app
 
@@ -172,48 +174,14 @@
     return msgspec.json.encode({"error": failure.name, "text": str(failure)})
 
 
-class _Bodies:
-    """Reads request bodies, all together within `MAX_HELD_BYTES`."""
-
-    __slots__ = ("_budget", "_timeout_s")
-
-    def __init__(self, *, timeout_s: float):
-        self._timeout_s = timeout_s
-        self._budget = ByteBudget(limit_bytes=MAX_HELD_BYTES)
+async def _read_body(
+    body: HeldBody, receive: Callable, limit_bytes: int, timeout_s: float
+) -> bytes | None:
+    """Return the whole body, or None if the caller disconnected.
 
-    @asynccontextmanager
-    async def read(
-        self, receive: Callable, limit_bytes: int
-    ) -> AsyncIterator[bytes | None]:
-        """Hold the whole body, or None if the caller disconnected.
-
-        Raises BodyTimeout, BodyTooLarge or Unserved: an incomplete document
-        must not be refused as an invalid one.
-        """
-        chunks: list[bytes] = []
-        try:
-            yield await self._collect(receive, limit_bytes, chunks)
-        finally:
-            self._budget.give_back(sum(map(len, chunks)))
-
-    async def _collect(
-        self, receive: Callable, limit_bytes: int, chunks: list[bytes]
-    ) -> bytes | None:
-        size_bytes = 0
-        with anyio.move_on_after(self._timeout_s):
-            while True:
-                message = await receive()
-                if message["type"] == "http.disconnect":
-                    return None
-                chunk = message.get("body", b"")
-                chunks.append(chunk)
-                size_bytes += len(chunk)
-                has_room = self._budget.take(len(chunk))
-                if size_bytes > limit_bytes:
-                    raise BodyTooLarge(limit_bytes=limit_bytes)
-                if not has_room:
-                    raise Unserved(reason="too many bytes of bodies held")
-                if not message.get("more_body"):
-                    chunks[:] = [b"".join(chunks)]
-                    return chunks[0]
-        raise BodyTimeout(timeout_s=self._timeout_s)
+    Raises BodyTimeout, BodyTooLarge or Unserved: an incomplete document must
+    not be refused as an invalid one.
+    """
+    with anyio.move_on_after(timeout_s):
+        return await body.read(receive, limit_bytes)
+    raise BodyTimeout(timeout_s=timeout_s)
--- a/tests/gateway/test_large_bodies.py
+++ b/tests/gateway/test_large_bodies.py
@@ -3,7 +3,7 @@
 import anyio
 import pytest
 
-from chervilshift.bytebudget import ByteBudget
+from chervilshift.bytebudget import ByteBudget, HeldBody
 from chervilshift.errors import BodyTooLarge, Unserved
 from chervilshift.gateway.downstream import ClientDisconnected, Downstream
 
@@ -12,7 +12,9 @@
 PART = b"x" * (1 << 20)
 
 
-def downstream(*bodies: bytes, ends: bool = True) -> Downstream:
+def downstream(
+    budget: ByteBudget, *bodies: bytes, ends: bool = True
+) -> Downstream:
     """Return the side of a client that sends a body in parts."""
     messages = [
         {"type": "http.request", "body": body, "more_body": True}
@@ -24,7 +26,12 @@
         await anyio.sleep(0)
         return messages.pop(0)
 
-    return Downstream(receive=receive, send=None, close_connection=False)
+    return Downstream(
+        receive=receive,
+        send=None,
+        close_connection=False,
+        body=HeldBody(budget=budget),
+    )
 
 
 def test_large_bodies_at_once_stay_within_the_memory_of_the_gateway():
@@ -34,7 +41,7 @@
 
     async def read(client: Downstream) -> None:
         try:
-            whole.append(await client.read_body(LIMIT_BYTES, budget))
+            whole.append(await client.read_body(LIMIT_BYTES))
         except Unserved:
             refused.append(client)
             assert client.close_connection
@@ -42,7 +49,7 @@
     async def play() -> None:
         async with anyio.create_task_group() as tg:
             for _ in range(100):
-                tg.start_soon(read, downstream(*[PART] * 4))
+                tg.start_soon(read, downstream(budget, *[PART] * 4))
 
     anyio.run(play)
     assert sum(map(len, whole)) <= BUDGET_BYTES
@@ -50,15 +57,13 @@
 
 
 @pytest.mark.parametrize(
-    ("client", "failure"),
-    [
-        (downstream(*[PART] * 5), BodyTooLarge),
-        (downstream(PART, ends=False), ClientDisconnected),
-    ],
+    ("parts", "ends", "failure"),
+    [([PART] * 5, True, BodyTooLarge), ([PART], False, ClientDisconnected)],
 )
-def test_bytes_of_a_body_that_fails_are_given_back(client, failure):
+def test_bytes_of_a_body_that_fails_are_given_back(parts, ends, failure):
     budget = ByteBudget(limit_bytes=BUDGET_BYTES)
+    client = downstream(budget, *parts, ends=ends)
     with pytest.raises(failure):
-        anyio.run(client.read_body, LIMIT_BYTES, budget)
-    budget.give_back(client.body_bytes)
+        anyio.run(client.read_body, LIMIT_BYTES)
+    client.body.give_back()
     assert budget.take(BUDGET_BYTES)
