--- a/chervilshift/control/node.py
+++ b/chervilshift/control/node.py
@@ -70,6 +70,7 @@
 MAX_PENDING_PROPOSALS = 2000
 # A command that was not applied after this time is answered.
 PROPOSAL_TIMEOUT_S = 5.0
+LEADERSHIP_LOST = "leadership was lost"
 
 COMMAND_DECODER = msgspec.msgpack.Decoder(Command)
 STATE_DECODER = msgspec.msgpack.Decoder(MachineState)
@@ -427,19 +428,22 @@
             await anyio.to_thread.run_sync(self._storage.reopen)
         self._is_retrying = False
 
-    def _fail_proposals(self, reason: str) -> None:
-        """End all waits of proposals and empty the inbox."""
+    def _end_pending(self, reason: str) -> None:
+        """End the waits of proposals that others may still commit."""
         for proposal in self._pending.values():
-            proposal.finish(Bad(OutcomeUnknown(key="command", reason=reason)))
+            proposal.finish(Bad(_outcome_unknown(reason)))
         self._pending = {}
+
+    def _fail_proposals(self, reason: str) -> None:
+        """End all waits of proposals and empty the inbox."""
+        self._end_pending(reason)
         for message in _receive_waiting(self._inbox_receiver):
             if isinstance(message, Proposal):
                 message.finish(Bad(NotLeader(leader="")))
         self._inbox_bytes = 0
 
     def _restore(self, snapshot: Snapshot) -> None:
-        state = STATE_DECODER.decode(snapshot.data) if snapshot.data else None
-        self.machine = StateMachine(state=state)
+        self.machine = _machine_at(snapshot)
         self._applied_index = snapshot.index
         self._applied_bytes = 0
         self._failed_indices = set()
@@ -474,7 +478,7 @@
         if proposal.term == entry.term:
             proposal.finish(reply)
         else:
-            proposal.finish(Bad(_leadership_lost()))
+            proposal.finish(Bad(_outcome_unknown(LEADERSHIP_LOST)))
 
     def _apply_command(
         self, index: int, command: Command
@@ -496,8 +500,7 @@
     def _rebuild(self, index: int) -> None:
         """Restore the state before `index`, which may be partly changed."""
         snapshot = self.raft.log.full_snapshot
-        state = STATE_DECODER.decode(snapshot.data) if snapshot.data else None
-        self.machine = StateMachine(state=state)
+        self.machine = _machine_at(snapshot)
         for entry in self.raft.log.between(snapshot.index + 1, index - 1):
             if entry.kind == COMMAND and (
                 entry.index not in self._failed_indices
@@ -507,11 +510,8 @@
 
     def _fail_lost_proposals(self) -> None:
         """Fail pending proposals after the loss of leadership."""
-        if self.raft.is_leader or not self._pending:
-            return
-        for proposal in self._pending.values():
-            proposal.finish(Bad(_leadership_lost()))
-        self._pending = {}
+        if not self.raft.is_leader:
+            self._end_pending(LEADERSHIP_LOST)
 
     def _must_compact(self) -> bool:
         applied = self._applied_index - self.raft.log.full_snapshot.index
@@ -648,12 +648,17 @@
 
 def _not_applied_in_time(proposal: Proposal) -> Failure:
     if proposal.term:
-        return OutcomeUnknown(key="command", reason="not applied in time")
+        return _outcome_unknown("not applied in time")
     return AtCapacity(customer="all", reason="not appended in time")
 
 
-def _leadership_lost() -> Failure:
-    return OutcomeUnknown(key="command", reason="leadership was lost")
+def _machine_at(snapshot: Snapshot) -> StateMachine:
+    state = STATE_DECODER.decode(snapshot.data) if snapshot.data else None
+    return StateMachine(state=state)
+
+
+def _outcome_unknown(reason: str) -> Failure:
+    return OutcomeUnknown(key="command", reason=reason)
 
 
 def _receive_waiting(stream: MemoryObjectReceiveStream) -> list:
