Gateways: failures before anything is sent are recorded in one place

Connecting and asking for the incarnation counted a failed connect with the same lines; the endpoints that a request may not use were put together in three places; giving an attempt up asked the budget through a method that only matters for permits taken before. No change of behaviour.

--- a/chervilshift/gateway/chooser.py
+++ b/chervilshift/gateway/chooser.py
@@ -51,8 +51,7 @@
 
         It did not fail the request before.
         """
-        barred_ids = self._state.held_endpoints(exchange.service)
-        barred_ids |= self._other_versions(exchange)
+        barred_ids = self._held_ids(exchange)
         barred_ids |= self._state.exhausted_endpoints()
         barred_ids |= exchange.failed_ids | {endpoint.id}
         return self._state.placement.has_responsive(
@@ -83,8 +82,7 @@
         now = self._clock.monotonic()
         limits = self._state.endpoint_limits
         choose = self._state.placement.choose
-        held_ids = self._state.held_endpoints(exchange.service)
-        held_ids |= self._other_versions(exchange)
+        held_ids = self._held_ids(exchange)
         exhausted_ids = self._state.exhausted_endpoints()
         barred_ids = held_ids | exhausted_ids
         failed_ids = frozenset(exchange.failed_ids)
@@ -102,16 +100,14 @@
             limits.spend(choice.endpoint.id, now)
         return choice
 
-    def _other_versions(self, exchange: Exchange) -> frozenset[str]:
-        """Return the endpoints at which a stream may not go on."""
+    def _held_ids(self, exchange: Exchange) -> frozenset[str]:
+        """Return the endpoints that are held, or of another version."""
+        held_ids = self._state.held_endpoints(exchange.service)
         if exchange.version is None:
-            return frozenset()
-        return frozenset(
-            endpoint.id
-            for endpoint in self._state.placement.endpoints_of(
-                exchange.service
-            )
-            if endpoint.record.version != exchange.version
+            return held_ids
+        endpoints = self._state.placement.endpoints_of(exchange.service)
+        return held_ids.union(
+            e.id for e in endpoints if e.record.version != exchange.version
         )
 
     def _exhausted_ids(self, exchange: Exchange) -> frozenset[str]:
@@ -119,6 +115,5 @@
         now = self._clock.monotonic()
         endpoints = self._state.placement.endpoints_of(exchange.service)
         usable_ids = {e.id for e in endpoints if e.usable(now)}
-        usable_ids -= self._state.held_endpoints(exchange.service)
-        usable_ids -= self._other_versions(exchange)
+        usable_ids -= self._held_ids(exchange)
         return usable_ids & self._state.exhausted_endpoints()
--- a/chervilshift/gateway/dispatch.py
+++ b/chervilshift/gateway/dispatch.py
@@ -1,5 +1,7 @@
 """Serves a request: admission, attempts at endpoints, and the response."""
 
+from collections.abc import Iterator
+from contextlib import contextmanager
 from random import Random
 
 import anyio
@@ -285,16 +287,13 @@
         record = endpoint.record
         connect_began_at = self._clock.monotonic()
         self._metrics.observe("placed", connect_began_at - exchange.arrived_at)
-        try:
+        with self._connecting(exchange, endpoint):
             upstream = await Upstream.connect(
                 record.id, record.address, self._pool, self._codec
             )
-        except EndpointFailed:
-            exchange.failed_connects += 1
-            endpoint.health.record_unreachable(self._clock.monotonic())
-            raise
         async with upstream:
-            await self._check_incarnation(exchange, endpoint, upstream)
+            with self._connecting(exchange, endpoint):
+                await self._check_incarnation(exchange, endpoint, upstream)
             sent_at = self._clock.monotonic()
             self._metrics.observe("connect", sent_at - connect_began_at)
             exchange.attempts_sent += 1
@@ -332,6 +331,18 @@
                     exchange, placed, upstream, reply, downstream, sent_at
                 )
 
+    @contextmanager
+    def _connecting(
+        self, exchange: Exchange, endpoint: Endpoint
+    ) -> Iterator[None]:
+        """Record a failure before anything was sent."""
+        try:
+            yield
+        except EndpointFailed:
+            exchange.failed_connects += 1
+            endpoint.health.record_unreachable(self._clock.monotonic())
+            raise
+
     async def _check_incarnation(
         self, exchange: Exchange, endpoint: Endpoint, upstream: Upstream
     ) -> None:
@@ -343,21 +354,13 @@
         spec = self._state.table.cfg.services.get(exchange.service)
         if not exchange.route.resumable or spec is None or not spec.engine:
             return
-        try:
-            named_ms = await upstream.named_born_ms(REPORT_TIMEOUT_S)
-            if not is_incarnation(
-                endpoint.record.born_ms,
-                named_ms,
-                goes_on=exchange.version is not None,
-            ):
-                raise upstream.not_sent(
-                    f"serves as incarnation {named_ms}, announced is "
-                    f"{endpoint.record.born_ms}"
-                )
-        except EndpointFailed:
-            exchange.failed_connects += 1
-            endpoint.health.record_unreachable(self._clock.monotonic())
-            raise
+        born_ms = endpoint.record.born_ms
+        named_ms = await upstream.named_born_ms(REPORT_TIMEOUT_S)
+        goes_on = exchange.version is not None
+        if not is_incarnation(born_ms, named_ms, goes_on=goes_on):
+            raise upstream.not_sent(
+                f"serves as incarnation {named_ms}, announced is {born_ms}"
+            )
 
     def _progress_timeouts(
         self, exchange: Exchange, choice: Choice
@@ -414,7 +417,7 @@
         hangs = silence_s >= MAX_SOUND_SILENCE_S
         if not hangs and not self._chooser.has_alternative(exchange, endpoint):
             return False
-        exchange.retry_paid = self._pay_retry(exchange)
+        exchange.retry_paid = budget.withdraw(self._state.gateway_count, now)
         return exchange.retry_paid
 
     def _attempt_headers(
