--- a/tests/core/fleet/test_retries.py
+++ b/tests/core/fleet/test_retries.py
@@ -13,6 +13,16 @@
 DAY_S = 60.0
 
 
+def make_budgets(gateways: int, rng: random.Random) -> list[RetryBudget]:
+    policy = RetryPolicy(
+        ratio=RATIO, fixed_retries=FIXED_RETRIES, window_s=WINDOW_S
+    )
+    return [
+        RetryBudget(policy=policy, now=0.0, phase=rng.random())
+        for _ in range(gateways)
+    ]
+
+
 def play(gateways, seed, loads):
     """Return when requests came and retries were made.
 
@@ -20,13 +30,7 @@
     retries as often as it may, in some seconds only.
     """
     rng = random.Random(seed)
-    policy = RetryPolicy(
-        ratio=RATIO, fixed_retries=FIXED_RETRIES, window_s=WINDOW_S
-    )
-    budgets = [
-        RetryBudget(policy=policy, now=0.0, phase=rng.random())
-        for _ in range(gateways)
-    ]
+    budgets = make_budgets(gateways, rng)
     requests: list[float] = []
     retries: list[float] = []
     for second in range(int(DAY_S)):
@@ -78,13 +82,7 @@
 @pytest.mark.parametrize("seed", range(4))
 def test_sum_at_an_even_load_stays_within_the_window_itself(gateways, seed):
     rng = random.Random(seed)
-    policy = RetryPolicy(
-        ratio=RATIO, fixed_retries=FIXED_RETRIES, window_s=WINDOW_S
-    )
-    budgets = [
-        RetryBudget(policy=policy, now=0.0, phase=rng.random())
-        for _ in range(gateways)
-    ]
+    budgets = make_budgets(gateways, rng)
     requests: list[float] = []
     retries: list[float] = []
     for step in range(4000):
--- a/tests/platform/crashing.py
+++ b/tests/platform/crashing.py
@@ -1,7 +1,7 @@
 """An endpoint that some prompt parts or requests crash, on a raw socket."""
 
 from collections import defaultdict
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 from contextlib import suppress
 from pathlib import Path
 
@@ -11,9 +11,14 @@
 from chervilshift.endpoints.connection import HTTP_ERRORS
 from tests.cluster import free_address
 from tests.platform.rawhttp import BODY, read_request, serve_connection
-from tests.platform.standin import Endpoint, Platform, eventually
+from tests.platform.standin import Endpoint, Platform, Reply, eventually
 
-__all__ = ["GATEWAYS", "CrashingEndpoint", "run_with_crashing_endpoints"]
+__all__ = [
+    "GATEWAYS",
+    "CrashingEndpoint",
+    "assert_refused_after_a_restart_of_control",
+    "run_with_crashing_endpoints",
+]
 
 ENDPOINTS, GATEWAYS = 5, 2
 REBOOT_S = 0.6
@@ -133,3 +138,32 @@
             tg.cancel_scope.cancel()
 
     anyio.run(run)
+
+
+async def assert_refused_after_a_restart_of_control(
+    platform: Platform,
+    endpoints: list[CrashingEndpoint],
+    play: Callable[[float], Awaitable[None]],
+    refused: list[Reply],
+    is_known: Callable[[Collection[str]], bool],
+) -> None:
+    """Restart all control once a quarantine is known, and go on.
+
+    `play` sends requests for some seconds, `refused` are the replies to those
+    that crash endpoints, and `is_known` looks at the quarantined parts.
+    """
+    states = [gateway.state for gateway, _ in platform.gateways]
+    async with anyio.create_task_group() as tg:
+        tg.start_soon(play, 60.0)
+        await eventually(
+            lambda: all(is_known(s.crashes.quarantined) for s in states)
+        )
+        tg.cancel_scope.cancel()
+    await play(1.0)
+    crashes = sum(len(e.crashed_at) for e in endpoints)
+    await platform.restart_controls()
+    await eventually(lambda: platform.leader() is not None)
+    await play(5.0)
+    # One request is let through as a trial.
+    assert sum(len(e.crashed_at) for e in endpoints) <= crashes + 1
+    assert refused[-1].status == 503
--- a/tests/platform/test_quarantine.py
+++ b/tests/platform/test_quarantine.py
@@ -12,9 +12,10 @@
 from tests.platform.crashing import (
     GATEWAYS,
     CrashingEndpoint,
+    assert_refused_after_a_restart_of_control,
     run_with_crashing_endpoints,
 )
-from tests.platform.standin import Platform, Reply, eventually
+from tests.platform.standin import Platform, Reply
 
 CONTACT_S = 4.0
 KNOWN_AFTER_CRASHES = 5
@@ -86,23 +87,13 @@
 def test_part_stays_refused_after_a_restart_of_all_control(tmp_path):
     async def scenario(platform, endpoints) -> None:
         traffic = Traffic(platform)
-        states = [gateway.state for gateway, _ in platform.gateways]
-        async with anyio.create_task_group() as tg:
-            tg.start_soon(traffic.play, 60.0)
-            await eventually(
-                lambda: all(
-                    BAD in state.crashes.quarantined for state in states
-                )
-            )
-            tg.cancel_scope.cancel()
-        await traffic.play(1.0)
-        crashes = sum(len(e.crashed_at) for e in endpoints)
-        await platform.restart_controls()
-        await eventually(lambda: platform.leader() is not None)
-        await traffic.play(5.0)
-        # One request is let through as a trial.
-        assert sum(len(e.crashed_at) for e in endpoints) <= crashes + 1
-        assert traffic.bad[-1].status == 503
+        await assert_refused_after_a_restart_of_control(
+            platform,
+            endpoints,
+            traffic.play,
+            traffic.bad,
+            lambda quarantined: BAD in quarantined,
+        )
 
     run_with_crashing_endpoints(
         tmp_path, scenario, bad=frozenset((BAD.encode(),))
