Gateways: Stopping alone says when a planned stop refuses all

The drain loop copied that moment every 50 ms into a flag of the ingress, which now asks. So it holds from the moment itself, up to 50 ms sooner; nothing else changes.

--- a/chervilshift/core/fleet/stopping.py
+++ b/chervilshift/core/fleet/stopping.py
@@ -16,12 +16,16 @@
         self.refuse_at = refuse_at
         self.cut_at = cut_at
 
+    def refuses_all(self, now: float) -> bool:
+        """Whether no request is passed on any more."""
+        return now > self.refuse_at
+
     def takes(self, now: float, needs_s: float, *, repeatable: bool) -> bool:
         """Whether a request that may need `needs_s` may begin now.
 
         One that may not be repeated has to end before it would be cut off:
         its client couldn't know whether it has run.
         """
-        if now > self.refuse_at:
+        if self.refuses_all(now):
             return False
         return repeatable or now + needs_s <= self.cut_at
--- a/chervilshift/gateway/dispatch.py
+++ b/chervilshift/gateway/dispatch.py
@@ -110,6 +110,12 @@
         self._scopes: set[anyio.CancelScope] = set()
         self.stopping: Stopping | None = None
 
+    def refuses_all(self) -> bool:
+        """Whether the gateway's stop leaves no time for any request."""
+        return self.stopping is not None and self.stopping.refuses_all(
+            self._clock.monotonic()
+        )
+
     def cancel_all(self) -> None:
         """End all requests now, with the response of a timeout."""
         for scope in self._scopes:
--- a/chervilshift/gateway/ingress.py
+++ b/chervilshift/gateway/ingress.py
@@ -41,8 +41,7 @@
     """Decodes requests, authorizes them and passes them to the dispatcher.
 
     `active_requests` counts the requests being served. While `stopping`,
-    responses ask the client to close its connection; while `refusing`, new
-    requests are refused.
+    responses ask the client to close its connection.
     """
 
     def __init__(
@@ -60,7 +59,6 @@
         self._codec = codec
         self._clock = clock
         self.stopping = False
-        self.refusing = False
         self.active_requests = 0
         self._body_memory = ByteBudget(limit_bytes=MAX_BODY_MEMORY_BYTES)
 
@@ -116,7 +114,7 @@
         table = self._state.table
         if table is None:
             raise NotReady(reason="no configuration received from control yet")
-        if self.refusing:
+        if self._dispatcher.refuses_all():
             raise Unserved(reason="this gateway is stopping")
         body = await self._read_body(table, request, downstream)
         route, customer = self._authorize(request)
--- a/chervilshift/gateway/process.py
+++ b/chervilshift/gateway/process.py
@@ -277,13 +277,12 @@
         self._events.emit("stopping", role="gateway")
         await self._sync.announce(ANNOUNCE_TIMEOUT_S)
         drain_until = began_at + self._settings.stop_within_s - CLOSE_MARGIN_S
-        refuse_at = began_at + MAX_LOOKUP_CACHE_S
         self._dispatcher.stopping = Stopping(
-            refuse_at=refuse_at, cut_at=drain_until
+            refuse_at=began_at + MAX_LOOKUP_CACHE_S, cut_at=drain_until
         )
-        while (now := self._clock.monotonic()) < drain_until:
-            self.ingress.refusing = now > refuse_at
-            if self.ingress.refusing and not self.ingress.active_requests:
+        while self._clock.monotonic() < drain_until:
+            is_idle = not self.ingress.active_requests
+            if is_idle and self._dispatcher.refuses_all():
                 break
             await anyio.sleep(DRAIN_POLL_INTERVAL_S)
         self._events.emit("drained", under_way=self.ingress.active_requests)
