--- a/review/support.py
+++ b/review/support.py
@@ -47,7 +47,7 @@
 START_TIMEOUT_S = 25.0
 CASE_TIMEOUT_S = 110.0
 SEGMENT_BYTES = 1400
-WINDOW_BYTES = 32_768
+WINDOW_BYTES = 16_384
 # The settings of DEPLOY.md for a small deployment, in the product's names.
 COMMON = {
     "host": "h",
