Gateways: second answers are logged with their status and connection

The record of the incident can't tell whether a caller got an endpoint's first answer or a late one: no line named the connection, nor what a second answer said. The event second_answer now has the connection, the request and both statuses, a metric counts those that differ, and an attempt's text names its connection. No decision changes. The new test asks for both statuses; the events of all processes can be read in the platform's test double.

--- a/chervilshift/gateway/connections.py
+++ b/chervilshift/gateway/connections.py
@@ -6,20 +6,22 @@
 twice are not reused for a while.
 """
 
+import itertools
 import re
 import socket
 from collections import defaultdict
 from collections.abc import Callable
 
+import h11
 import httpcore
 
 from chervilshift.addresses import split_address
 from chervilshift.bytebudget import ByteBudget
 from chervilshift.clock import Clock
-from chervilshift.gateway.protocol import ReplyHead
+from chervilshift.gateway.protocol import Headers, ReplyHead
 from chervilshift.outgoing import CallBackend, CallStream, socket_options
 
-__all__ = ["Connection", "ConnectionPool"]
+__all__ = ["Connection", "ConnectionPool", "LateReply"]
 
 CONNECT_TIMEOUT_S = 1.0
 # A refusal takes a round trip, also between regions.
@@ -93,14 +95,37 @@
         self.remaining_bytes = None
 
 
+class LateReply:
+    """A reply that came after another one to the same request.
+
+    `conn` is the connection on which it came. `status` is None and `headers`
+    are empty if what came is not the head of a reply.
+    """
+
+    __slots__ = ("conn", "headers", "status")
+
+    def __init__(
+        self,
+        *,
+        conn: "Connection",
+        status: int | None = None,
+        headers: Headers = (),
+    ):
+        self.conn = conn
+        self.status = status
+        self.headers = headers
+
+
 class Connection:
     """One connection to an endpoint.
 
-    `reused` is true from its second request on. `expires_at` is the monotonic
-    time after which an idle connection is no longer used. `sent_ids` are those
-    of the requests that it carried. `report_read` is true once the endpoint
-    was asked for its incarnation on it, and `born_ms` is the one that it
-    named, None without any.
+    `number` tells the connections of a process apart, for logs. `reused` is
+    true from its second request on. `expires_at` is the monotonic time after
+    which an idle connection is no longer used. `statuses` has the status of
+    the first reply to each request that it carried, by the request's id; None
+    without a reply. `report_read` is true once the endpoint was asked for its
+    incarnation on it, and `born_ms` is the one that it named, None without
+    any.
     """
 
     __slots__ = (
@@ -110,27 +135,30 @@
         "_stream",
         "http",
         "idle_timeout_s",
+        "number",
         "origin",
         "report_read",
         "reused",
-        "sent_ids",
+        "statuses",
     )
 
     def __init__(
         self,
         *,
         endpoint_id: str,
+        number: int,
         origin: httpcore.Origin,
         stream: _EndpointStream,
     ):
         self.endpoint_id = endpoint_id
+        self.number = number
         self.origin = origin
         self._stream = stream
         self.http = httpcore.AsyncHTTP11Connection(
             origin=origin, stream=self._stream
         )
         self.reused = False
-        self.sent_ids: set[bytes] = set()
+        self.statuses: dict[bytes, int | None] = {}
         self.report_read = False
         self.born_ms: int | None = None
         self.idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
@@ -149,10 +177,25 @@
             return not self.reused and not self.report_read
         return head.request_id == request_id
 
-    def has_second_answer(self) -> bool:
-        """Return whether bytes follow the last whole reply."""
+    def late_reply(self) -> LateReply | None:
+        """Return what follows the last whole reply, None without a byte."""
         trailing_data, _ = self.http._h11_state.trailing_data
-        return bool(trailing_data) or self._stream.has_unread_bytes()
+        data = trailing_data + self._stream.peek()
+        if not data:
+            return None
+        parser = h11.Connection(our_role=h11.CLIENT)
+        parser.receive_data(data)
+        try:
+            event = parser.next_event()
+        except h11.RemoteProtocolError:
+            return LateReply(conn=self)
+        if not isinstance(event, h11.Response):
+            return LateReply(conn=self)
+        return LateReply(
+            conn=self,
+            status=event.status_code,
+            headers=event.headers.raw_items(),
+        )
 
     def limit_head(self) -> None:
         """Limit what is read until `lift_limit`."""
@@ -163,14 +206,14 @@
         self._stream.lift_limit()
 
 
-def _ignore(endpoint_id: str) -> None:
+def _ignore(late: LateReply) -> None:
     pass
 
 
 class ConnectionPool:
     """Opens connections and keeps idle ones; the newest is reused first.
 
-    `on_second_answer` gets the id of an endpoint whenever it is found to have
+    `on_late_reply` gets each reply by which an endpoint is found to have
     answered a request twice.
     """
 
@@ -179,7 +222,8 @@
         "_backend",
         "_clock",
         "_idle",
-        "_on_second_answer",
+        "_numbers",
+        "_on_late_reply",
         "_open_counts",
         "reply_memory",
     )
@@ -188,10 +232,11 @@
         self,
         *,
         clock: Clock,
-        on_second_answer: Callable[[str], None] = _ignore,
+        on_late_reply: Callable[[LateReply], None] = _ignore,
     ):
         self._clock = clock
-        self._on_second_answer = on_second_answer
+        self._on_late_reply = on_late_reply
+        self._numbers = itertools.count(1)
         self._answered_twice_at: dict[str, float] = {}
         self.reply_memory = ByteBudget(limit_bytes=MAX_REPLY_MEMORY_BYTES)
         self._backend = CallBackend(stream_type=_EndpointStream)
@@ -216,7 +261,7 @@
             await self.discard(conn)
         else:
             conn = await self._connect(endpoint_id, address, CONNECT_TIMEOUT_S)
-        conn.sent_ids.add(request_id)
+        conn.statuses[request_id] = None
         return conn
 
     def _take_idle(
@@ -224,27 +269,29 @@
     ) -> Connection | None:
         idle = self._idle[endpoint_id]
         for conn in reversed(idle):
-            if request_id not in conn.sent_ids:
+            if request_id not in conn.statuses:
                 idle.remove(conn)
                 return conn
         return None
 
     def _is_reusable(self, conn: Connection) -> bool:
         """Return whether another request may be sent on an idle connection."""
-        if conn.has_second_answer():
-            self.record_second_answer(conn.endpoint_id)
+        late = conn.late_reply()
+        if late is not None:
+            self.record_late_reply(late)
         return (
             conn.http.is_idle()
             and not conn.http.has_expired()
             and self._clock.monotonic() < conn.expires_at
-            and len(conn.sent_ids) < MAX_REQUESTS_PER_CONNECTION
+            and len(conn.statuses) < MAX_REQUESTS_PER_CONNECTION
             and not self._answers_twice(conn.endpoint_id)
         )
 
-    def record_second_answer(self, endpoint_id: str) -> None:
+    def record_late_reply(self, late: LateReply) -> None:
         """Record that an endpoint answered a request twice."""
+        endpoint_id = late.conn.endpoint_id
         self._answered_twice_at[endpoint_id] = self._clock.monotonic()
-        self._on_second_answer(endpoint_id)
+        self._on_late_reply(late)
 
     def _answers_twice(self, endpoint_id: str) -> bool:
         at = self._answered_twice_at.get(endpoint_id, float("-inf"))
@@ -279,6 +326,7 @@
         origin = httpcore.Origin(b"http", host.encode(), port)
         return Connection(
             endpoint_id=endpoint_id,
+            number=next(self._numbers),
             origin=origin,
             stream=stream,
         )
--- a/chervilshift/gateway/dispatch.py
+++ b/chervilshift/gateway/dispatch.py
@@ -333,6 +333,7 @@
             exchange.attempts_sent += 1
             exchange.attempts.append(
                 describe_choice(placed.choice, sent_at - exchange.arrived_at)
+                + f" connection {upstream.connection}"
             )
             maybe_ran_before = exchange.maybe_ran
             exchange.maybe_ran = True
--- a/chervilshift/gateway/process.py
+++ b/chervilshift/gateway/process.py
@@ -17,7 +17,7 @@
 from chervilshift.core.fleet.sync import GatewayInfo
 from chervilshift.errors import Failure
 from chervilshift.events import EventLog
-from chervilshift.gateway.connections import ConnectionPool
+from chervilshift.gateway.connections import ConnectionPool, LateReply
 from chervilshift.gateway.crashprobe import CrashProbe
 from chervilshift.gateway.dispatch import Dispatcher
 from chervilshift.gateway.ingress import Ingress
@@ -96,7 +96,7 @@
             hlc=events.hlc, credentials=settings.credentials()
         )
         self._pool = ConnectionPool(
-            clock=clock, on_second_answer=self._record_second_answer
+            clock=clock, on_late_reply=self._record_late_reply
         )
         chooser = ControlChooser(
             gateway_id=settings.process,
@@ -254,9 +254,20 @@
             ready=self._is_ready(),
         )
 
-    def _record_second_answer(self, endpoint_id: str) -> None:
+    def _record_late_reply(self, late: LateReply) -> None:
+        head = self._protocol.codec.reply_head(late.status, late.headers)
+        first_status = late.conn.statuses.get(head.request_id)
         self._metrics.count("second_answers")
-        self._events.emit("second_answer", endpoint=endpoint_id)
+        if late.status != first_status:
+            self._metrics.count("second_answers_unlike_first")
+        self._events.emit(
+            "second_answer",
+            endpoint=late.conn.endpoint_id,
+            connection=late.conn.number,
+            request=head.request_id.decode("latin-1"),
+            status=late.status,
+            first_status=first_status,
+        )
 
     def _is_ready(self) -> bool:
         return self.state.table is not None and not self.ingress.stopping
--- a/chervilshift/gateway/upstream.py
+++ b/chervilshift/gateway/upstream.py
@@ -10,7 +10,11 @@
 from chervilshift.core.pacing import PartPacer
 from chervilshift.endpoints.connection import HTTP_ERRORS
 from chervilshift.errors import EndpointFailed
-from chervilshift.gateway.connections import Connection, ConnectionPool
+from chervilshift.gateway.connections import (
+    Connection,
+    ConnectionPool,
+    LateReply,
+)
 from chervilshift.gateway.protocol import HeaderCodec, Headers, ReplyHead
 from chervilshift.untrusted import parse_count
 
@@ -191,6 +195,11 @@
         """The reply's head, None without one that is the endpoint's own."""
         return self._reply.head if self._reply else None
 
+    @property
+    def connection(self) -> str:
+        """The connection and which of its requests this is, for logs."""
+        return f"{self._conn.number} request {len(self._conn.statuses)}"
+
     @classmethod
     async def connect(
         cls,
@@ -256,8 +265,9 @@
             response.status, b"".join(chunks)
         )
         conn.report_read = True
-        if conn.has_second_answer():
-            self._pool.record_second_answer(self._endpoint_id)
+        late = conn.late_reply()
+        if late is not None:
+            self._pool.record_late_reply(late)
             raise self.not_sent("second answer to the question for a report")
         return conn.born_ms
 
@@ -381,6 +391,7 @@
         if status in NOT_RUN_STATUSES and self._conn.is_refusal(
             head, request_id
         ):
+            self._conn.statuses[request_id] = status
             held = HeldBytes(budget=self._pool.reply_memory)
             try:
                 await self.read(self._reply, held)
@@ -392,12 +403,16 @@
                 sent=False,
             )
         if head.request_id != request_id:
+            late = LateReply(
+                conn=self._conn, status=status, headers=self._reply.headers
+            )
             self._reply = None
             answers_report = not head.request_id and self._conn.report_read
-            if answers_report or head.request_id in self._conn.sent_ids:
-                self._pool.record_second_answer(self._endpoint_id)
+            if answers_report or head.request_id in self._conn.statuses:
+                self._pool.record_late_reply(late)
                 raise self.failure("second answer to an earlier request")
             raise self.failure("reply carries another request id")
+        self._conn.statuses[request_id] = status
         if head.content_encoded or not head.signed:
             self._reply = None
             raise self.failure(
--- a/chervilshift/outgoing.py
+++ b/chervilshift/outgoing.py
@@ -38,6 +38,8 @@
 ACK_POLL_INTERVAL_S = 0.005
 # More than a transport reads at once.
 MAX_READ_BYTES = 1 << 20
+# More than the head of most replies.
+MAX_PEEK_BYTES = 2048
 # Replies to commands are a status and little text.
 MAX_COMMAND_REPLY_BYTES = 64 << 10
 
@@ -103,19 +105,19 @@
         """Return information on the stream, as httpcore asks for it."""
         return self._stream.get_extra_info(info)
 
-    def has_unread_bytes(self) -> bool:
-        """Return whether bytes have arrived that were not read."""
+    def peek(self) -> bytes:
+        """Return the beginning of what has arrived and was not read."""
         if self._unread:
-            return True
+            return bytes(self._unread[:MAX_PEEK_BYTES])
         if not self.get_extra_info("is_readable"):
-            return False
+            return b""
         fd = os.dup(self.get_extra_info("socket").fileno())
         flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
         with socket.socket(fileno=fd) as sock:
             try:
-                return bool(sock.recv(1, flags))
+                return sock.recv(MAX_PEEK_BYTES, flags)
             except OSError:
-                return False
+                return b""
 
 
 class _CommandStream(CallStream):
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -7,6 +7,7 @@
 from collections import Counter
 from collections.abc import Callable
 from contextlib import suppress
+from io import StringIO
 from pathlib import Path
 from random import Random
 
@@ -224,6 +225,7 @@
         self._tg = tg
         self._clock = SystemClock()
         self.gateway_count = gateways
+        self._log = StringIO()
         self.cloud = Cloud()
         self.controls: list = []
         self.control_settings: list[RoutedControlSettings] = []
@@ -350,7 +352,16 @@
         self._tg.start_soon(run)
 
     def _events(self) -> EventLog:
-        return EventLog(process="test", hlc=HybridClock(clock=self._clock))
+        return EventLog(
+            process="test",
+            hlc=HybridClock(clock=self._clock),
+            stream=self._log,
+        )
+
+    def logged(self, event: str) -> list[dict]:
+        """Return what all processes logged under an event's name."""
+        lines = map(msgspec.json.decode, self._log.getvalue().splitlines())
+        return [line for line in lines if line["event"] == event]
 
     async def configure(self, version: int = 1, **changes) -> int:
         """Put a configuration at the first control process that accepts it."""
--- a/tests/platform/test_second_answers.py
+++ b/tests/platform/test_second_answers.py
@@ -13,7 +13,7 @@
 
 from tests.cluster import free_address
 from tests.platform.rawhttp import NoRequest, read_request, serve_raw
-from tests.platform.standin import Endpoint, Platform
+from tests.platform.standin import Endpoint, Platform, eventually
 from tests.platform.test_path import run_scenario
 
 ANSWER = (
@@ -100,6 +100,22 @@
     assert statuses.count(200) >= CALLS - 1
 
 
+def test_log_tells_whether_a_second_answer_was_like_the_first(tmp_path):
+    endpoint = StutteringEndpoint(status=500, first_run_s=0.0, late_s=0.02)
+
+    async def scenario(platform: Platform) -> None:
+        async with anyio.create_task_group() as tg:
+            await serve_raw(platform, tg, endpoint)
+            await platform.send_request("/write/a", request_id="0a")
+            await eventually(lambda: bool(platform.logged("second_answer")))
+            tg.cancel_scope.cancel()
+        line = platform.logged("second_answer")[0]
+        assert line["request"] == "0a"
+        assert (line["first_status"], line["status"]) == (500, 200)
+
+    run_scenario(tmp_path, scenario)
+
+
 class RefusedReportEndpoint(Endpoint):
     """Refuses the question for its incarnation twice, and runs requests.
 
