Usage: requests whose answer was spoiled, lost or not waited for are counted

Reports counted a request once its whole reply, or a stream's first event, was read.

A request of a plain service now counts once it was sent and not refused, one of an engine once its reply has begun; still once over all its attempts.

--- a/chervilshift/gateway/connections.py
+++ b/chervilshift/gateway/connections.py
@@ -72,6 +72,7 @@
     def __init__(self, *, stream: httpcore.AsyncNetworkStream):
         super().__init__(stream=stream)
         self._interim_replies = 0
+        self.head_bytes = 0
 
     async def read(
         self, max_bytes: int, timeout: float | None = None
@@ -80,6 +81,7 @@
         if self.remaining_bytes is None:
             return await super().read(max_bytes, timeout)
         data = await super().read(HEAD_SLICE_BYTES, timeout)
+        self.head_bytes += len(data)
         self._interim_replies += len(INTERIM_REPLY.findall(data))
         if self._interim_replies > MAX_INTERIM_REPLIES:
             raise httpcore.ReadError("too many interim replies")
@@ -89,6 +91,7 @@
         """Limit what is read until `lift_limit`."""
         self.remaining_bytes = MAX_HEAD_BYTES
         self._interim_replies = 0
+        self.head_bytes = 0
 
     def lift_limit(self) -> None:
         """Read a body, which has limits of its own."""
@@ -197,6 +200,11 @@
             headers=event.headers.raw_items(),
         )
 
+    @property
+    def head_bytes(self) -> int:
+        """How much was read of the latest reply's head."""
+        return self._stream.head_bytes
+
     def limit_head(self) -> None:
         """Limit what is read until `lift_limit`."""
         self._stream.limit_head()
--- a/chervilshift/gateway/dispatch.py
+++ b/chervilshift/gateway/dispatch.py
@@ -357,6 +357,8 @@
             finally:
                 if upstream.head is not None:
                     self._state.record_statements(record, upstream.head)
+                if self._has_begun(exchange, upstream):
+                    self._count_usage(exchange)
             if exchange.route.kind == STREAM and reply.ok:
                 serve_reply = self._relay_stream
             else:
@@ -493,7 +495,6 @@
         exchange.held_reply.give_back()
         chunks = await upstream.read(reply, exchange.held_reply)
         now = self._clock.monotonic()
-        self._count_usage(exchange)
         failed = reply.status >= 500
         placed.endpoint.health.record_activity(now)
         retry = (
@@ -561,6 +562,7 @@
             reply.status, self._codec.response_headers(reply.headers)
         )
         async for chunk in upstream.iterate(reply):
+            self._count_usage(exchange)
             now = self._clock.monotonic()
             events = relay.split(chunk)
             if not events:
@@ -590,7 +592,6 @@
                     placed.choice, now - sent_at, now
                 )
                 self._metrics.observe("first_event", now - exchange.arrived_at)
-                self._count_usage(exchange)
         if relay.incomplete_bytes:
             raise upstream.failure("stream ended inside an event", broken=True)
         if first and not reply.framed:
@@ -604,6 +605,19 @@
         self._origins.record_end(exchange)
         self._outcomes.record(exchange, "whole")
 
+    def _has_begun(self, exchange: Exchange, upstream: Upstream) -> bool:
+        """Whether an endpoint is likely to have begun to run a request.
+
+        Plain services begin at once, engines with their reply, or with what
+        follows the head of a stream.
+        """
+        if not exchange.maybe_ran:
+            return False
+        if exchange.route.kind == STREAM and upstream.ok:
+            return False
+        spec = self._state.table.cfg.services.get(exchange.service)
+        return upstream.reply_begun or not (spec and spec.engine)
+
     def _count_usage(self, exchange: Exchange) -> None:
         """Count a request for usage once an endpoint has begun to run it."""
         if exchange.customer is None or exchange.usage_counted:
--- a/chervilshift/gateway/upstream.py
+++ b/chervilshift/gateway/upstream.py
@@ -170,6 +170,7 @@
         "_codec",
         "_conn",
         "_endpoint_id",
+        "_has_own_reply",
         "_pool",
         "_progress",
         "_reply",
@@ -189,12 +190,26 @@
         self._codec = codec
         self._progress = ProgressTimeouts()
         self._reply: Reply | None = None
+        self._has_own_reply = True
 
     @property
     def head(self) -> ReplyHead | None:
         """The reply's head, None without one that is the endpoint's own."""
         return self._reply.head if self._reply else None
 
+    @property
+    def ok(self) -> bool:
+        """Whether the reply's head reports success."""
+        return self._reply is not None and self._reply.ok
+
+    @property
+    def reply_begun(self) -> bool:
+        """Whether bytes have come that are not of a reply to another request.
+
+        They need not be those of a reply, or of a whole one.
+        """
+        return self._has_own_reply and self._conn.head_bytes > 0
+
     @property
     def connection(self) -> str:
         """The connection and which of its requests this is, for logs."""
@@ -407,6 +422,7 @@
                 conn=self._conn, status=status, headers=self._reply.headers
             )
             self._reply = None
+            self._has_own_reply = False
             answers_report = not head.request_id and self._conn.report_read
             if answers_report or head.request_id in self._conn.statuses:
                 self._pool.record_late_reply(late)
