Gateways: no idle connection to an endpoint's former address is reused

What callers saw: nothing is recorded; a request could be run by the process at the address that its endpoint had before.

Cause: idle connections were kept under the endpoint's id alone. An endpoint that starts again under its id at another address left those to its former process in use, for as long as that process served them.

Evidence: the new test failed before: acquire() with the second address returned the idle connection to the first one.

Change: an idle connection is reused only for the address that is asked for; others are closed when they are met. The incarnation is no part of the key: a reply on such a connection is that of the process that ran the request, and a stream that may be taken up asks each connection for its incarnation.

--- a/chervilshift/gateway/connections.py
+++ b/chervilshift/gateway/connections.py
@@ -254,8 +254,11 @@
 
         Raises httpcore's connect errors; in that case nothing was sent.
         """
+        host, port = split_address(address)
+        origin = httpcore.Origin(b"http", host.encode(), port)
         while conn := self._take_idle(endpoint_id, request_id):
-            if self._is_reusable(conn):
+            # An endpoint may start again under its id at another address.
+            if conn.origin == origin and self._is_reusable(conn):
                 conn.reused = True
                 break
             await self.discard(conn)
--- a/tests/gateway/test_connections.py
+++ b/tests/gateway/test_connections.py
@@ -81,6 +81,25 @@
     anyio.run(run)
 
 
+def test_idle_connection_to_a_former_address_is_not_reused():
+    addresses = [free_address(), free_address()]
+
+    async def run() -> None:
+        pool = ConnectionPool(clock=SystemClock())
+        with ExitStack() as stack:
+            for address in addresses:
+                listen(stack, address, backlog=8)
+            idle = await pool.acquire("e1", addresses[0], b"r1")
+            idle.http._state = idle.http._state.IDLE
+            await pool.release(idle, None)
+            conn = await pool.acquire("e1", addresses[1], b"r2")
+            target = f"{conn.origin.host.decode()}:{conn.origin.port}"
+            assert target == addresses[1]
+            assert pool.open_count("e1") == 1
+
+    anyio.run(run)
+
+
 def test_connection_that_is_accepted_late_is_open_at_once():
     address = free_address()
 
