Gateways: a second answer that was read with the first is found

What callers saw: nothing is recorded; a request could lose its own answer (502), since a second answer to the request before it was taken up first.

Cause: uvloop, which the processes use, reads 256,000 bytes at once and goes on while it gets as much. The stream below takes one of these reads at a time. If an answer ends with the first, a second one lies in a queue that was looked at neither by the parser nor by the peek at the socket, and the connection counted as clean.

Evidence: the new test failed before (peek() returned nothing).

Change: the peek looks at that queue too. It tells an end of the connection from nothing, so that one system call answers what took two polls.

--- a/chervilshift/gateway/connections.py
+++ b/chervilshift/gateway/connections.py
@@ -177,12 +177,18 @@
             return not self.reused and not self.report_read
         return head.request_id == request_id
 
-    def late_reply(self) -> LateReply | None:
-        """Return what follows the last whole reply, None without a byte."""
+    def unread(self) -> bytes | None:
+        """Return the beginning of what follows the last whole reply.
+
+        Empty if the connection has ended, None if nothing has arrived.
+        """
         trailing_data, _ = self.http._h11_state.trailing_data
-        data = trailing_data + self._stream.peek()
-        if not data:
-            return None
+        if not trailing_data:
+            return self._stream.peek()
+        return trailing_data + (self._stream.peek() or b"")
+
+    def late_reply(self, data: bytes) -> LateReply:
+        """Return the reply that begins with what is unread."""
         parser = h11.Connection(our_role=h11.CLIENT)
         parser.receive_data(data)
         try:
@@ -279,12 +285,12 @@
 
     def _is_reusable(self, conn: Connection) -> bool:
         """Return whether another request may be sent on an idle connection."""
-        late = conn.late_reply()
-        if late is not None:
-            self.record_late_reply(late)
+        unread = conn.unread()
+        if unread:
+            self.record_late_reply(conn.late_reply(unread))
         return (
-            conn.http.is_idle()
-            and not conn.http.has_expired()
+            unread is None
+            and conn.http.is_idle()
             and self._clock.monotonic() < conn.expires_at
             and len(conn.statuses) < MAX_REQUESTS_PER_CONNECTION
             and not self._answers_twice(conn.endpoint_id)
--- a/chervilshift/gateway/upstream.py
+++ b/chervilshift/gateway/upstream.py
@@ -265,9 +265,9 @@
             response.status, b"".join(chunks)
         )
         conn.report_read = True
-        late = conn.late_reply()
-        if late is not None:
-            self._pool.record_late_reply(late)
+        unread = conn.unread()
+        if unread:
+            self._pool.record_late_reply(conn.late_reply(unread))
             raise self.not_sent("second answer to the question for a report")
         return conn.born_ms
 
--- a/chervilshift/outgoing.py
+++ b/chervilshift/outgoing.py
@@ -7,7 +7,6 @@
 """
 
 import fcntl
-import os
 import socket
 import struct
 import sys
@@ -105,19 +104,20 @@
         """Return information on the stream, as httpcore asks for it."""
         return self._stream.get_extra_info(info)
 
-    def peek(self) -> bytes:
-        """Return the beginning of what has arrived and was not read."""
+    def peek(self) -> bytes | None:
+        """Return the beginning of what has arrived and was not read.
+
+        Empty if the connection has ended, None if nothing has arrived.
+        """
         if self._unread:
             return bytes(self._unread[:MAX_PEEK_BYTES])
-        if not self.get_extra_info("is_readable"):
+        stream = self._stream._stream
+        # Of large reads the transport delivers several before one is taken.
+        if stream._protocol.read_queue:
+            return stream._protocol.read_queue[0][:MAX_PEEK_BYTES]
+        if stream._transport.is_closing():
             return b""
-        fd = os.dup(self.get_extra_info("socket").fileno())
-        flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
-        with socket.socket(fileno=fd) as sock:
-            try:
-                return sock.recv(MAX_PEEK_BYTES, flags)
-            except OSError:
-                return b""
+        return _peek_socket(self.get_extra_info("socket").fileno())
 
 
 class _CommandStream(CallStream):
@@ -179,6 +179,19 @@
         super().__init__(stream_type=_CommandStream)
 
 
+def _peek_socket(fd: int) -> bytes | None:
+    """Return as `CallStream.peek` what the kernel holds of a connection."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM, 0, fileno=fd)
+    try:
+        return sock.recv(MAX_PEEK_BYTES, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return None
+    except OSError:
+        return b""
+    finally:
+        sock.detach()
+
+
 def _unacked_bytes(sock: socket.socket) -> int:
     """Return how much was written that the peer has not acknowledged."""
     size = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
--- a/tests/gateway/test_connections.py
+++ b/tests/gateway/test_connections.py
@@ -4,7 +4,10 @@
 not be taken for one that has crashed.
 """
 
+import fcntl
 import socket
+import sys
+import termios
 from contextlib import ExitStack
 
 import anyio
@@ -14,8 +17,10 @@
 from chervilshift.clock import SystemClock
 from chervilshift.gateway.connections import ConnectionPool
 from chervilshift.gateway.upstream import Upstream
+from chervilshift.outgoing import CallBackend
 from chervilshift.platform.headers import PlatformHeaderCodec
 from tests.cluster import free_address
+from tests.platform.standin import eventually
 
 # More than a listener with the shortest queue holds.
 FILLING_CONNECTIONS = 4
@@ -100,6 +105,47 @@
     anyio.run(run)
 
 
+def test_second_answer_that_is_read_with_the_first_is_not_overlooked():
+    # uvloop reads that much at once.
+    answer = b"x" * 256_000
+    late = b"HTTP/1.1 200 OK\r\n"
+
+    async def handle(stream) -> None:
+        async with stream:
+            await stream.send(answer + late)
+            await anyio.sleep_forever()
+
+    async def run() -> None:
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        async with listener, anyio.create_task_group() as tg:
+            tg.start_soon(listener.serve, handle)
+            stream = await CallBackend().connect_tcp(
+                "127.0.0.1",
+                port,
+                socket_options=[
+                    (socket.SOL_SOCKET, socket.SO_RCVBUF, 4 * len(answer))
+                ],
+            )
+            fd = stream.get_extra_info("socket").fileno()
+            await eventually(lambda: _arrived_bytes(fd) == len(answer + late))
+            read_bytes = 0
+            while read_bytes < len(answer):
+                read_bytes += len(await stream.read(1 << 20))
+            assert read_bytes == len(answer)
+            assert stream.peek() == late
+            await stream.aclose()
+            tg.cancel_scope.cancel()
+
+    anyio.run(run, backend_options={"use_uvloop": True})
+
+
+def _arrived_bytes(fd: int) -> int:
+    """Return how much the kernel holds that was not read."""
+    size = fcntl.ioctl(fd, termios.FIONREAD, bytes(4))
+    return int.from_bytes(size, sys.byteorder)
+
+
 def test_connection_that_is_accepted_late_is_open_at_once():
     address = free_address()
 
