Replies: two different request ids are that of no request

What callers saw: nothing is recorded; a reply that named another request and then the caller's own was passed on as the caller's, with both ids.

Cause: of several headers of one name the codec took the last.

Evidence: of the two new tests the one whose reply has the own id last failed before, with 200 instead of 502.

Change: different ids in one reply are taken together, so that they match no request. One that is repeated without a difference still matches.

Result: tests/platform/test_faulty_endpoints.py, test_decoders.py and test_second_answers.py: 66 passed.

--- a/chervilshift/platform/headers.py
+++ b/chervilshift/platform/headers.py
@@ -163,8 +163,10 @@
         """Decode the head of an endpoint's reply."""
         fields = {name.lower(): value for name, value in headers}
         connection = fields.get(b"connection", b"").lower()
+        ids = dict.fromkeys(v for k, v in headers if k.lower() == REQUEST_ID)
         return ReplyHead(
-            request_id=fields.get(REQUEST_ID, b""),
+            # Several different ids are that of no request.
+            request_id=b", ".join(ids),
             not_run=NOT_RUN in fields or status == MISDIRECTED_STATUS,
             signed=SERVER_STAMP in fields,
             content_encoded=b"content-encoding" in fields,
--- a/tests/platform/test_faulty_endpoints.py
+++ b/tests/platform/test_faulty_endpoints.py
@@ -127,6 +127,35 @@
     play(tmp_path, endpoint, path, check)
 
 
+class TwoIdsEndpoint(Endpoint):
+    """Sends replies with two ids, that of the request first or last."""
+
+    def __init__(self, *, own_first: bool):
+        super().__init__(name="w1", service="app", address=free_address())
+        self._own_first = own_first
+
+    async def handle(self, stream) -> None:
+        """Serve one connection."""
+        while True:
+            own_id = (await read_request(stream))[b"request-id"]
+            self.arrivals += 1
+            ids = [own_id, b"other"] if self._own_first else [b"other", own_id]
+            await stream.send(REPLY % b"\r\nRequest-Id: ".join(ids))
+
+
+@pytest.mark.parametrize("own_first", [True, False])
+def test_reply_that_carries_the_id_of_another_request_too_is_not_passed_on(
+    tmp_path, own_first
+):
+    endpoint = TwoIdsEndpoint(own_first=own_first)
+
+    def check(reply) -> None:
+        assert reply.status == 502
+        assert endpoint.arrivals == 1
+
+    play(tmp_path, endpoint, "/write/a", check)
+
+
 class EndlessBodyEndpoint(Endpoint):
     """Sends a good head and a body that exceeds every limit."""
 
