--- a/chervilshift/gateway/connections.py
+++ b/chervilshift/gateway/connections.py
@@ -180,12 +180,18 @@
             return not self.reused and not self.report_read
         return head.request_id == request_id
 
-    def late_reply(self) -> LateReply | None:
-        """Return what follows the last whole reply, None without a byte."""
+    def unread(self) -> bytes | None:
+        """Return the beginning of what follows the last whole reply.
+
+        Empty if the connection has ended, None if nothing has arrived.
+        """
         trailing_data, _ = self.http._h11_state.trailing_data
-        data = trailing_data + self._stream.peek()
-        if not data:
-            return None
+        if not trailing_data:
+            return self._stream.peek()
+        return trailing_data + (self._stream.peek() or b"")
+
+    def late_reply(self, data: bytes) -> LateReply:
+        """Return the reply that begins with what is unread."""
         parser = h11.Connection(our_role=h11.CLIENT)
         parser.receive_data(data)
         try:
@@ -262,8 +268,11 @@
 
         Raises httpcore's connect errors; in that case nothing was sent.
         """
+        host, port = split_address(address)
+        origin = httpcore.Origin(b"http", host.encode(), port)
         while conn := self._take_idle(endpoint_id, request_id):
-            if self._is_reusable(conn):
+            # An endpoint may start again under its id at another address.
+            if conn.origin == origin and self._is_reusable(conn):
                 conn.reused = True
                 break
             await self.discard(conn)
@@ -284,12 +293,12 @@
 
     def _is_reusable(self, conn: Connection) -> bool:
         """Return whether another request may be sent on an idle connection."""
-        late = conn.late_reply()
-        if late is not None:
-            self.record_late_reply(late)
+        unread = conn.unread()
+        if unread:
+            self.record_late_reply(conn.late_reply(unread))
         return (
-            conn.http.is_idle()
-            and not conn.http.has_expired()
+            unread is None
+            and conn.http.is_idle()
             and self._clock.monotonic() < conn.expires_at
             and len(conn.statuses) < MAX_REQUESTS_PER_CONNECTION
             and not self._answers_twice(conn.endpoint_id)
