Limits: a request beyond the fallback share is charged once the leader grants

Cause: the leader's lease lapsed for 0.7 to 0.95 s several times. After 0.8 s without a grant a gateway spends its fallback share, of which a request may cost more than has accumulated. This debt was forgotten with the leader's next reply, so each short silence allowed one request of any size at each of 18 gateways. A fallback share also accumulated before it was in use.

Without the change, test_limits.py serves 34 requests of 9,000 tokens where the share covers 8 at most, and charges nothing to the next grant.

Change: the debt moves to the balance when the leader grants again, so that its bucket covers it, and back to the fallback share while no leader does. A fallback share accumulates from the moment at which it may be spent.

What the leader's bucket gains during such a silence is another fault.

--- a/chervilshift/core/fleet/limits.py
+++ b/chervilshift/core/fleet/limits.py
@@ -283,6 +283,13 @@
 
 
 class _Account:
+    """What a gateway may spend of one limit.
+
+    A request may cost more than the fallback share has accumulated. This debt
+    is the balance's once the leader grants again, so that its bucket covers
+    it, and the fallback share's while no leader does.
+    """
+
     __slots__ = ("balance", "fallback", "small_requests", "waiting")
 
     def __init__(self):
@@ -291,6 +298,18 @@
         self.small_requests = _Bucket(level=0.0, refilled_at=0.0)
         self.waiting = 0.0
 
+    def charge_debt_to_fallback(self) -> None:
+        """Move the debt of the balance to the fallback share."""
+        self.fallback.level += min(0.0, self.balance)
+        self.balance = max(0.0, self.balance)
+
+    def charge_debt_to_balance(self, share: float, now: float) -> None:
+        """Move the debt of the fallback share to the balance."""
+        if self.fallback.level < 0:
+            self.fallback.refill(share, 0.0, now)
+            self.balance += self.fallback.level
+        self.fallback.level = 0.0
+
 
 class LimitAccount:
     """A gateway's part: spends grants or, without a leader, its fallback."""
@@ -338,6 +357,10 @@
         and `leader_age_s` the time since the leader was heard of.
         """
         self._leader_reply_at = max(self._leader_reply_at, now - leader_age_s)
+        if not self.uses_fallback(now):
+            for name, account in self._accounts.items():
+                share = self._fallback_share(name)
+                account.charge_debt_to_balance(share, now)
         self._available_at = {name: now + wait for name, wait in waits.items()}
         for name, amount in grants.items():
             self._account(name).balance += amount
@@ -407,11 +430,14 @@
         self, account: _Account, customer: Customer, amount: float, now: float
     ) -> bool:
         if not self.uses_fallback(now):
-            account.fallback.refilled_at = now
-            account.fallback.level = 0.0
             return False
-        share = FALLBACK_SHARE * customer.rate_per_s / self._gateways
+        account.fallback.refilled_at = max(
+            account.fallback.refilled_at,
+            self._leader_reply_at + self._fallback_after_s,
+        )
+        share = self._fallback_share(customer.name)
         account.fallback.refill(share, share * FALLBACK_BURST_S, now)
+        account.charge_debt_to_fallback()
         if account.fallback.level <= 0:
             return False
         account.fallback.level -= amount
@@ -434,6 +460,11 @@
         account.small_requests.level -= amount
         return True
 
+    def _fallback_share(self, name: str) -> float:
+        customer = self._customers.get(name)
+        rate = customer.rate_per_s if customer else 0.0
+        return FALLBACK_SHARE * rate / self._gateways
+
     def _prefetch_cap(self, customer: Customer) -> float:
         return self._policy.prefetch_cap(customer, self._gateways)
 
--- a/tests/core/fleet/test_limits.py
+++ b/tests/core/fleet/test_limits.py
@@ -239,6 +239,31 @@
     assert served[1] > 0.9 * 60 / STEP_S / 10
 
 
+def test_short_silences_of_the_leader_do_not_each_allow_a_large_request():
+    acme = customer(100_000.0)
+    account = LimitAccount(policy=limit_policy())
+    account.configure((acme,))
+    account.set_gateway_count(18)
+    served = 0
+    for second in range(60):
+        # Silent for the rest of each second, so 0.2 s of the share.
+        account.apply_grants({}, {}, float(second))
+        served += account.try_spend(acme, 9_000.0, second + 0.99)
+    assert 0 < served * 9_000.0 <= 60 * 0.2 * 100_000.0 / 18 + 9_000.0
+
+
+def test_request_beyond_the_fallback_share_is_charged_to_the_next_grant():
+    acme = customer(100_000.0)
+    account = LimitAccount(policy=limit_policy())
+    account.configure((acme,))
+    account.set_gateway_count(18)
+    account.apply_grants({}, {}, 0.0)
+    assert account.try_spend(acme, 9_000.0, 1.0)
+    account.apply_grants({}, {}, 1.0)
+    account.add_waiting("acme", 500.0)
+    assert account.needed()["acme"] == pytest.approx(8_500.0)
+
+
 def test_new_leader_starts_with_the_shares_of_gateways_set_aside():
     acme = customer(10_000.0)
     allocator = LimitAllocator(policy=limit_policy())
