Gateways: second answers after interim replies are logged with their request

Callers saw nothing of it; who looks for the cause of a wrong answer did: where an endpoint sent an interim reply (103, 102) before its second answer, the `second_answer` line named no request and no status, and `second_answers_unlike_first_total` counted the answer as like the first.

Cause: the bytes after a whole reply were parsed without a request. The parser then accepts a final reply only, and an interim one counted as bytes that are no reply.

Evidence: the test of the log line failed for both orders (500 then 200, 200 then 500) with a 103 before the second answer: the request was "" instead of "0a".

Change: the parser gets a request first, and interim replies are skipped. The test runs both orders, with and without an interim reply, and also checks that the caller gets the first status.

A second answer whose head has arrived only in part is still logged without its request.

--- a/chervilshift/gateway/connections.py
+++ b/chervilshift/gateway/connections.py
@@ -57,6 +57,7 @@
 ]
 
 
+ANY_REQUEST = h11.Request(method="GET", target="/", headers=[("Host", "h")])
 # The beginning of an interim reply; the parser accepts any number of them.
 INTERIM_REPLY = re.compile(rb"HTTP/1\.[01] 1")
 
@@ -184,9 +185,13 @@
         if not data:
             return None
         parser = h11.Connection(our_role=h11.CLIENT)
+        # Interim replies are accepted only after a request.
+        parser.send(ANY_REQUEST)
         parser.receive_data(data)
         try:
             event = parser.next_event()
+            while isinstance(event, h11.InformationalResponse):
+                event = parser.next_event()
         except h11.RemoteProtocolError:
             return LateReply(conn=self)
         if not isinstance(event, h11.Response):
--- a/tests/platform/test_second_answers.py
+++ b/tests/platform/test_second_answers.py
@@ -20,22 +20,34 @@
     b"HTTP/1.1 %d Status\r\nRequest-Id: %s\r\nServer-Stamp: s\r\n"
     b"Content-Length: 2\r\n\r\nok"
 )
+INTERIM = b"HTTP/1.1 103 Early Hints\r\n\r\n"
 REFUSAL = b"HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
 RUN_S = 0.08
 CALLS = 20
 
 
 class StutteringEndpoint(Endpoint):
-    """Answers each run with `status` and, `late_s` after it, with 200.
+    """Answers each run with `status` and, `late_s` after it, once more.
 
     The first run of an id takes `first_run_s`, each further one `RUN_S`.
+    `interim` is sent before each late answer.
     """
 
-    def __init__(self, *, status: int, first_run_s: float, late_s: float):
+    def __init__(
+        self,
+        *,
+        status: int,
+        first_run_s: float,
+        late_s: float,
+        late_status: int = 200,
+        interim: bytes = b"",
+    ):
         super().__init__(name="w1", service="app", address=free_address())
         self._status = status
         self._first_run_s = first_run_s
         self._late_s = late_s
+        self._late_status = late_status
+        self._interim = interim
         self.runs_by_id: Counter[bytes] = Counter()
 
     async def handle(self, stream) -> None:
@@ -56,8 +68,9 @@
 
     async def _answer_late(self, stream, request_id: bytes) -> None:
         await anyio.sleep(self._late_s)
+        answer = self._interim + ANSWER % (self._late_status, request_id)
         with suppress(anyio.BrokenResourceError, anyio.ClosedResourceError):
-            await stream.send(ANSWER % (200, request_id))
+            await stream.send(answer)
 
 
 def _play(tmp_path, endpoint: StutteringEndpoint, path: str, **kwargs):
@@ -100,18 +113,30 @@
     assert statuses.count(200) >= CALLS - 1
 
 
-def test_log_tells_whether_a_second_answer_was_like_the_first(tmp_path):
-    endpoint = StutteringEndpoint(status=500, first_run_s=0.0, late_s=0.02)
+@pytest.mark.parametrize("interim", [b"", INTERIM])
+@pytest.mark.parametrize(("status", "late_status"), [(500, 200), (200, 500)])
+def test_log_tells_whether_a_second_answer_was_like_the_first(
+    tmp_path, status, late_status, interim
+):
+    endpoint = StutteringEndpoint(
+        status=status,
+        first_run_s=0.0,
+        late_s=0.02,
+        late_status=late_status,
+        interim=interim,
+    )
 
     async def scenario(platform: Platform) -> None:
         async with anyio.create_task_group() as tg:
             await serve_raw(platform, tg, endpoint)
-            await platform.send_request("/write/a", request_id="0a")
+            reply = await platform.send_request("/write/a", request_id="0a")
+            assert reply.status == status
             await eventually(lambda: bool(platform.logged("second_answer")))
             tg.cancel_scope.cancel()
         line = platform.logged("second_answer")[0]
         assert line["request"] == "0a"
-        assert (line["first_status"], line["status"]) == (500, 200)
+        assert line["first_status"] == status
+        assert line["status"] == late_status
 
     run_scenario(tmp_path, scenario)
 
