Gateways: the failure of a run is passed on when no later attempt answers

What callers saw: a safe request whose first run ended with a whole 500 of the endpoint got our 502, or 504 at its deadline, when the next attempt failed.

Cause: a failure that may be retried was dropped as soon as it had been read.

Change: the endpoint's own whole, signed failure is kept until there is an answer, up to the size of a small body and in the memory for replies, and is passed on unchanged when no later attempt brings one: also without a permit for another attempt, at the deadline and at a stop. It is dropped before a reply that waits for that memory, and at the first event of a stream. A status that promises that nothing ran is not kept. A whole reply now owns what it takes of the memory.

--- a/chervilshift/gateway/dispatch.py
+++ b/chervilshift/gateway/dispatch.py
@@ -45,7 +45,13 @@
 from chervilshift.gateway.relay import Relay
 from chervilshift.gateway.state import GatewayState
 from chervilshift.gateway.sync import ControlSync
-from chervilshift.gateway.upstream import ProgressTimeouts, Reply, Upstream
+from chervilshift.gateway.upstream import (
+    NOT_RUN_STATUSES,
+    SMALL_BODY_BYTES,
+    ProgressTimeouts,
+    Reply,
+    Upstream,
+)
 from chervilshift.metrics import Metrics
 
 __all__ = ["Dispatcher"]
@@ -145,21 +151,22 @@
             body=body,
             arrived_at=arrived_at,
             service=service,
-            held_reply=HeldBytes(budget=self._pool.reply_memory),
         )
         remaining_s = exchange.deadline_at - self._clock.monotonic()
         try:
             with self._cancellable(max(0.0, remaining_s)) as scope:
                 await self._serve(exchange, downstream)
+            if exchange.whole_reply is None and scope.cancelled_caught:
+                await self._fail_timed_out(exchange, downstream)
             if exchange.whole_reply is not None:
                 # It is delivered also when it is late.
                 with self._cancellable(math.inf):
-                    await self._deliver(exchange, downstream)
-            elif scope.cancelled_caught:
-                await self._fail_timed_out(exchange, downstream)
+                    await self._deliver(exchange.whole_reply, downstream)
         finally:
             self._limiter.refund_if_not_run(exchange)
-            exchange.held_reply.give_back()
+            exchange.drop_failure()
+            if exchange.whole_reply is not None:
+                exchange.whole_reply.held.give_back()
 
     @contextmanager
     def _cancellable(self, timeout_s: float) -> Iterator[anyio.CancelScope]:
@@ -489,9 +496,17 @@
         Raises EndpointFailed if it is an error and the request may be retried,
         or if a stream has begun already.
         """
-        # An earlier attempt may have read a reply that was not used.
-        exchange.held_reply.give_back()
-        chunks = await upstream.read(reply, exchange.held_reply)
+        if reply.waits_for_room:
+            # Nothing is held while waiting for memory.
+            exchange.drop_failure()
+        held = HeldBytes(budget=self._pool.reply_memory)
+        chunks = await upstream.read(reply, held)
+        length_bytes = sum(map(len, chunks))
+        headers = self._codec.response_headers(reply.headers)
+        headers.append((b"content-length", str(length_bytes).encode()))
+        whole_reply = WholeReply(
+            status=reply.status, headers=headers, chunks=chunks, held=held
+        )
         now = self._clock.monotonic()
         self._count_usage(exchange)
         failed = reply.status >= 500
@@ -503,6 +518,14 @@
         )
         # A reply that is not a stream can't continue one that has begun.
         if retry or downstream.started:
+            if (
+                downstream.started
+                or reply.status in NOT_RUN_STATUSES
+                or length_bytes > SMALL_BODY_BYTES
+            ):
+                held.give_back()
+            else:
+                exchange.keep_failure(whole_reply)
             raise upstream.failure(f"status {reply.status}")
         if failed:
             placed.endpoint.health.record_failure(now)
@@ -510,22 +533,17 @@
             placed.endpoint.health.record_success(now)
             self._state.placement.observe(placed.choice, now - sent_at, now)
             self._record_answer(exchange)
-        headers = self._codec.response_headers(reply.headers)
-        length_bytes = sum(map(len, chunks))
-        headers.append((b"content-length", str(length_bytes).encode()))
-        exchange.whole_reply = WholeReply(
-            status=reply.status, headers=headers, chunks=chunks
-        )
+        exchange.drop_failure()
+        exchange.whole_reply = whole_reply
         self._outcomes.record(exchange, str(reply.status))
 
     async def _deliver(
-        self, exchange: Exchange, downstream: Downstream
+        self, reply: WholeReply, downstream: Downstream
     ) -> None:
         """Send a whole reply in parts, as fast as the client reads it.
 
         It is cut off if the client does not read for the idle timeout.
         """
-        reply = exchange.whole_reply
         await downstream.start(reply.status, reply.headers)
         part = reply.take_part()
         while reply.chunks:
@@ -536,7 +554,7 @@
             if scope.cancelled_caught:
                 self._metrics.count("replies_cut_unread")
                 return
-            exchange.held_reply.release(len(part))
+            reply.held.release(len(part))
             part = reply.take_part()
         await downstream.finish(part)
 
@@ -575,6 +593,7 @@
             if first:
                 # Before the client has an event, it can't take the stream up.
                 self._origins.record_event(exchange, endpoint)
+                exchange.drop_failure()
             await relay.send(events)
             progress_at = now
             endpoint.health.record_activity(now)
@@ -620,6 +639,8 @@
         reason: str,
         retry_after_s: float = TRANSIENT_RETRY_AFTER_S,
     ) -> None:
+        if self._pass_on_failure(exchange, reason):
+            return
         if exchange.maybe_ran:
             failure = UpstreamFailed(
                 endpoint=", ".join(exchange.failed_ids) or "?", reason=reason
@@ -628,10 +649,22 @@
             failure = Unserved(reason=reason)
         await self._refuse(exchange, downstream, failure, retry_after_s)
 
+    def _pass_on_failure(self, exchange: Exchange, reason: str) -> bool:
+        """Answer with the failure of an earlier run, if there is one."""
+        if exchange.failed_reply is None:
+            return False
+        exchange.whole_reply = exchange.failed_reply
+        self._outcomes.record(
+            exchange, str(exchange.failed_reply.status), reason
+        )
+        return True
+
     async def _fail_timed_out(
         self, exchange: Exchange, downstream: Downstream
     ) -> None:
         elapsed_s = self._clock.monotonic() - exchange.arrived_at
+        if self._pass_on_failure(exchange, f"no answer in {elapsed_s:.3f} s"):
+            return
         if exchange.maybe_ran:
             failure = UpstreamTimeout(timeout_s=round(elapsed_s, 3))
         else:
--- a/chervilshift/gateway/exchange.py
+++ b/chervilshift/gateway/exchange.py
@@ -30,15 +30,24 @@
 class WholeReply:
     """A reply that has been read whole and is ready for the client.
 
-    `chunks` is what has not been taken of the body yet.
+    `chunks` is what has not been taken of the body yet, and `held` what the
+    body takes of the memory for replies.
     """
 
-    __slots__ = ("chunks", "headers", "status")
+    __slots__ = ("chunks", "headers", "held", "status")
 
-    def __init__(self, *, status: int, headers: Headers, chunks: list[bytes]):
+    def __init__(
+        self,
+        *,
+        status: int,
+        headers: Headers,
+        chunks: list[bytes],
+        held: HeldBytes,
+    ):
         self.status = status
         self.headers = headers
         self.chunks = deque(chunks)
+        self.held = held
 
     def take_part(self) -> bytes:
         """Return the next part of the body, which is no longer held here."""
@@ -66,8 +75,8 @@
     whether they are recorded as answered. `version` is the software version
     of the service at which a stream has to go on, None while that is open;
     `stream_key` is the stream's, whichever request began it. `whole_reply` is
-    a reply that is ready, and `held_reply` what it takes of the memory for
-    replies, until the client has it.
+    a reply that is ready, and `failed_reply` the failure that an earlier run
+    ended with, for the case that no later attempt brings an answer.
     """
 
     __slots__ = (
@@ -81,9 +90,9 @@
         "deadline_at",
         "failed_connects",
         "failed_ids",
+        "failed_reply",
         "failures",
         "first_event_at",
-        "held_reply",
         "last_event_at",
         "limit_cost",
         "longest_gap_s",
@@ -110,7 +119,6 @@
         body: bytes,
         arrived_at: float,
         service: str,
-        held_reply: HeldBytes,
     ):
         self.request = request
         self.route = route
@@ -118,8 +126,8 @@
         self.body = body
         self.arrived_at = arrived_at
         self.service = service
-        self.held_reply = held_reply
         self.whole_reply: WholeReply | None = None
+        self.failed_reply: WholeReply | None = None
         timeout_s = min(
             request.client_timeout_s or route.timeout_s, route.timeout_s
         )
@@ -177,6 +185,17 @@
             and self.request.last_event_id is not None
         )
 
+    def keep_failure(self, reply: WholeReply) -> None:
+        """Keep the failure of a run instead of that of an earlier one."""
+        self.drop_failure()
+        self.failed_reply = reply
+
+    def drop_failure(self) -> None:
+        """Give up the failure of an earlier run."""
+        if self.failed_reply is not None:
+            self.failed_reply.held.give_back()
+            self.failed_reply = None
+
     def record_events(self, now: float) -> None:
         """Record that events of the stream arrived."""
         if self.first_event_at is None:
--- a/chervilshift/gateway/upstream.py
+++ b/chervilshift/gateway/upstream.py
@@ -18,7 +18,13 @@
 from chervilshift.gateway.protocol import HeaderCodec, Headers, ReplyHead
 from chervilshift.untrusted import parse_count
 
-__all__ = ["ProgressTimeouts", "Reply", "Upstream"]
+__all__ = [
+    "NOT_RUN_STATUSES",
+    "SMALL_BODY_BYTES",
+    "ProgressTimeouts",
+    "Reply",
+    "Upstream",
+]
 
 # Only with these statuses is an endpoint's statement that it did not run the
 # request accepted.
@@ -70,6 +76,12 @@
         )
         return next(lengths, None)
 
+    @property
+    def waits_for_room(self) -> bool:
+        """Whether the body is read only once there is room for all of it."""
+        length_bytes = self.length_bytes
+        return length_bytes is not None and length_bytes > SMALL_BODY_BYTES
+
     def chunks(self) -> AsyncIterator[bytes]:
         """Return the body's chunks as they arrive."""
         return self._response.stream.__aiter__()
@@ -322,11 +334,10 @@
     async def _read(self, reply: Reply, held: HeldBytes) -> list[bytes]:
         chunks = []
         size_bytes = 0
-        length_bytes = reply.length_bytes
-        waits = length_bytes is not None and length_bytes > SMALL_BODY_BYTES
+        waits = reply.waits_for_room
         if waits:
-            self._check_size(length_bytes)
-            await held.reserve(length_bytes)
+            self._check_size(reply.length_bytes)
+            await held.reserve(reply.length_bytes)
         async for chunk in self.iterate(reply):
             size_bytes += len(chunk)
             self._check_size(size_bytes)
