Gateways: a request is not sent again to an endpoint that has answered it

Callers: beside a single endpoint that answers twice, the second time on another connection, a safe request could get the late 200 of an earlier run, where the endpoint had answered 500.

Cause: a second attempt went to the same endpoint if no other was left.

Change: an endpoint that has answered a request with a failure or a refusal does not get it again, as the routes' number of attempts counts endpoints; its own failure is passed on. Streams still go on at an endpoint that broke off.

--- a/chervilshift/gateway/chooser.py
+++ b/chervilshift/gateway/chooser.py
@@ -89,7 +89,12 @@
         choice = choose(spec, exchange.work, now, failed_ids | barred_ids)
         if choice is None and exchange.route.repeatable:
             # Only endpoints that failed are left; the failure may have passed.
-            choice = choose(spec, exchange.work, now, barred_ids)
+            # One that answered may answer once more, late: the same id can't
+            # tell this from the answer to another attempt.
+            answered_ids = frozenset(exchange.answered_ids)
+            choice = choose(
+                spec, exchange.work, now, barred_ids | answered_ids
+            )
         preferred = choice
         if exhausted_ids:
             willing = choose(spec, exchange.work, now, failed_ids | held_ids)
--- a/chervilshift/gateway/dispatch.py
+++ b/chervilshift/gateway/dispatch.py
@@ -364,6 +364,8 @@
             finally:
                 if upstream.head is not None:
                     self._state.record_statements(record, upstream.head)
+                    if not upstream.ok:
+                        exchange.answered_ids.add(record.id)
                 if self._has_begun(exchange, upstream):
                     self._count_usage(exchange)
             if exchange.route.kind == STREAM and reply.ok:
