Usage: a refusal is not counted for what an earlier attempt may have done

Reports: a stream that one endpoint answered with another request's reply and the next ones refused was counted as begun.

Cause: the refusal's head was taken for the beginning of a reply, as the request may have run at the first endpoint.

--- a/chervilshift/gateway/dispatch.py
+++ b/chervilshift/gateway/dispatch.py
@@ -344,6 +344,7 @@
             )
             maybe_ran_before = exchange.maybe_ran
             exchange.maybe_ran = True
+            refused = False
             try:
                 reply = await upstream.send(
                     exchange.request.method,
@@ -359,6 +360,7 @@
                     endpoint.health.record_activity(now)
                 endpoint.health.record_failure(now)
                 if not exc.sent:
+                    refused = True
                     exchange.maybe_ran = maybe_ran_before
                 raise
             finally:
@@ -366,7 +368,7 @@
                     self._state.record_statements(record, upstream.head)
                     if not upstream.ok:
                         exchange.answered_ids.add(record.id)
-                if self._has_begun(exchange, upstream):
+                if not refused and self._has_begun(exchange, upstream):
                     self._count_usage(exchange)
             if exchange.route.kind == STREAM and reply.ok:
                 serve_reply = self._relay_stream
@@ -629,11 +631,9 @@
     def _has_begun(self, exchange: Exchange, upstream: Upstream) -> bool:
         """Whether an endpoint is likely to have begun to run a request.
 
-        Plain services begin at once, engines with their reply, or with what
-        follows the head of a stream.
+        It did not refuse it. Plain services begin at once, engines with their
+        reply, or with what follows the head of a stream.
         """
-        if not exchange.maybe_ran:
-            return False
         if exchange.route.kind == STREAM and upstream.ok:
             return False
         spec = self._state.table.cfg.services.get(exchange.service)
--- a/tests/platform/test_usage.py
+++ b/tests/platform/test_usage.py
@@ -18,12 +18,11 @@
 
 
 def count_after(tmp_path, path: str, *behaviours: str) -> int:
-    """Return what is counted after one request for each behaviour."""
+    """Return what is counted after one request and its attempts."""
     counts = []
 
     async def scenario(platform: Platform) -> None:
-        for _ in behaviours:
-            await platform.send_request(path, deadline_ms=400)
+        await platform.send_request(path, deadline_ms=400)
         counts.append(counted(platform))
 
     service = "app" if path.startswith("/write") else "llm"
@@ -46,6 +45,12 @@
     assert count_after(tmp_path, "/once/a", behaviour) == 0
 
 
+def test_stream_that_is_refused_after_a_foreign_answer_is_not_counted(
+    tmp_path,
+):
+    assert count_after(tmp_path, "/stream/a", "other", "full", "full") == 0
+
+
 def test_refused_request_is_not_counted(tmp_path):
     assert count_after(tmp_path, "/write/a", "full") == 0
 
