--- a/chervilshift/gateway/connections.py
+++ b/chervilshift/gateway/connections.py
@@ -45,6 +45,8 @@
 DEFAULT_IDLE_TIMEOUT_S = 10.0
 # A connection remembers the ids that it carried; with more it is not reused.
 MAX_REQUESTS_PER_CONNECTION = 256
+# A server may say with it that it closes an idle connection.
+IDLE_TIMEOUT_STATUS = 408
 # How long connections of an endpoint that answered twice are not reused.
 SECOND_ANSWER_TTL_S = 30.0
 # Larger than any reply head with its interim replies.
@@ -312,7 +314,9 @@
         """Return whether another request may be sent on an idle connection."""
         unread = conn.unread()
         if unread:
-            self.record_late_reply(conn.late_reply(unread))
+            late = conn.late_reply(unread)
+            if late.status != IDLE_TIMEOUT_STATUS:
+                self.record_late_reply(late)
         return (
             unread is None
             and conn.http.is_idle()
--- a/tests/gateway/test_connections.py
+++ b/tests/gateway/test_connections.py
@@ -146,6 +146,38 @@
     return int.from_bytes(size, sys.byteorder)
 
 
+def test_end_of_an_idle_connection_with_408_is_no_second_answer():
+    address = free_address()
+    late_replies = []
+    released = anyio.Event()
+
+    async def handle(stream) -> None:
+        await released.wait()
+        await stream.send(b"HTTP/1.1 408 Idle\r\nContent-Length: 0\r\n\r\n")
+        await stream.aclose()
+
+    async def run() -> None:
+        host, port = address.split(":")
+        listener = await anyio.create_tcp_listener(
+            local_host=host, local_port=int(port)
+        )
+        pool = ConnectionPool(
+            clock=SystemClock(), on_late_reply=late_replies.append
+        )
+        async with listener, anyio.create_task_group() as tg:
+            tg.start_soon(listener.serve, handle)
+            idle = await pool.acquire("e1", address, b"r1")
+            idle.http._state = idle.http._state.IDLE
+            await pool.release(idle, None)
+            released.set()
+            await eventually(lambda: bool(idle.unread()))
+            assert await pool.acquire("e1", address, b"r2") is not idle
+            tg.cancel_scope.cancel()
+
+    anyio.run(run)
+    assert not late_replies
+
+
 def test_connection_that_is_accepted_late_is_open_at_once():
     address = free_address()
 
