Gateways: second answers without an id are logged with the last request

The line now has the connection's last request and its status too, and answers to unknown requests do not count as unlike the first.

--- a/chervilshift/gateway/process.py
+++ b/chervilshift/gateway/process.py
@@ -255,10 +255,13 @@
         )
 
     def _record_late_reply(self, late: LateReply) -> None:
+        """Log a second answer, which may name its request or none."""
         head = self._protocol.codec.reply_head(late.status, late.headers)
-        first_status = late.conn.statuses.get(head.request_id)
+        statuses = late.conn.statuses
+        first_status = statuses.get(head.request_id)
+        last_id = next(reversed(statuses), b"")
         self._metrics.count("second_answers")
-        if late.status != first_status:
+        if first_status is not None and late.status != first_status:
             self._metrics.count("second_answers_unlike_first")
         self._events.emit(
             "second_answer",
@@ -267,6 +270,8 @@
             request=head.request_id.decode("latin-1"),
             status=late.status,
             first_status=first_status,
+            last_request=last_id.decode("latin-1"),
+            last_status=statuses.get(last_id),
         )
 
     def _is_ready(self) -> bool:
--- a/tests/platform/test_second_answers.py
+++ b/tests/platform/test_second_answers.py
@@ -151,7 +151,7 @@
             await eventually(lambda: bool(platform.logged("second_answer")))
             tg.cancel_scope.cancel()
         line = platform.logged("second_answer")[0]
-        assert line["request"] == "0a"
+        assert line["request"] == line["last_request"] == "0a"
         assert line["first_status"] == status
         assert line["status"] == late_status
 
