Stop tests: a late request is late by the gateway's clock

Seen: once of four runs of the whole suite the request of test_request_that_may_outlast_a_stop_is_passed_on_if_it_may_be_repeated [write-False] found nothing that listened (ConnectError).

Cause: the test measured 2.6 s by its own sleep, from the moment at which it asked for the stop. An idle gateway ends 3.0 s after the stop, so a request that came 0.4 s late found it gone. Callers are not concerned: an idle gateway may end once no client holds a lookup that names it.

Change: the test was wrong in its time, not in what it demands. The gateway's clock is held 0.4 s before it refuses all requests, until the request has been answered or has reached the endpoint. The checks of status and arrivals are the same, and the request can't be late.

--- a/tests/platform/test_stopping.py
+++ b/tests/platform/test_stopping.py
@@ -12,6 +12,7 @@
 import anyio
 import pytest
 
+from chervilshift.clock import SystemClock
 from chervilshift.core.fleet.stopping import Stopping
 from tests.cluster import free_address
 from tests.platform.rawhttp import read_request, serve_raw
@@ -27,6 +28,8 @@
 
 # The stand-in's gateways stop within 6 s.
 LATE_S = 3.4
+# An idle gateway ends when it refuses all requests.
+BEFORE_REFUSAL_S = 0.4
 LARGE_REPLY_BYTES = 4 << 20
 # At most 64 KiB at a time: the reply takes longer than an idle gateway's stop.
 READ_INTERVAL_S = 0.075
@@ -49,6 +52,28 @@
     )
 
 
+class HeldClock(SystemClock):
+    """The system's clock, held when it reaches `held_at`."""
+
+    def __init__(self):
+        self.held_at = float("inf")
+
+    def monotonic(self) -> float:
+        """Return the time in seconds, at most `held_at`."""
+        return min(super().monotonic(), self.held_at)
+
+
+async def stop_held_late(platform: Platform) -> HeldClock:
+    """Stop the gateway; return once its clock is held late in the stop."""
+    gateway, _ = platform.gateways[0]
+    clock = gateway._clock = gateway._dispatcher._clock = HeldClock()
+    platform.gateway_stops[0].set()
+    await eventually(lambda: gateway._dispatcher.stopping is not None)
+    clock.held_at = gateway._dispatcher.stopping.refuse_at - BEFORE_REFUSAL_S
+    await eventually(lambda: clock.monotonic() == clock.held_at)
+    return clock
+
+
 async def allow_long_requests(platform: Platform) -> None:
     routes = [route | {"timeout_ms": 9000} for route in config(2)["routes"]]
     assert await platform.configure(2, routes=routes) == 200
@@ -87,9 +112,16 @@
         endpoint = hanging()
         await platform.add_endpoint(endpoint)
         await allow_long_requests(platform)
-        platform.gateway_stops[0].set()
-        await anyio.sleep(2.6)
-        reply = await platform.send_request(f"/{path}/a", deadline_ms=9000)
+        clock = await stop_held_late(platform)
+
+        async def go_on_after_arrival() -> None:
+            await eventually(lambda: bool(endpoint.arrivals))
+            clock.held_at = float("inf")
+
+        async with anyio.create_task_group() as tg:
+            if passed_on:
+                tg.start_soon(go_on_after_arrival)
+            reply = await platform.send_request(f"/{path}/a", deadline_ms=9000)
         assert bool(endpoint.arrivals) == passed_on
         assert reply.status == (504 if passed_on else 503)
 
