Placement: an endpoint that was slow once is tried again at low load

Cause: slowness returns to its neutral value of 1 without samples, but the endpoints in use settle at their own value, 0.5 on fast hosts. The least cost wins, so the one that is not in use never does until the others are crowded, and yields no sample that could tell of its recovery.

Evidence: three tests of the core, without a network, failed before: an endpoint slow once and a new one got no call in 4 s or at all, at 50 calls a second of 5 ms each.

Change: an endpoint without attempts for 2 s, times its slowness, is tried with one request if it costs more than the best one for its slowness only, so not for its load, distance, failures or a prompt's other home. At most one in 20 attempts of a service is such a trial. What counts is the attempt that starts, not a choice that rate limits then prevent. One that stays slow gets at most 15 of 3,000 calls in 60 s.

--- a/chervilshift/core/fleet/health.py
+++ b/chervilshift/core/fleet/health.py
@@ -23,6 +23,8 @@
 # An unreachable endpoint is excluded from selection; the time doubles with
 # each exclusion in a row, up to the maximum.
 EXCLUSION_S, EXCLUSION_MAX_S = 0.5, 4.0
+# An endpoint without attempts for this long, times its slowness, may be tried.
+TRIAL_INTERVAL_S = 2.0
 # Requests in flight may be without output this long, as during the prefill
 # of a long prompt or a slow call.
 STALL_GRACE_S = 0.25
@@ -75,6 +77,7 @@
         "_resumed_at",
         "_pause_observed",
         "_slowness",
+        "_tried_at",
         "replied_at",
     )
 
@@ -87,6 +90,8 @@
         self._excluded_as_silent = False
         self._in_flight = 0
         self._last_activity_at = 0.0
+        # The last start of an attempt, or reply.
+        self._tried_at = float("-inf")
         # The end of the last pause, and whether a reply told of it.
         self._resumed_at = float("-inf")
         self._pause_observed = False
@@ -97,6 +102,7 @@
         if not self._in_flight:
             self._last_activity_at = now
         self._in_flight += 1
+        self._tried_at = now
 
     def record_end(self) -> None:
         """Record that an attempt has ended, with any result."""
@@ -137,6 +143,7 @@
         Replies that one pause held up are one observation; returns false
         for the further ones.
         """
+        self._tried_at = now
         slowness_max = SLOWNESS_MAX
         if now - actual_s < self._resumed_at:
             if self._pause_observed:
@@ -167,6 +174,18 @@
         """Return the ratio of actual to expected reply time."""
         return self._slowness.value(now)
 
+    def may_be_tried(self, now: float) -> bool:
+        """Whether an attempt would tell how fast the endpoint is now.
+
+        One that seemed slow yields no new samples while others are faster.
+        """
+        interval_s = TRIAL_INTERVAL_S * max(1.0, self.slowness(now))
+        return (
+            not self._in_flight
+            and not self.is_excluded(now)
+            and now - self._tried_at >= interval_s
+        )
+
     def stalled_s(self, now: float) -> float:
         """Return how long attempts in flight have had no data beyond grace.
 
--- a/chervilshift/core/fleet/placement.py
+++ b/chervilshift/core/fleet/placement.py
@@ -11,7 +11,9 @@
 hashing. For plain services the cost is the predicted reply time.
 
 An endpoint that this gateway has not tried lately is expected to fail as often
-as those of its service that it has. Among equals one is chosen at random, so
+as those of its service that it has. Some requests go to such an endpoint
+although others seem faster: without them one that was slow once would get
+nothing until the others are crowded. Among equals one is chosen at random, so
 that the gateways of a fleet don't all ask the same.
 """
 
@@ -67,6 +69,9 @@
 FAILURE_COST_S = 0.3
 # Failure rates that sum up to less make no difference to placement.
 NEGLIGIBLE_FAILURE_RATE = 0.01
+NEGLIGIBLE_COST_S = FAILURE_COST_S * NEGLIGIBLE_FAILURE_RATE
+# Part of a service's requests that may go to endpoints not tried lately.
+TRIAL_FRACTION = 0.05
 # Weight of the newest reply in a service's latency ratio; small, since every
 # reply of its endpoints is a sample.
 LATENCY_RATIO_WEIGHT = 0.05
@@ -189,6 +194,25 @@
             self._cached_parts.popitem(last=False)
 
 
+class TrialBudget:
+    """Limits the trials of a service's endpoints to a part of its attempts."""
+
+    __slots__ = ("_credits",)
+
+    def __init__(self):
+        # A trial takes 1.
+        self._credits = 1.0
+
+    def allows(self) -> bool:
+        """Whether the next attempt may be a trial."""
+        return self._credits >= 1.0
+
+    def record(self, *, is_trial: bool) -> None:
+        """Record that an attempt starts."""
+        credits = 0.0 if is_trial else self._credits + TRIAL_FRACTION
+        self._credits = min(1.0, credits)
+
+
 class Choice:
     """A candidate endpoint for an attempt, with predicted wait and cost.
 
@@ -197,13 +221,15 @@
     ratio. `wait_s` is the prediction for this endpoint. `cost_s` adds the
     delay of other requests, the risk of failure and the preference for the
     prompt's home. `uncached_tokens` is the part of the prompt expected to
-    need prefill.
+    need prefill. A trial counts in `trial_budget`.
     """
 
     __slots__ = (
         "baseline_s",
         "cost_s",
         "endpoint",
+        "is_trial",
+        "trial_budget",
         "uncached_tokens",
         "wait_s",
     )
@@ -218,6 +244,8 @@
         uncached_tokens: int,
     ):
         self.endpoint = endpoint
+        self.is_trial = False
+        self.trial_budget: TrialBudget | None = None
         self.baseline_s = baseline_s
         self.wait_s = wait_s
         self.cost_s = cost_s
@@ -244,6 +272,8 @@
         self.endpoint.active += 1
         self.endpoint.prefill_tokens += self._uncached_tokens
         self.endpoint.health.record_start(self._started_at)
+        if self.choice.trial_budget is not None:
+            self.choice.trial_budget.record(is_trial=self.choice.is_trial)
         return self
 
     def __exit__(self, *exc_info: object) -> None:
@@ -271,6 +301,7 @@
         "_region",
         "_regions",
         "_rng",
+        "_trial_budgets",
     )
 
     def __init__(self, *, region: str, regions: dict[str, str], rng: Random):
@@ -281,6 +312,9 @@
         self._latency_ratios: defaultdict[str, float] = defaultdict(
             lambda: 1.0
         )
+        self._trial_budgets: defaultdict[str, TrialBudget] = defaultdict(
+            TrialBudget
+        )
 
     def update_endpoints(self, records: Iterable[EndpointRecord]) -> None:
         """Replace the endpoints by those that control reports.
@@ -312,6 +346,7 @@
     def set_services(self, names: Container[str]) -> None:
         """Set the services that the configuration names."""
         forget_unnamed(self._latency_ratios, names)
+        forget_unnamed(self._trial_budgets, names)
 
     def set_other_loads(self, loads: dict[str, EndpointLoad]) -> None:
         """Set the load from other gateways, by endpoint id."""
@@ -346,7 +381,7 @@
         now: float,
         excluding: frozenset[str] = frozenset(),
     ) -> Choice | None:
-        """Return the endpoint with the lowest cost, or None.
+        """Return the endpoint with the lowest cost, or one to try, or None.
 
         `excluding` are the ids of endpoints not to be used. Endpoints
         excluded by their health are used only if there is no other.
@@ -384,7 +419,15 @@
                 for e in candidates
             ]
         least_s = min(choice.cost_s for choice in choices)
-        return self._rng.choice([c for c in choices if c.cost_s == least_s])
+        best = [c for c in choices if c.cost_s == least_s]
+        budget = self._trial_budgets[spec.name]
+        trials = []
+        if budget.allows():
+            trials = _trials(choices, best[0], latency_ratio, now)
+        choice = self._rng.choice(trials or best)
+        choice.is_trial = bool(trials)
+        choice.trial_budget = budget
+        return choice
 
     def has_responsive(
         self, service: str, now: float, excluding: frozenset[str]
@@ -520,6 +563,32 @@
     return FAILURE_COST_S * rate
 
 
+def _trials(
+    choices: list[Choice], best: Choice, latency_ratio: float, now: float
+) -> list[Choice]:
+    """Return the choices that cost more than `best` for their slowness only.
+
+    Their endpoints have not been tried lately.
+    """
+    slowness = best.endpoint.health.slowness(now)
+    return [
+        choice
+        for choice in choices
+        if choice.cost_s > best.cost_s
+        and choice.endpoint.health.may_be_tried(now)
+        and _cost_at_slowness_s(choice, slowness, latency_ratio, now)
+        <= best.cost_s + NEGLIGIBLE_COST_S
+    ]
+
+
+def _cost_at_slowness_s(
+    choice: Choice, slowness: float, latency_ratio: float, now: float
+) -> float:
+    """Return the cost of a choice, were its endpoint of this slowness."""
+    excess = choice.endpoint.health.slowness(now) - slowness
+    return choice.cost_s - excess * choice.baseline_s * latency_ratio
+
+
 def _predict(endpoint: Endpoint, baseline_s: float, now: float) -> float:
     """Return the predicted wait, corrected by health and distance."""
     health = endpoint.health
--- a/tests/core/fleet/test_placement.py
+++ b/tests/core/fleet/test_placement.py
@@ -143,6 +143,67 @@
     assert placement.choose(ENGINES, prompt("t", "x"), 20.0).endpoint is home
 
 
+def play_low_load(
+    placement: Placement, slow: dict[str, float], until_s: float
+) -> list[tuple[float, str]]:
+    """Place calls one after the other; return times and endpoints.
+
+    `slow` maps an endpoint's id to the time at which its replies become as
+    fast as those of all others.
+    """
+    placed = []
+    for now in (index / 50 for index in range(int(until_s * 50))):
+        choice = placement.choose(PLAIN, Work(), now)
+        endpoint_id = choice.endpoint.id
+        with Placed(choice=choice, now=now):
+            reply_s = 0.3 if now < slow.get(endpoint_id, 0.0) else 0.005
+            placement.observe(choice, reply_s, now + reply_s)
+        placed.append((now, endpoint_id))
+    return placed
+
+
+def test_endpoint_that_was_slow_once_is_tried_again_at_low_load():
+    for seed in range(20):
+        placement = make_placement(
+            record("p1", service="app"),
+            record("p2", service="app"),
+            seed=seed,
+        )
+        placed = play_low_load(placement, {"p1": 0.01, "p2": 0.01}, 20.0)
+        for start_s in (1.0, 5.0, 9.0, 13.0):
+            window = {e for at, e in placed if start_s <= at < start_s + 4}
+            assert window == {"p1", "p2"}
+
+
+def test_new_endpoint_gets_calls_at_low_load():
+    placement = make_placement(record("p1", service="app"))
+    play_low_load(placement, {}, 5.0)
+    placement.change_endpoints([record("p2", service="app")])
+    assert placement.choose(PLAIN, Work(), 5.0).endpoint.id == "p2"
+
+
+def test_endpoint_that_stays_slow_gets_few_calls_at_low_load():
+    placement = make_placement(
+        record("p1", service="app"), record("p2", service="app")
+    )
+    placed = play_low_load(placement, {"p1": 60.0}, 60.0)
+    assert sum(endpoint_id == "p1" for _, endpoint_id in placed) <= 15
+
+
+def test_endpoint_that_is_being_tried_gets_no_second_call():
+    placement = make_placement(
+        record("p1", service="app"), record("p2", service="app")
+    )
+    placed = play_low_load(placement, {"p1": 0.01, "p2": 0.01}, 2.2)
+    fast = placed[-1][1]
+    tried = placement.choose(PLAIN, Work(), 4.0)
+    assert tried.endpoint.id != fast
+    with Placed(choice=tried, now=4.0):
+        for _ in range(100):
+            choice = placement.choose(PLAIN, Work(), 4.1)
+            assert choice.endpoint.id == fast
+
+
 def test_what_all_endpoints_do_is_typical_and_slows_none():
     placement = make_placement(
         record("p1", service="app"), record("p2", service="app")
