Entries: an entry that ends takes over no stream

Seen: a caller's stream stopped when its entry gave it up before its host was reclaimed, and did not go on: 65 of 400 tokens, no error (test_entry_hosts_own_notice, once of two runs of the whole suite).

Cause: a caller that reconnects to the same entry within its last moments made it ask its peers for the record, to take the stream over once more. If a peer was slow to answer, the entry ended meanwhile, and the request got a bare "500 Internal Server Error" in plain text, which is no failure of the protocol. The test's client could not parse it and ended without an error.

Evidence: with the record's holder suspended for 1.2 s around the time at which the streams are given up, one run showed the same symptom: 60 tokens, no error, no takeover in the logs, and the client's JSONDecodeError. That it was the same in the run of the whole suite is likely, as the symptom is the same, but its logs are gone.

Change: a draining entry refuses takeovers with Draining, also if it began to drain while it asked for the record. Its own streams can still be resumed there. The caller resumes the others at another entry.

While both peers are suspended the entry delivers tokens without a record, so that another entry may first answer 400 ("past the last token") until it has made them again; the test resumes until the stream goes on. That answer is not changed here.

--- a/chervilshift/entry/sessions.py
+++ b/chervilshift/entry/sessions.py
@@ -42,7 +42,7 @@
 class Sessions:
     """Starts, finds, takes over, hands over and stops streams.
 
-    New streams are refused while `draining` is true.
+    New streams and takeovers are refused while `draining` is true.
     """
 
     def __init__(
@@ -122,11 +122,16 @@
         """Continue a stream that another entry ran.
 
         Returns None if no record of a stream of this customer is found.
+        Raises Draining if this entry would end before the stream.
         """
+        if self.draining:
+            raise Draining()
         for info in islice(self._holders(request_id), MAX_HOLDERS_ASKED):
             record = await self._fetch_record(info, request_id)
             if record is None or record.customer != customer:
                 continue
+            if self.draining:
+                raise Draining()
             record = await self._take_record(info, request_id)
             if record is None:
                 continue
--- a/tests/proofs/test_reclaim.py
+++ b/tests/proofs/test_reclaim.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from tests.callers import follow
+from tests.callers import asked_text, follow
 from tests.cluster import Cluster, eventually
 
 ANSWER_TOKENS = 400
@@ -172,6 +172,41 @@
     assert not followers[1].reconnects
 
 
+def test_resume_at_an_entry_that_ends_is_refused_with_a_failure(fleet):
+    """The entry began to ask for the record, ended, and sent a bare 500."""
+    set_token_gap(fleet, LONG_TOKEN_GAP_MS)
+    stream = fleet.caller("e1").chat(
+        "report", max_tokens=ANSWER_TOKENS, seed=5
+    )
+    stream.read(until_text=20)
+    send_notice(fleet, "host-e1", 3.5)
+    stream = fleet.caller("e1").resume(stream)
+    events = stream.iterate()
+    next(events)
+    for name in ("e2", "e3"):
+        fleet.suspend(name)
+    for _ in events:
+        continue
+    assert not stream.done
+    refused = fleet.caller("e1").resume(stream)
+    refused.read()
+    # Without a status the entry no longer listened.
+    assert refused.status in (0, 503)
+    assert not refused.error or refused.error["type"] == "Draining"
+    for name in ("e2", "e3"):
+        fleet.resume(name)
+    assert fleet.processes["e1"].wait(60) == 0
+    set_token_gap(fleet, TOKEN_GAP_MS)
+
+    def resume_elsewhere():
+        resumed = fleet.caller("e2").resume(stream)
+        resumed.read()
+        return resumed.done and resumed
+
+    resumed = eventually(resume_elsewhere, "the stream goes on elsewhere")
+    assert resumed.text == asked_text("report", 5, ANSWER_TOKENS)
+
+
 def test_frozen_entry_that_goes_on_does_not_spoil_a_taken_stream(fleet):
     """A suspended entry's stream is resumed at another entry.
 
