Engines: calls do not share connections

Callers saw: with an engine that answers a second time 10 ms late, 49 of 50 generations in sequence got the tokens of an earlier one.

Cause: connections to engines were pooled by address. Nothing in a stream names its request: an event has the offset of its first token only. A second answer that came after the next request was sent was read as the answer to that request. One that had come before was found by httpcore, which drops idle connections with unread bytes.

Change: each generation, resumption and cancellation has a connection of its own, as calls to plain services have. There is no pool that could be abandoned for an engine that has gone silent. The pool's limit of 1,000 connections to an engine goes too; the capacity that engines announce bounds what runs at them.

The client of orders is not changed.

--- a/chervilshift/endpoints/engine.py
+++ b/chervilshift/endpoints/engine.py
@@ -1,11 +1,13 @@
 """HTTP client for model engines: generate, resume and cancel.
 
 An engine streams server-sent events. Each carries the offset of its first
-token, and a complete stream ends with a finish reason and `[DONE]`.
+token, and a complete stream ends with a finish reason and `[DONE]`. Nothing
+in a stream names its request, so calls do not share connections: a late
+second answer could be taken for that of the next call.
 """
 
 from collections.abc import AsyncIterator
-from contextlib import AsyncExitStack, aclosing
+from contextlib import AsyncExitStack, aclosing, asynccontextmanager
 
 import anyio
 import httpcore
@@ -25,8 +27,6 @@
 
 __all__ = ["Chunk", "EngineClient", "Generate"]
 
-MAX_CONNECTIONS_PER_ENGINE = 1000
-KEEPALIVE_EXPIRY_S = 10.0
 UNACKED_TIMEOUT_S = 2.0
 EVENT_SEPARATOR = b"\n\n"
 DATA_PREFIX = b"data: "
@@ -101,20 +101,9 @@
 
 
 class EngineClient:
-    """Calls engines, with one connection pool per engine."""
+    """Calls engines, each call on a new connection."""
 
-    __slots__ = ("_pools",)
-
-    def __init__(self):
-        self._pools: dict[str, httpcore.AsyncConnectionPool] = {}
-
-    def abandon_connections(self, address: str) -> None:
-        """Discard the connection pool of an engine.
-
-        Called when one connection has gone silent, as the others may be
-        broken, too. Streams on them continue, under their own timeouts.
-        """
-        self._pools.pop(address, None)
+    __slots__ = ()
 
     def generate(
         self, address: str, request: Generate, read_timeout_s: float
@@ -146,35 +135,30 @@
             {"request_id": request_id, "attempt": attempt}
         )
         try:
-            async with self._pool(address).stream(
-                "POST",
-                f"http://{address}/v1/cancel",
-                content=content,
-                extensions=_timeouts(CONNECT_TIMEOUT_S),
+            async with (
+                _new_connection(address) as connection,
+                connection.stream(
+                    "POST",
+                    f"http://{address}/v1/cancel",
+                    content=content,
+                    extensions=_timeouts(CONNECT_TIMEOUT_S),
+                ),
             ):
                 return
         except HTTP_ERRORS:
             return
 
-    def _pool(self, address: str) -> httpcore.AsyncConnectionPool:
-        pool = self._pools.get(address)
-        if pool is None:
-            pool = self._pools[address] = httpcore.AsyncConnectionPool(
-                max_connections=MAX_CONNECTIONS_PER_ENGINE,
-                keepalive_expiry=KEEPALIVE_EXPIRY_S,
-                network_backend=CallBackend(),
-                socket_options=socket_options(UNACKED_TIMEOUT_S),
-            )
-        return pool
-
     async def _stream(
         self, address: str, path: str, content: bytes, read_timeout_s: float
     ) -> AsyncIterator[Chunk]:
         try:
-            async with AsyncExitStack() as stack:
+            async with (
+                _new_connection(address) as connection,
+                AsyncExitStack() as stack,
+            ):
                 with anyio.fail_after(CONNECT_TIMEOUT_S + read_timeout_s):
                     response = await stack.enter_async_context(
-                        self._pool(address).stream(
+                        connection.stream(
                             "POST",
                             f"http://{address}{path}",
                             headers={"content-type": "application/json"},
@@ -194,6 +178,23 @@
             raise call_failure(address, exc) from exc
 
 
+@asynccontextmanager
+async def _new_connection(
+    address: str,
+) -> AsyncIterator[httpcore.AsyncHTTPConnection]:
+    """Return a connection for one call; it is closed at the end."""
+    connection = httpcore.AsyncHTTPConnection(
+        origin=httpcore.URL(f"http://{address}").origin,
+        network_backend=CallBackend(),
+        socket_options=socket_options(UNACKED_TIMEOUT_S),
+    )
+    try:
+        yield connection
+    finally:
+        with anyio.CancelScope(shield=True):
+            await connection.aclose()
+
+
 async def _read_chunks(
     response: httpcore.Response, read_timeout_s: float
 ) -> AsyncIterator[Chunk]:
@@ -264,6 +265,5 @@
             "connect": CONNECT_TIMEOUT_S,
             "read": read_timeout_s,
             "write": read_timeout_s,
-            "pool": CONNECT_TIMEOUT_S,
         }
     }
--- a/chervilshift/entry/attempt.py
+++ b/chervilshift/entry/attempt.py
@@ -116,7 +116,6 @@
             self._events.emit(
                 "silent", endpoint=self.endpoint, attempt=self.number
             )
-            self._engines.abandon_connections(self._address)
             self._read_scope.cancel()
 
     def _silence_limit_s(self) -> float:
