Calls: the service is part of what an idempotency key stands for

Callers saw: a call to one service got the stored answer of another that had been called with the same key, path and body by the same customer, marked as replayed. It was not sent.

Cause: a claim's digest was of method, path and body; the path is that at the service, without its name.

Change: the digest is "SERVICE/" and the hash. Such a call is now refused as KeyReused, as with another body.

Upgrade: records made before have the hash alone and are kept for 24 hours. They match at every service, as before. Had they not matched, a resend of a call that may have run would have been refused as KeyReused, which says not run and asks for a new key, with which it would run twice. All processes have to be of the same build: an entry of the former one gets KeyReused for records made by this one.

Evidence: test_call_does_not_get_the_answer_of_another_service failed before (200 instead of 422). test_resend_finds_a_record_without_the_services_name failed with the former comparison and the new digest.

--- a/chervilshift/core/commands.py
+++ b/chervilshift/core/commands.py
@@ -66,8 +66,8 @@
 class Claim(Message):
     """Reserve the right to send one call that may not be repeated.
 
-    `attempt` is unique to this claim's caller; `digest` is of the request.
-    Keys of different customers are independent.
+    `attempt` is unique to this claim's caller; `digest` is "SERVICE/" and a
+    hash of the request. Keys of different customers are independent.
     """
 
     customer: str
--- a/chervilshift/core/ledger.py
+++ b/chervilshift/core/ledger.py
@@ -104,7 +104,7 @@
             return self._grant(record_key, claim, (), now_s)
         if claim.attempt in record.called_off:
             return ClaimReply(granted=False, state=REFUSED)
-        if record.digest and record.digest != claim.digest:
+        if not _is_same_request(record.digest, claim.digest):
             return Reused(name=claim.key)
         if record.state == FREE:
             return self._grant(record_key, claim, record.called_off, now_s)
@@ -239,6 +239,15 @@
         self._claimed.pop(record_key, None)
 
 
+def _is_same_request(recorded: str, claimed: str) -> bool:
+    """Return whether a claim's digest is that of the recorded request.
+
+    A free record has no digest. Those of earlier versions are without
+    "SERVICE/" and match at every service.
+    """
+    return recorded in ("", claimed, claimed.rpartition("/")[2])
+
+
 def _record_key(customer: str, key: str) -> str:
     return f"{customer}\n{key}"
 
--- a/chervilshift/entry/calls.py
+++ b/chervilshift/entry/calls.py
@@ -136,7 +136,9 @@
         self, call: ServiceCall, job: Job, service: Service, key: str
     ) -> Response:
         """Claim the key, send the call once and settle the claim."""
-        claim = self._claims.prepare(job.customer, key, _request_digest(call))
+        claim = self._claims.prepare(
+            job.customer, key, _request_digest(job.target, call)
+        )
         committed = await self._claims.commit(claim)
         if isinstance(committed, Bad):
             # Nothing was sent. The claim may still be committed, so this
@@ -174,7 +176,7 @@
         self.active += 1
         try:
             claim = self._claims.prepare(
-                job.customer, key, _request_digest(call)
+                job.customer, key, _request_digest(job.target, call)
             )
             committed = await self._claims.commit(claim)
             if isinstance(committed, Bad):
@@ -267,9 +269,10 @@
     )
 
 
-def _request_digest(call: ServiceCall) -> str:
+def _request_digest(service_name: str, call: ServiceCall) -> str:
     head = f"{call.method}\n{call.path}\n".encode()
-    return hashlib.sha256(head + call.body).hexdigest()
+    request_hash = hashlib.sha256(head + call.body).hexdigest()
+    return f"{service_name}/{request_hash}"
 
 
 def _response_from_ledger(reply, key: str) -> Response:
--- a/tests/core/test_ledger.py
+++ b/tests/core/test_ledger.py
@@ -184,6 +184,23 @@
     assert ledger.claim(claim(attempt="2", digest="x"), 1.0).name == "k"
 
 
+def test_same_request_to_another_service_is_refused():
+    ledger = Ledger()
+    ledger.claim(claim(digest="a/d"), 0.0)
+    assert ledger.claim(claim(attempt="2", digest="b/d"), 1.0).name == "k"
+    assert ledger.claim(claim(attempt="2", digest="d"), 1.0).name == "k"
+
+
+def test_resend_finds_a_record_without_the_services_name():
+    """As not run, it would be sent again with a new key."""
+    ledger = Ledger()
+    ledger.claim(claim(digest="d"), 0.0)
+    ledger.settle(settle("unknown"), 1.0)
+    resent = ledger.claim(claim(attempt="2", digest="a/d"), 2.0)
+    assert (resent.granted, resent.state) == (False, "unknown")
+    assert ledger.claim(claim(attempt="2", digest="a/x"), 2.0).name == "k"
+
+
 def test_done_is_replayed_to_resends():
     ledger = Ledger()
     ledger.claim(claim(), 0.0)
--- a/tests/proofs/test_at_most_once.py
+++ b/tests/proofs/test_at_most_once.py
@@ -10,7 +10,13 @@
 
 import pytest
 
-from tests.cluster import OTHER_CALLER_KEY, Caller, Cluster, eventually
+from tests.cluster import (
+    CONFIG,
+    OTHER_CALLER_KEY,
+    Caller,
+    Cluster,
+    eventually,
+)
 
 VISITS_PATH = "/svc/booking/visits"
 LEDGER_ERROR_TYPES = {"InProgress", "OutcomeUnknown", "LedgerUnavailable"}
@@ -74,6 +80,25 @@
     assert executions(desk, "k2") == 1
 
 
+def test_call_does_not_get_the_answer_of_another_service(desk):
+    """The same key, path and body at another service got its answer."""
+    text = CONFIG.replace("  booking: {}", "  booking: {}\n  billing: {}")
+    text = text.replace("[booking]", "[booking, billing]")
+    status, reply = desk.apply("e1", text, "billing", desk.version("e1"))
+    assert status == 200, reply
+    assert post(desk.caller("e1"), "k16")[0] == 200
+    for entry in ("e1", "e2"):
+        eventually(
+            lambda name=entry: desk.version(name) == reply["version"],
+            "the configuration",
+        )
+        answer = desk.caller(entry).request(
+            "POST", "/svc/billing/visits", 1, {"idempotency-key": "k16"}
+        )
+        assert (answer.status, error_type(answer)) == (422, "KeyReused")
+    assert executions(desk, "k16") == 1
+
+
 def test_customers_keys_are_apart(desk):
     post(desk.caller("e1"), "k3")
     other_customer = Caller(desk.entries["e1"], OTHER_CALLER_KEY)
