Control: reports of a restarted gateway are relayed and listed at once

Operators: in a fleet of 60 gateways one that restarted within 0.5, 1.0 or 1.5 s was missing from lookups for 43.5 of the next 45 s, and its load from the sums of the others.

Cause: the follower compared the number of a report with that of the last relayed one without the incarnation. A new incarnation counts from 1, so its reports were taken for relayed ones until the number had caught up. The number that the follower names as included in the loads was the old incarnation's too.

Evidence: both new tests fail without the change, the first for each of the three times, with the gateway unlisted; the second named report 12 of the old incarnation as included for report 1 of the new one.

Change: a relayed report of another incarnation counts as none.

--- a/chervilshift/core/fleet/distribution.py
+++ b/chervilshift/core/fleet/distribution.py
@@ -208,7 +208,7 @@
             return self._leader_news(sync, now)
         leader = self._leader
         gateway_id = sync.gateway.id
-        relayed = self._relayed.get(gateway_id)
+        relayed = self._relayed_report(sync.gateway)
         return GatewayNews(
             loads=self._loads_delta(
                 self._loads, sync.loads_source, sync.loads_cursor
@@ -293,7 +293,7 @@
             sync = self.presence.report(gateway_id)
             if sync is None:
                 continue
-            relayed = self._relayed.get(gateway_id)
+            relayed = self._relayed_report(sync.gateway)
             if relayed is not None and relayed.seq >= sync.seq:
                 continue
             if relayed is not None and _same_content(relayed, sync):
@@ -373,6 +373,16 @@
         leader.granting = reply.granting
         leader.controls = reply.controls
 
+    def _relayed_report(self, gateway: GatewayInfo) -> GatewaySync | None:
+        """Return the last relayed report of this incarnation, or None."""
+        relayed = self._relayed.get(gateway.id)
+        if (
+            relayed is None
+            or relayed.gateway.incarnation != gateway.incarnation
+        ):
+            return None
+        return relayed
+
     # Leader
 
     def receive_relay(
--- a/tests/core/fleet/test_distribution.py
+++ b/tests/core/fleet/test_distribution.py
@@ -465,6 +465,45 @@
     assert core.presence.report("g0").gateway.incarnation == "2"
 
 
+@pytest.mark.parametrize("down_s", [0.5, 1.0, 1.5])
+def test_gateway_that_restarts_soon_is_listed_and_its_load_is_known(down_s):
+    """Its reports, numbered from 1 again, were taken for relayed ones."""
+    world = World(60)
+    world.run(30.0)
+    gateway = world.gateways[5]
+    gateway.alive = False
+    world.run(down_s)
+    gateway.incarnation += 1
+    gateway.start()
+    gateway.alive = True
+    gateway.loads = {"e1": EndpointLoad(active=7)}
+    world.run(2.0)
+    leader = world.controls["c0"].core
+    for _ in range(20):
+        world.run(0.5)
+        listed = {g.id: g for g in leader.listed_gateways(world.now)}
+        assert listed["g5"].incarnation == "2"
+        assert_all_know_the_loads(world)
+
+
+def test_report_of_an_ended_incarnation_is_not_named_as_included():
+    """The new one dropped its own reports up to that number."""
+    world = World(60)
+    world.run(3.0)
+    follower, gateway = world.controls["c1"].core, world.gateways[5]
+    message = gateway.request()
+    follower.observe(message, world.now)
+    world.relay("c1")
+    assert follower.news(message, world.now).included_seq == message.seq
+    gateway.incarnation += 1
+    gateway.start()
+    message = gateway.request()
+    follower.observe(message, world.now)
+    assert follower.news(message, world.now).included_seq == 0
+    world.relay("c1")
+    assert follower.news(message, world.now).included_seq == message.seq
+
+
 def test_incarnation_that_was_taken_for_ended_is_heard_again():
     """The first report of an old incarnation may come after the new one's."""
     world = World(2)
