Control: late reports of an ended gateway incarnation are refused

Operators: a report of a gateway's ended incarnation that came more than 2 s after the end was taken for the present one. The new incarnation was then refused for 2 s, and its usage was counted twice.

Cause: ended incarnations were remembered for 2 s only, whether or not the following one went on reporting.

Evidence: the new test fails without the change, at the ninth report.

Change: ended incarnations are remembered for 30 s and heard again only when the present one has been silent until its load expires, 2 s or four report intervals. If the first reports of two incarnations come in the wrong order, the new one is refused for that time, up to 8 s instead of 2 s in large fleets.

Not changed: a late report that comes while the present incarnation is silent for that long is still taken, and the usage of the present one is then counted twice.

--- a/chervilshift/core/fleet/presence.py
+++ b/chervilshift/core/fleet/presence.py
@@ -32,9 +32,9 @@
 # Newest windows for which usage is kept, enough to cover those not yet
 # reported.
 MAX_USAGE_WINDOWS = 8
-# Reports of an ended incarnation are ignored for this long, longer than a
-# report can be under way.
-ENDED_INCARNATION_MEMORY_S = 2.0
+# Ended incarnations are remembered for this long, far longer than a report
+# should be under way.
+ENDED_INCARNATION_MEMORY_S = 30.0
 # More than one gateway can have in flight at one endpoint.
 MAX_ACTIVE = 100_000
 MAX_PREFILL_TOKENS = 1_000_000_000
@@ -84,20 +84,22 @@
     def observe(self, sync: GatewaySync, now: float) -> bool:
         """Record a report; return False if a newer one is known.
 
+        An incarnation that another one followed is heard again only when that
+        one is silent, in case their first reports came in the wrong order.
         Loads that no gateway can have are counted in `refused_reports` and
         taken as none.
         """
         gateway = sync.gateway
-        ended_at = self._ended.get((gateway.id, gateway.incarnation))
-        if (
-            ended_at is not None
-            and now - ended_at < ENDED_INCARNATION_MEMORY_S
-        ):
-            return False
         report = self._reports.setdefault(gateway.id, _Report())
         previous = report.sync
         if previous is not None:
             if previous.gateway.incarnation != gateway.incarnation:
+                silent_s = now - report.heard_at
+                is_silent = silent_s >= load_expiry_s(previous.interval_s)
+                returned = (gateway.id, gateway.incarnation)
+                if returned in self._ended and not is_silent:
+                    return False
+                self._ended.pop(returned, None)
                 ended = (gateway.id, previous.gateway.incarnation)
                 self._ended[ended] = now
                 self._retain_usage(report.usage)
--- a/tests/core/fleet/test_presence.py
+++ b/tests/core/fleet/test_presence.py
@@ -60,6 +60,20 @@
     assert presence.usage(7) == {"acme": 7}
 
 
+def test_report_of_an_ended_incarnation_that_is_seconds_late_is_refused():
+    """It was taken for the present one, and that refused for 2 s."""
+    presence = Presence()
+    presence.observe(sync("g1", seq=50), 0.0)
+    restarted = {"incarnation": "2"}
+    for step in range(80):
+        now = 1.0 + 0.25 * step
+        presence.sweep(now)
+        report = sync("g1", gateway_changes=restarted, seq=step + 1)
+        assert presence.observe(report, now)
+        assert not presence.observe(sync("g1", seq=51 + step), now + 0.1)
+    assert presence.report("g1").gateway.incarnation == "2"
+
+
 def test_recorded_gateways_that_were_not_heard_count_as_silent():
     presence = Presence()
     assert presence.silent_share((), 0.0) == 1.0
