Gateways: an endpoint that may answer later does not get a request again

Callers: beside a single endpoint whose late answers come on any connection, a safe request that had met another's late answer got its own late 200, where the endpoint had answered it with 500 on a connection closed by then.

Cause: an endpoint counted as having answered a request only if it had sent that request's own answer. One that sent another's answer, or bytes that are none, may have run the request and answer it later.

The new test fails without the change for a reply with another id.

Change: an endpoint that has sent anything but a success does not get the request again.

--- a/chervilshift/gateway/chooser.py
+++ b/chervilshift/gateway/chooser.py
@@ -89,8 +89,8 @@
         choice = choose(spec, exchange.work, now, failed_ids | barred_ids)
         if choice is None and exchange.route.repeatable:
             # Only endpoints that failed are left; the failure may have passed.
-            # One that answered may answer once more, late: the same id can't
-            # tell this from the answer to another attempt.
+            # One that answered, even another request, may answer this one
+            # later: its id can't tell from which attempt.
             answered_ids = frozenset(exchange.answered_ids)
             choice = choose(
                 spec, exchange.work, now, barred_ids | answered_ids
--- a/chervilshift/gateway/dispatch.py
+++ b/chervilshift/gateway/dispatch.py
@@ -366,8 +366,8 @@
             finally:
                 if upstream.head is not None:
                     self._state.record_statements(record, upstream.head)
-                    if not upstream.ok:
-                        exchange.answered_ids.add(record.id)
+                if upstream.bytes_came and not upstream.ok:
+                    exchange.answered_ids.add(record.id)
                 if not refused and self._has_begun(exchange, upstream):
                     self._count_usage(exchange)
             if exchange.route.kind == STREAM and reply.ok:
--- a/chervilshift/gateway/exchange.py
+++ b/chervilshift/gateway/exchange.py
@@ -69,7 +69,7 @@
     `retry_paid` tells whether the budget was charged for the next one, and
     `failed_connects` the connections that could not be opened. `failed_ids`
     are the endpoints at which an attempt failed, and `answered_ids` those
-    that answered it with a failure or a refusal; `attempts` and `failures`
+    that sent something else than a success; `attempts` and `failures`
     describe the sent and the failed attempts for logs. `longest_gap_s` is the
     longest pause between the events of a stream. `suspect_parts` are the ids
     and positions of what a crash may be blamed on, and `answer_recorded` tells
--- a/chervilshift/gateway/upstream.py
+++ b/chervilshift/gateway/upstream.py
@@ -219,13 +219,18 @@
         """Whether the reply's head reports success."""
         return self._reply is not None and self._reply.ok
 
+    @property
+    def bytes_came(self) -> bool:
+        """Whether the endpoint sent any bytes after the request was sent."""
+        return self._conn.head_bytes > 0
+
     @property
     def reply_begun(self) -> bool:
         """Whether bytes have come that are not of a reply to another request.
 
         They need not be those of a reply, or of a whole one.
         """
-        return self._has_own_reply and self._conn.head_bytes > 0
+        return self._has_own_reply and self.bytes_came
 
     @property
     def connection(self) -> str:
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -151,6 +151,20 @@
     run_scenario(tmp_path, scenario, *endpoints)
 
 
+@pytest.mark.parametrize("behaviour", ["error", "other", "unsigned"])
+def test_request_is_not_sent_again_to_an_endpoint_that_may_answer_it_late(
+    tmp_path, behaviour
+):
+    endpoint = worker("w1", "app", behaviour)
+
+    async def scenario(platform: Platform) -> None:
+        reply = await platform.send_request("/read/a", method="GET", body=b"")
+        assert reply.status >= 500
+        assert endpoint.arrivals == 1
+
+    run_scenario(tmp_path, scenario, endpoint)
+
+
 def test_stream_that_may_not_be_resumed_ends_broken(tmp_path):
     workers = [worker("w1", "llm", "cut"), worker("w2", "llm", "cut")]
 
