Gateways: a whole request goes to each endpoint once

Cause: what the endpoint had sent said only which requests it had answered, not which it may still answer.

Change: a request of a plain service is not sent again to an endpoint to which it was sent, whatever came of it. An endpoint that hangs is left only if another one has not got the request yet; its late answer would be lost for nothing. Streams still go on at an endpoint that broke off.

--- a/chervilshift/gateway/chooser.py
+++ b/chervilshift/gateway/chooser.py
@@ -58,6 +58,17 @@
             exchange.service, self._clock.monotonic(), barred_ids
         )
 
+    def has_other(self, exchange: Exchange, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint is left that has not got the request."""
+        now = self._clock.monotonic()
+        barred_ids = self._held_ids(exchange) | exchange.barred_ids
+        barred_ids |= {endpoint.id}
+        endpoints = self._state.placement.endpoints_of(exchange.service)
+        return any(
+            other.usable(now) and other.id not in barred_ids
+            for other in endpoints
+        )
+
     def explain(self, exchange: Exchange) -> tuple[str, float]:
         """Return why there is no endpoint, and for how many seconds.
 
@@ -89,12 +100,10 @@
         choice = choose(spec, exchange.work, now, failed_ids | barred_ids)
         if choice is None and exchange.route.repeatable:
             # Only endpoints that failed are left; the failure may have passed.
-            # One that answered, even another request, may answer this one
-            # later: its id can't tell from which attempt.
-            answered_ids = frozenset(exchange.answered_ids)
-            choice = choose(
-                spec, exchange.work, now, barred_ids | answered_ids
-            )
+            # One that got the request may still answer it: the id can't tell
+            # this from the answer to another attempt.
+            barred_ids |= frozenset(exchange.barred_ids)
+            choice = choose(spec, exchange.work, now, barred_ids)
         preferred = choice
         if exhausted_ids:
             willing = choose(spec, exchange.work, now, failed_ids | held_ids)
--- a/chervilshift/gateway/dispatch.py
+++ b/chervilshift/gateway/dispatch.py
@@ -366,8 +366,10 @@
             finally:
                 if upstream.head is not None:
                     self._state.record_statements(record, upstream.head)
-                if upstream.bytes_came and not upstream.ok:
-                    exchange.answered_ids.add(record.id)
+                if exchange.route.kind != STREAM or (
+                    upstream.bytes_came and not upstream.ok
+                ):
+                    exchange.barred_ids.add(record.id)
                 if not refused and self._has_begun(exchange, upstream):
                     self._count_usage(exchange)
             if exchange.route.kind == STREAM and reply.ok:
@@ -470,6 +472,10 @@
         hangs = silence_s >= MAX_SOUND_SILENCE_S
         if not hangs and not self._chooser.has_alternative(exchange, endpoint):
             return False
+        if exchange.route.kind != STREAM and not self._chooser.has_other(
+            exchange, endpoint
+        ):
+            return False
         exchange.retry_paid = budget.withdraw(self._state.gateway_count, now)
         return exchange.retry_paid
 
--- a/chervilshift/gateway/exchange.py
+++ b/chervilshift/gateway/exchange.py
@@ -68,8 +68,8 @@
     begun. `attempts_sent` counts the attempts whose request was sent,
     `retry_paid` tells whether the budget was charged for the next one, and
     `failed_connects` the connections that could not be opened. `failed_ids`
-    are the endpoints at which an attempt failed, and `answered_ids` those
-    that sent something else than a success; `attempts` and `failures`
+    are the endpoints at which an attempt failed, and `barred_ids` those
+    that do not get it again; `attempts` and `failures`
     describe the sent and the failed attempts for logs. `longest_gap_s` is the
     longest pause between the events of a stream. `suspect_parts` are the ids
     and positions of what a crash may be blamed on, and `answer_recorded` tells
@@ -82,7 +82,7 @@
 
     __slots__ = (
         "answer_recorded",
-        "answered_ids",
+        "barred_ids",
         "arrived_at",
         "attempts",
         "attempts_sent",
@@ -162,7 +162,7 @@
         self.retry_paid = False
         self.failed_connects = 0
         self.failed_ids: set[str] = set()
-        self.answered_ids: set[str] = set()
+        self.barred_ids: set[str] = set()
         self.failures: list[str] = []
         self.attempts: list[str] = []
         self.first_event_at: float | None = None
