Slow clients' test: scopes end a moment after the memory is given back

Seen: once in a run of all tests two cancel scopes were left when the memory for replies was empty.

Cause: a reply that is cancelled while it is read gives its memory back at once, and its scope ends when its connection has been closed; before, the memory was given back last. The test looked at the scopes in that moment.

Change: it waits for their end. A scope that a request leaves behind, the fault that the check is for, never ends and still fails it.

--- a/tests/platform/test_slow_clients.py
+++ b/tests/platform/test_slow_clients.py
@@ -54,7 +54,7 @@
                 client.close()
             memory = gateway._pool.reply_memory
             await eventually(lambda: not memory.held_bytes)
-            assert not gateway._dispatcher._scopes
+            await eventually(lambda: not gateway._dispatcher._scopes)
             tg.cancel_scope.cancel()
 
     run_scenario(tmp_path, scenario)
