Gateways: an endpoint's origin is made in one place

The pool split an address once for the idle connections and once more for a new one. The docstrings of a request's state and of what has begun are put in order. Behaviour is the same; tests/gateway and four files of tests/platform pass.

--- a/chervilshift/gateway/connections.py
+++ b/chervilshift/gateway/connections.py
@@ -241,6 +241,11 @@
     pass
 
 
+def _origin_of(address: str) -> httpcore.Origin:
+    host, port = split_address(address)
+    return httpcore.Origin(b"http", host.encode(), port)
+
+
 class ConnectionPool:
     """Opens connections and keeps idle ones; the newest is reused first.
 
@@ -287,8 +292,7 @@
 
         Raises httpcore's connect errors; in that case nothing was sent.
         """
-        host, port = split_address(address)
-        origin = httpcore.Origin(b"http", host.encode(), port)
+        origin = _origin_of(address)
         while conn := self._take_idle(endpoint_id, request_id):
             # An endpoint may start again under its id at another address.
             if conn.origin == origin and self._is_reusable(conn):
@@ -296,7 +300,7 @@
                 break
             await self.discard(conn)
         else:
-            conn = await self._connect(endpoint_id, address, CONNECT_TIMEOUT_S)
+            conn = await self._connect(endpoint_id, origin, CONNECT_TIMEOUT_S)
         conn.statuses[request_id] = None
         return conn
 
@@ -338,7 +342,9 @@
     async def is_refused(self, endpoint_id: str, address: str) -> bool:
         """Return whether nothing listens at an endpoint's address."""
         try:
-            conn = await self._connect(endpoint_id, address, REFUSAL_TIMEOUT_S)
+            conn = await self._connect(
+                endpoint_id, _origin_of(address), REFUSAL_TIMEOUT_S
+            )
         except httpcore.ConnectTimeout:
             return False
         except (httpcore.ConnectError, OSError):
@@ -347,21 +353,19 @@
         return False
 
     async def _connect(
-        self, endpoint_id: str, address: str, timeout_s: float
+        self, endpoint_id: str, origin: httpcore.Origin, timeout_s: float
     ) -> Connection:
-        host, port = split_address(address)
         self._open_counts[endpoint_id] += 1
         try:
             stream = await self._backend.connect_tcp(
-                host,
-                port,
+                origin.host.decode(),
+                origin.port,
                 timeout=timeout_s,
                 socket_options=SOCKET_OPTIONS,
             )
         except BaseException:
             self._open_counts[endpoint_id] -= 1
             raise
-        origin = httpcore.Origin(b"http", host.encode(), port)
         return Connection(
             endpoint_id=endpoint_id,
             number=next(self._numbers),
--- a/chervilshift/gateway/dispatch.py
+++ b/chervilshift/gateway/dispatch.py
@@ -635,9 +635,9 @@
         self._outcomes.record(exchange, "whole")
 
     def _has_begun(self, exchange: Exchange, upstream: Upstream) -> bool:
-        """Whether an endpoint is likely to have begun to run a request.
+        """Whether an endpoint that did not refuse a request has begun it.
 
-        It did not refuse it. Plain services begin at once, engines with their
+        That is likely for plain services at once, for engines with their
         reply, or with what follows the head of a stream.
         """
         if exchange.route.kind == STREAM and upstream.ok:
--- a/chervilshift/gateway/exchange.py
+++ b/chervilshift/gateway/exchange.py
@@ -68,12 +68,12 @@
     begun. `attempts_sent` counts the attempts whose request was sent,
     `retry_paid` tells whether the budget was charged for the next one, and
     `failed_connects` the connections that could not be opened. `failed_ids`
-    are the endpoints at which an attempt failed, and `barred_ids` those
-    that do not get it again; `attempts` and `failures`
-    describe the sent and the failed attempts for logs. `longest_gap_s` is the
-    longest pause between the events of a stream. `suspect_parts` are the ids
-    and positions of what a crash may be blamed on, and `answer_recorded` tells
-    whether they are recorded as answered. `version` is the software version
+    are the endpoints at which an attempt failed, and `barred_ids` those that
+    do not get the request again; `attempts` and `failures` describe the sent
+    and the failed attempts for logs. `longest_gap_s` is the longest pause
+    between the events of a stream. `suspect_parts` are the ids and positions
+    of what a crash may be blamed on, and `answer_recorded` tells whether they
+    are recorded as answered. `version` is the software version
     of the service at which a stream has to go on, None while that is open;
     `stream_key` is the stream's, whichever request began it. `whole_reply` is
     a reply that is ready, and `failed_reply` the failure that an earlier run
@@ -82,10 +82,10 @@
 
     __slots__ = (
         "answer_recorded",
-        "barred_ids",
         "arrived_at",
         "attempts",
         "attempts_sent",
+        "barred_ids",
         "body",
         "charged",
         "customer",
