Control: decisions for all gateways travel with the replies to reports

Overload control, measured speeds, rollouts and the use of other failure domains each need a decision of the leader that all gateways follow, made from what they observe. Reports carry the observations; replies carry the decisions once per change, with their age, so that a gateway can tell when it is no longer led.

--- a/chervilshift/control/fleet.py
+++ b/chervilshift/control/fleet.py
@@ -37,6 +37,7 @@
     ServingConfig,
     with_state,
 )
+from chervilshift.core.fleet.planner import FleetPlanner, PlanInput
 from chervilshift.core.fleet.presence import GATEWAY_EXPIRY_S
 from chervilshift.core.fleet.state import MAX_ENDPOINTS
 from chervilshift.core.fleet.sync import (
@@ -155,6 +156,7 @@
         self._unforwarded_heartbeats: dict[str, Heartbeat] = {}
         self._last_heartbeats: dict[str, tuple[int, float]] = {}
         self._leading_since: float | None = None
+        self._planner = FleetPlanner()
         self._cfg: ServingConfig | None = None
 
     # Used by the HTTP interfaces for operators, endpoints and clients
@@ -363,6 +365,8 @@
             limits=limits,
             limits_revision=fleet.limits_revision,
             mixed=self.origins.mixed_services(),
+            news=news.news,
+            news_age_s=news.news_age_s,
         )
 
     async def receive_relay(self, message: Relay) -> RelayReply:
@@ -451,8 +455,26 @@
                     await self._quarantine.step()
                     await self._expire_endpoints()
                     await self._update_gateways()
+                    self._plan()
                 elif not self._node.raft.is_leader:
                     self._leading_since = None
+                    self._planner = FleetPlanner()
+
+    def _plan(self) -> None:
+        """Decide for all gateways; called as leader."""
+        cfg = self.serving_config()
+        if cfg is None:
+            return
+        now = self._clock.monotonic()
+        news = self._planner.plan(
+            PlanInput(
+                reports=self.presence.live_reports(now),
+                endpoints=self._node.machine.fleet.endpoints(),
+                cfg=cfg,
+                now=now,
+            )
+        )
+        self._distributor.set_news(news, now)
 
     def _leader_to_relay_to(self) -> str:
         """Return the leader's address, empty if this process leads."""
--- a/chervilshift/core/fleet/distribution.py
+++ b/chervilshift/core/fleet/distribution.py
@@ -25,6 +25,7 @@
     LimitPolicy,
 )
 from chervilshift.core.fleet.model import Customer
+from chervilshift.core.fleet.news import FleetNews, NewsCopy
 from chervilshift.core.fleet.pool import LimitPool
 from chervilshift.core.fleet.presence import Presence
 from chervilshift.core.fleet.sync import (
@@ -52,6 +53,8 @@
 # A control process that did not relay for this long is no longer told to
 # gateways with its place.
 CONTROL_EXPIRY_S = 20.0
+# Ages in messages are finite.
+MAX_NEWS_AGE_S = 1e9
 
 
 class GatewayNews:
@@ -65,6 +68,8 @@
         "interval_s",
         "leader_age_s",
         "loads",
+        "news",
+        "news_age_s",
         "waits",
     )
 
@@ -79,6 +84,8 @@
         waits: dict[str, float],
         gateways: int,
         interval_s: float,
+        news: FleetNews | None = None,
+        news_age_s: float = 0.0,
     ):
         self.loads = loads
         self.included_seq = included_seq
@@ -88,6 +95,8 @@
         self.waits = waits
         self.gateways = gateways
         self.interval_s = interval_s
+        self.news = news
+        self.news_age_s = news_age_s
 
 
 class _LeaderState:
@@ -128,6 +137,7 @@
         self.presence = Presence()
         self._allocator = LimitAllocator(policy=limit_policy)
         self._pool = LimitPool(policy=limit_policy)
+        self._news = NewsCopy(source=source)
         self._leader = _LeaderState()
         # A follower's copies of the leader's tables.
         self._loads: ChangeTable[str, EndpointLoad] = ChangeTable()
@@ -224,8 +234,18 @@
             },
             gateways=self._gateway_count,
             interval_s=report_interval_s(len(self._served)),
+            news=self._news.newer_than(sync.news_id),
+            news_age_s=self.news_age_s(now),
         )
 
+    def set_news(self, news: FleetNews, now: float) -> None:
+        """Set what this process decided as leader."""
+        self._news.set(news, now)
+
+    def news_age_s(self, now: float) -> float:
+        """Return the age of the leader's decisions, finite."""
+        return min(MAX_NEWS_AGE_S, self._news.age_s(now))
+
     def needs_leader(self, sync: GatewaySync) -> bool:
         """Whether only the leader can grant what a gateway waits for."""
         return not self._leads and self._pool.request(
@@ -321,6 +341,7 @@
             gateways_cursor=self._leader.gateways_cursor,
             beats=tuple(beats),
             wall_s=wall_s,
+            news_id=self._news.news.id,
         )
 
     def apply_relay_reply(
@@ -372,6 +393,7 @@
         leader.heard_at = sent_at
         leader.granting = reply.granting
         leader.controls = reply.controls
+        self._news.receive(reply.news, reply.news_age_s, now)
 
     def _relayed_report(self, gateway: GatewayInfo) -> GatewaySync | None:
         """Return the last relayed report of this incarnation, or None."""
@@ -420,6 +442,8 @@
             granting=self._allocator.is_granting(now),
             grants=grants,
             waits=waits,
+            news=self._news.newer_than(relay.news_id),
+            news_age_s=self.news_age_s(now),
         )
 
     def _leader_news(self, sync: GatewaySync, now: float) -> GatewayNews:
@@ -437,6 +461,8 @@
             interval_s=report_interval_s(
                 len(self._served) if is_relayed(self._gateway_count) else 0
             ),
+            news=self._news.newer_than(sync.news_id),
+            news_age_s=self.news_age_s(now),
         )
 
     def _grant(
@@ -499,5 +525,6 @@
         and old.refused == new.refused
         and old.stated_limits == new.stated_limits
         and old.leaving == new.leaving
+        and old.observed == new.observed
         and not new.usage
     )
--- a/chervilshift/core/fleet/presence.py
+++ b/chervilshift/core/fleet/presence.py
@@ -159,6 +159,14 @@
         """Return the newest report of each gateway."""
         return (report.sync for report in self._reports.values())
 
+    def live_reports(self, now: float) -> tuple[GatewaySync, ...]:
+        """Return the newest reports of gateways that are not silent."""
+        return tuple(
+            report.sync
+            for report in self._reports.values()
+            if now - report.heard_at <= load_expiry_s(report.sync.interval_s)
+        )
+
     def heard_at(self, gateway_id: str) -> float:
         """Return when a gateway last reported, minus infinity if never."""
         report = self._reports.get(gateway_id)
--- a/chervilshift/core/fleet/sync.py
+++ b/chervilshift/core/fleet/sync.py
@@ -3,6 +3,7 @@
 from chervilshift.core.fleet.crashes import Crash, Suspicion
 from chervilshift.core.fleet.endpointlimits import StatedLimit
 from chervilshift.core.fleet.model import EndpointRecord
+from chervilshift.core.fleet.news import FleetNews, Observed
 from chervilshift.core.fleet.origins import Origin, OriginBatch
 from chervilshift.core.message import Message
 
@@ -103,6 +104,8 @@
     last `Suspicion`; `crashes` are crashes of endpoints that the gateway saw,
     `answers` the Unix times of the last answers to requests with suspected
     prompt parts, and `refused` the quarantined parts that are still asked for.
+    `observed` is what the leader's decisions are made from, and `news_id`
+    names those that the gateway has.
     """
 
     gateway: GatewayInfo
@@ -126,6 +129,8 @@
     limits_revision: int = 0
     stated_limits: dict[str, StatedLimit] = {}
     leaving: dict[str, int] = {}
+    observed: Observed = Observed()
+    news_id: str = ""
 
 
 class SyncReply(Message):
@@ -145,6 +150,8 @@
     `wall_s` the Unix time that the sender's peers agree on, `gateways` the
     number of known gateways and `interval_s` the time until the next report.
     `mixed` are the services that had several versions a short time ago.
+    `news` are the leader's decisions, made `news_age_s` ago, None if the
+    gateway has them.
     """
 
     leader: str
@@ -168,6 +175,8 @@
     limits: dict[str, StatedLimit] | None = None
     limits_revision: int = 0
     mixed: tuple[str, ...] = ()
+    news: FleetNews | None = None
+    news_age_s: float = 0.0
 
 
 class Heartbeat(Message):
@@ -210,6 +219,7 @@
     gateways_cursor: int = 0
     beats: tuple[Heartbeat, ...] = ()
     wall_s: float = 0.0
+    news_id: str = ""
 
 
 class RelayReply(Message):
@@ -226,6 +236,8 @@
     grants: dict[str, float] = {}
     waits: dict[str, float] = {}
     wall_s: float = 0.0
+    news: FleetNews | None = None
+    news_age_s: float = 0.0
 
 
 class ReadServing(Message):
--- a/chervilshift/gateway/state.py
+++ b/chervilshift/gateway/state.py
@@ -21,15 +21,20 @@
 from chervilshift.core.fleet.intervals import DIRECT_INTERVAL_S
 from chervilshift.core.fleet.limits import LimitAccount, LimitPolicy
 from chervilshift.core.fleet.model import EndpointRecord, ServingConfig
+from chervilshift.core.fleet.news import NEWS_EXPIRY_S, NewsCopy, Observed
 from chervilshift.core.fleet.origins import OpenStreams, Origin
 from chervilshift.core.fleet.otherload import OtherLoads
 from chervilshift.core.fleet.placement import Placement
 from chervilshift.core.fleet.retries import RetryBudget, RetryPolicy
+from chervilshift.core.fleet.rollouts import VersionGate
+from chervilshift.core.fleet.room import RoomGate
 from chervilshift.core.fleet.routes import RouteTable
+from chervilshift.core.fleet.speeds import SpeedBook
 from chervilshift.core.fleet.sync import GatewayInfo, GatewaySync, SyncReply
 from chervilshift.core.fleet.tables import forget_unnamed
 from chervilshift.core.fleet.usage import UsageCounter
 from chervilshift.core.fleet.walltime import WallTime
+from chervilshift.core.fleet.zones import SpillGate
 from chervilshift.core.rates import DecayingRate
 from chervilshift.errors import Failure
 from chervilshift.events import EventLog
@@ -61,6 +66,8 @@
     parts in quarantine, `endpoint_limits` the rate limits that endpoints
     state, and `holds` the endpoints that take no requests for now.
     `open_streams` are the streams that may have to go on at their version.
+    `room`, `speeds`, `versions` and `spill` follow the leader's decisions for
+    all gateways.
     """
 
     def __init__(
@@ -99,6 +106,11 @@
         self.endpoint_limits = EndpointLimits(rng=rng)
         self.holds = EndpointHolds(rng=rng)
         self.open_streams = OpenStreams()
+        self._news = NewsCopy(source="")
+        self.room = RoomGate()
+        self.speeds = SpeedBook()
+        self.versions = VersionGate()
+        self.spill = SpillGate()
         self._mixed_now: frozenset[str] = frozenset()
         self._lately_mixed: tuple[str, ...] = ()
         self.report_interval_s = DIRECT_INTERVAL_S
@@ -194,6 +206,13 @@
             limits_revision=self.endpoint_limits.revision,
             stated_limits=self.endpoint_limits.news(),
             leaving=self.holds.leaving(),
+            observed=Observed(
+                room=self.room.report(now),
+                speeds=self.speeds.report(now),
+                outcomes=self.versions.report(now),
+                flows=self.spill.report(now),
+            ),
+            news_id=self._news.news.id,
         )
 
     def record_statements(
@@ -297,6 +316,7 @@
             self.endpoint_limits.apply(reply.limits, reply.limits_revision)
         self._other_loads.apply(reply.loads, reply.included_seq)
         self.placement.set_other_loads(self._other_loads.loads())
+        self._apply_news(reply, now)
         if reply.granting:
             self.limits.apply_grants(
                 without_endpoints(reply.grants),
@@ -306,6 +326,19 @@
             )
             self.endpoint_limits.apply_grants(reply.grants, reply.waits, now)
 
+    def follows_leader(self, now: float) -> bool:
+        """Whether the leader's decisions are recent enough to be followed."""
+        return self._news.age_s(now) <= NEWS_EXPIRY_S
+
+    def _apply_news(self, reply: SyncReply, now: float) -> None:
+        if not self._news.receive(reply.news, reply.news_age_s, now):
+            return
+        news = self._news.news
+        self.room.apply(news.levels, now)
+        self.speeds.apply(news.speeds, now)
+        self.versions.apply(news.versions, now)
+        self.spill.apply(news.spill, now)
+
     def _find_mixed(self) -> frozenset[str]:
         versions: defaultdict[str, set[str]] = defaultdict(set)
         for endpoint in self.placement.endpoints():
