Gateways: prefill speeds of engines are measured and pooled

Placement and orders took 80,000 prompt tokens/s for every engine, while the engines in use read 39,300 to 112,000. Placement now divides by the measured speed of the service, orders are sized by it, and operators see it as the gauges prefill_tokens_per_second and latency_ratio and the event prefill_speed.

Gateways keep samples of the time to the first event at engines with little to do and send their moments; the leader pools them with one base time per gateway and publishes an estimate when it changes by 3%. Each gateway fits a line to a low quantile first, since queues, pauses, slow engines and evicted parts make samples slower. The latency ratio is rescaled when a speed changes, so that it does not correct the same error twice.

--- a/chervilshift/control/duties.py
+++ b/chervilshift/control/duties.py
@@ -18,6 +18,7 @@
 from chervilshift.control.node import Node
 from chervilshift.core.commands import CommitUsage
 from chervilshift.core.fleet.model import ServingConfig
+from chervilshift.core.fleet.placement import PREFILL_TOKENS_PER_S
 from chervilshift.core.fleet.presence import Presence
 from chervilshift.core.fleet.scaling import (
     Fleet,
@@ -26,6 +27,7 @@
     needed_size,
     plan_orders,
 )
+from chervilshift.core.fleet.speeds import ServiceSpeed
 from chervilshift.core.fleet.tables import forget_unnamed
 from chervilshift.core.fleet.usage import window_of
 from chervilshift.errors import Failure
@@ -132,7 +134,8 @@
 class DutyTask:
     """Reports usage and orders endpoints while this replica is leader.
 
-    `wall_s` returns the Unix time in seconds. `lease_s` is the duration of a
+    `wall_s` returns the Unix time in seconds, and `speeds` the measured
+    speeds of services' engines. `lease_s` is the duration of a
     predecessor's lease.
     """
 
@@ -143,6 +146,7 @@
         presence: Presence,
         cloud: Cloud,
         serving_config: Callable[[], ServingConfig | None],
+        speeds: Callable[[], dict[str, ServiceSpeed]],
         wall_s: Callable[[], float],
         usage_window_s: float,
         lease_s: float,
@@ -153,6 +157,7 @@
         self._presence = presence
         self._cloud = cloud
         self._serving_config = serving_config
+        self._speeds = speeds
         self._wall_s = wall_s
         self._window_s = usage_window_s
         self._lease_s = lease_s
@@ -269,9 +274,11 @@
         forget_unnamed(self._sizes, cfg.services)
         # The loads from all gateways: "" excludes none.
         loads = self._presence.loads("", now)
+        speeds = self._speeds()
         for spec in cfg.services.values():
             if spec.scaling is None:
                 continue
+            speed = speeds.get(spec.name)
             endpoints = [
                 e for e in fleet_state.endpoints() if e.service == spec.name
             ]
@@ -284,6 +291,9 @@
                 prefill_tokens_per_s=self._presence.prefill_tokens_per_s(
                     spec.name, now
                 ),
+                prefill_speed=(
+                    speed.tokens_per_s if speed else PREFILL_TOKENS_PER_S
+                ),
                 spot_unavailable=frozenset(self._spot_refused_at),
             )
             needed = needed_size(spec, fleet)
--- a/chervilshift/control/fleet.py
+++ b/chervilshift/control/fleet.py
@@ -39,6 +39,7 @@
 )
 from chervilshift.core.fleet.planner import FleetPlanner, PlanInput
 from chervilshift.core.fleet.presence import GATEWAY_EXPIRY_S
+from chervilshift.core.fleet.speeds import ServiceSpeed
 from chervilshift.core.fleet.state import MAX_ENDPOINTS
 from chervilshift.core.fleet.sync import (
     ControlInfo,
@@ -266,6 +267,10 @@
             self._lookups[place] = (now, addresses)
         return addresses
 
+    def prefill_speeds(self) -> dict[str, ServiceSpeed]:
+        """Return the speeds of services' engines, empty unless leader."""
+        return self._planner.speeds.speeds
+
     def listed_gateways(self) -> tuple[GatewayInfo, ...]:
         """Return the gateways that clients may connect to."""
         return self._distributor.listed_gateways(self._clock.monotonic())
@@ -476,6 +481,16 @@
         )
         self._distributor.set_news(news, now)
 
+        for service, former, speed in self._planner.speeds.take_changes():
+            self._events.emit(
+                "prefill_speed",
+                service=service,
+                tokens_per_s=speed.tokens_per_s,
+                former_tokens_per_s=former,
+                base_s=speed.base_s,
+                samples=speed.samples,
+            )
+
     def _leader_to_relay_to(self) -> str:
         """Return the leader's address, empty if this process leads."""
         return "" if self._node.raft.is_leader else self._node.leader_address()
--- a/chervilshift/control/routed.py
+++ b/chervilshift/control/routed.py
@@ -88,6 +88,7 @@
             presence=self.fleet.presence,
             cloud=self._adapter.cloud,
             serving_config=self.fleet.serving_config,
+            speeds=self.fleet.prefill_speeds,
             wall_s=self.fleet.wall_s,
             usage_window_s=self._settings.usage_window_s,
             lease_s=self._settings.duty_lease_ms / 1000,
@@ -140,6 +141,14 @@
         metrics.gauge(
             "reports_refused", lambda: self.fleet.presence.refused_reports
         )
+        metrics.gauge_by(
+            "prefill_tokens_per_second",
+            "service",
+            lambda: {
+                service: speed.tokens_per_s
+                for service, speed in self.fleet.prefill_speeds().items()
+            },
+        )
         return metrics
 
     def _identity(self) -> Identity:
--- a/chervilshift/core/fleet/placement.py
+++ b/chervilshift/core/fleet/placement.py
@@ -36,8 +36,8 @@
 
 __all__ = ["Choice", "Endpoint", "Placed", "Placement", "Work"]
 
-# Prefill rate of a current engine; the slowness learned per endpoint corrects
-# it.
+# Prefill rate of an engine whose service has no measured one yet; the latency
+# ratio of the service corrects it.
 PREFILL_TOKENS_PER_S = 80_000.0
 # Time that each running request adds to another's time to first token.
 CROWDING_PER_REQUEST_S = 0.0005
@@ -152,12 +152,14 @@
         """Return the number of requests from all gateways, as last known."""
         return self.active + self.other_load.active
 
-    def set_other_load(self, load: EndpointLoad) -> None:
+    def set_other_load(
+        self, load: EndpointLoad, prefill_speed: float = PREFILL_TOKENS_PER_S
+    ) -> None:
         """Set the load from other gateways, and sample the prefill share."""
         self.other_load = load
         queued_tokens = self.prefill_tokens + load.prefill_tokens
         utilization = min(
-            1.0, queued_tokens / PREFILL_TOKENS_PER_S / FULL_PREFILL_BACKLOG_S
+            1.0, queued_tokens / prefill_speed / FULL_PREFILL_BACKLOG_S
         )
         self.prefill_fraction += PREFILL_SAMPLE_WEIGHT * (
             utilization - self.prefill_fraction
@@ -298,6 +300,7 @@
     __slots__ = (
         "_endpoints",
         "_latency_ratios",
+        "_prefill_speeds",
         "_region",
         "_regions",
         "_rng",
@@ -315,6 +318,7 @@
         self._trial_budgets: defaultdict[str, TrialBudget] = defaultdict(
             TrialBudget
         )
+        self._prefill_speeds: dict[str, float] = {}
 
     def update_endpoints(self, records: Iterable[EndpointRecord]) -> None:
         """Replace the endpoints by those that control reports.
@@ -348,11 +352,36 @@
         forget_unnamed(self._latency_ratios, names)
         forget_unnamed(self._trial_budgets, names)
 
+    def set_prefill_speeds(self, speeds: dict[str, float]) -> None:
+        """Set the prefill tokens per second of engines, by service.
+
+        The latency ratio had corrected the former speed, so it is divided by
+        what the speed now corrects.
+        """
+        for service, speed in speeds.items():
+            former = self.prefill_speed(service)
+            if service in self._latency_ratios and speed != former:
+                self._set_latency_ratio(
+                    service, self._latency_ratios[service] * speed / former
+                )
+        self._prefill_speeds = dict(speeds)
+
+    def prefill_speed(self, service: str) -> float:
+        """Return the prefill tokens per second of a service's engines."""
+        return self._prefill_speeds.get(service, PREFILL_TOKENS_PER_S)
+
+    def latency_ratio(self, service: str) -> float:
+        """Return the mean ratio of actual to baseline time of a service."""
+        return self._latency_ratios.get(service, 1.0)
+
     def set_other_loads(self, loads: dict[str, EndpointLoad]) -> None:
         """Set the load from other gateways, by endpoint id."""
         idle = EndpointLoad()
         for endpoint in self._endpoints.values():
-            endpoint.set_other_load(loads.get(endpoint.id, idle))
+            endpoint.set_other_load(
+                loads.get(endpoint.id, idle),
+                self.prefill_speed(endpoint.record.service),
+            )
 
     def loads(self) -> dict[str, EndpointLoad]:
         """Return this gateway's own load by endpoint id."""
@@ -406,11 +435,13 @@
         else:
             home = self._home(candidates, work)
             slots = spec.engine.slots
+            prefill_speed = self.prefill_speed(spec.name)
             choices = [
                 _engine_choice(
                     e,
                     slots,
                     work,
+                    prefill_speed,
                     latency_ratio,
                     failure_rate,
                     now,
@@ -454,8 +485,11 @@
             return
         ratio = actual_s / max(choice.baseline_s, 0.01)
         latency_ratio += LATENCY_RATIO_WEIGHT * (ratio - latency_ratio)
-        self._latency_ratios[record.service] = min(
-            LATENCY_RATIO_MAX, max(LATENCY_RATIO_MIN, latency_ratio)
+        self._set_latency_ratio(record.service, latency_ratio)
+
+    def _set_latency_ratio(self, service: str, ratio: float) -> None:
+        self._latency_ratios[service] = min(
+            LATENCY_RATIO_MAX, max(LATENCY_RATIO_MIN, ratio)
         )
 
     def _home(self, candidates: list[Endpoint], work: Work) -> Endpoint:
@@ -480,6 +514,7 @@
     endpoint: Endpoint,
     slots: int,
     work: Work,
+    prefill_speed: float,
     latency_ratio: float,
     usual_failure_rate: float,
     now: float,
@@ -493,7 +528,7 @@
     active = endpoint.total_active()
     baseline_s = (
         uncached_tokens + queued_tokens
-    ) / PREFILL_TOKENS_PER_S + active * CROWDING_PER_REQUEST_S
+    ) / prefill_speed + active * CROWDING_PER_REQUEST_S
     if active >= slots:
         # The wait for a slot, if all slots become free about once a second.
         baseline_s += (active - slots + 1) / slots
@@ -506,7 +541,7 @@
         ),
     )
     stream_delay_cost_s = (
-        STREAM_DELAY_WEIGHT * active * excess_tokens / PREFILL_TOKENS_PER_S
+        STREAM_DELAY_WEIGHT * active * excess_tokens / prefill_speed
     )
     prefill_exposure_s = (
         work.output_tokens * OUTPUT_TOKEN_S * endpoint.prefill_fraction
--- a/chervilshift/core/fleet/planner.py
+++ b/chervilshift/core/fleet/planner.py
@@ -49,7 +49,9 @@
     def plan(self, given: PlanInput) -> FleetNews:
         """Return the decisions in force from now on."""
         observed = [report.observed for report in given.reports]
-        speeds = self.speeds.plan(o.speeds for o in observed)
+        speeds = self.speeds.plan(
+            (o.speeds for o in observed), given.cfg.services
+        )
         return FleetNews(
             speeds=speeds,
             levels=self.room.plan((o.room for o in observed), given.cfg),
--- a/chervilshift/core/fleet/scaling.py
+++ b/chervilshift/core/fleet/scaling.py
@@ -60,13 +60,15 @@
     """Endpoints and load of one service.
 
     `active` is the number of running requests and `prefill_tokens_per_s`
-    the uncached prompt tokens sent per second. `spot_unavailable` names the
+    the uncached prompt tokens sent per second; `prefill_speed` is how many one
+    engine prefills per second. `spot_unavailable` names the
     failure domains where the cloud currently has no spot endpoints.
     """
 
     __slots__ = (
         "active",
         "endpoints",
+        "prefill_speed",
         "prefill_tokens_per_s",
         "spot_unavailable",
     )
@@ -77,11 +79,13 @@
         endpoints: Iterable[EndpointRecord],
         active: int,
         prefill_tokens_per_s: float = 0.0,
+        prefill_speed: float = PREFILL_TOKENS_PER_S,
         spot_unavailable: frozenset[str] = frozenset(),
     ):
         self.endpoints = tuple(endpoints)
         self.active = active
         self.prefill_tokens_per_s = prefill_tokens_per_s
+        self.prefill_speed = prefill_speed
         self.spot_unavailable = spot_unavailable
 
     def ready_count(self, failure_domain: str, *, spot: bool) -> int:
@@ -153,7 +157,7 @@
     slots = spec.engine.slots if spec.engine else 1
     by_slots = fleet.active / (MAX_SLOT_UTILIZATION * slots)
     by_prefill = fleet.prefill_tokens_per_s / (
-        MAX_PREFILL_UTILIZATION * PREFILL_TOKENS_PER_S
+        MAX_PREFILL_UTILIZATION * fleet.prefill_speed
     )
     return ceil(max(by_slots, by_prefill))
 
--- a/chervilshift/gateway/dispatch.py
+++ b/chervilshift/gateway/dispatch.py
@@ -313,6 +313,12 @@
         self, exchange: Exchange, choice: Choice, downstream: Downstream
     ) -> None:
         self._state.record_prefill(exchange.service, choice.uncached_tokens)
+        exchange.measures_speed = (
+            exchange.relay is None
+            and not exchange.attempts_sent
+            and exchange.request.last_event_id is None
+            and self._state.measures_speed(exchange.work, choice)
+        )
         now = self._clock.monotonic()
         with Placed(choice=choice, now=now) as placed:
             await self._send(exchange, placed, downstream)
@@ -620,6 +626,10 @@
                 self._state.placement.observe(
                     placed.choice, now - sent_at, now
                 )
+                if exchange.measures_speed:
+                    self._state.record_first_event(
+                        placed.choice, now - sent_at, now
+                    )
                 self._metrics.observe("first_event", now - exchange.arrived_at)
         if relay.incomplete_bytes:
             raise upstream.failure("stream ended inside an event", broken=True)
--- a/chervilshift/gateway/exchange.py
+++ b/chervilshift/gateway/exchange.py
@@ -73,8 +73,9 @@
     and the failed attempts for logs. `longest_gap_s` is the longest pause
     between the events of a stream. `suspect_parts` are the ids and positions
     of what a crash may be blamed on, and `answer_recorded` tells whether they
-    are recorded as answered. `version` is the software version
-    of the service at which a stream has to go on, None while that is open;
+    are recorded as answered. `measures_speed` tells whether the time to the
+    first event is a sample of the engine's speed. `version` is the software
+    version of the service at which a stream has to go on, None while that is open;
     `stream_key` is the stream's, whichever request began it. `whole_reply` is
     a reply that is ready, and `failed_reply` the failure that an earlier run
     ended with, for the case that no later attempt brings an answer.
@@ -99,6 +100,7 @@
         "limit_cost",
         "longest_gap_s",
         "maybe_ran",
+        "measures_speed",
         "relay",
         "request",
         "retry_paid",
@@ -158,6 +160,7 @@
         self.charged = False
         self.usage_counted = False
         self.maybe_ran = False
+        self.measures_speed = False
         self.attempts_sent = 0
         self.retry_paid = False
         self.failed_connects = 0
--- a/chervilshift/gateway/process.py
+++ b/chervilshift/gateway/process.py
@@ -243,6 +243,17 @@
             "limits_fallen_back",
             lambda: state.limits.uses_fallback(self._clock.monotonic()),
         )
+        metrics.gauge_by(
+            "prefill_tokens_per_second", "service", state.speeds.tokens_per_s
+        )
+        metrics.gauge_by(
+            "latency_ratio",
+            "service",
+            lambda: {
+                service: placement.latency_ratio(service)
+                for service in state.speeds.speeds
+            },
+        )
 
     def _info(self) -> GatewayInfo:
         return GatewayInfo(
--- a/chervilshift/gateway/state.py
+++ b/chervilshift/gateway/state.py
@@ -24,12 +24,12 @@
 from chervilshift.core.fleet.news import NEWS_EXPIRY_S, NewsCopy, Observed
 from chervilshift.core.fleet.origins import OpenStreams, Origin
 from chervilshift.core.fleet.otherload import OtherLoads
-from chervilshift.core.fleet.placement import Placement
+from chervilshift.core.fleet.placement import Choice, Placement, Work
 from chervilshift.core.fleet.retries import RetryBudget, RetryPolicy
 from chervilshift.core.fleet.rollouts import VersionGate
 from chervilshift.core.fleet.room import RoomGate
 from chervilshift.core.fleet.routes import RouteTable
-from chervilshift.core.fleet.speeds import SpeedBook
+from chervilshift.core.fleet.speeds import SpeedBook, measures_speed
 from chervilshift.core.fleet.sync import GatewayInfo, GatewaySync, SyncReply
 from chervilshift.core.fleet.tables import forget_unnamed
 from chervilshift.core.fleet.usage import UsageCounter
@@ -170,6 +170,31 @@
         """Count prompt tokens that an endpoint has to prefill."""
         self._prefill_rates[service].add(self._clock.monotonic(), tokens)
 
+    def measures_speed(self, work: Work, choice: Choice) -> bool:
+        """Whether an attempt that starts now will tell an engine's speed."""
+        endpoint = choice.endpoint
+        return measures_speed(
+            tokens=work.tokens,
+            shared_tokens=sum(tokens for _, tokens in work.parts[:-1]),
+            uncached_tokens=choice.uncached_tokens,
+            queued_tokens=endpoint.prefill_tokens
+            + endpoint.other_load.prefill_tokens,
+            active=endpoint.total_active(),
+            slots=endpoint.record.slots,
+        )
+
+    def record_first_event(
+        self, choice: Choice, time_s: float, now: float
+    ) -> None:
+        """Record the time to the first event of an attempt that measures."""
+        self.speeds.observe(
+            choice.endpoint.record.service,
+            choice.uncached_tokens,
+            time_s,
+            now,
+            remote=choice.endpoint.remote,
+        )
+
     def sync_request(self) -> GatewaySync:
         """Return the message that reports this gateway's state to control."""
         now = self._clock.monotonic()
@@ -336,6 +361,7 @@
         news = self._news.news
         self.room.apply(news.levels, now)
         self.speeds.apply(news.speeds, now)
+        self.placement.set_prefill_speeds(self.speeds.tokens_per_s())
         self.versions.apply(news.versions, now)
         self.spill.apply(news.spill, now)
 
@@ -389,6 +415,7 @@
         self._configured.set()
         self.limits.configure(cfg.customers)
         self.placement.set_services(cfg.services)
+        self.speeds.set_services(cfg.services)
         forget_unnamed(self._retry_budgets, cfg.services)
         forget_unnamed(self._prefill_rates, cfg.services)
         self._events.emit("config", version=cfg.version)
--- a/chervilshift/metrics.py
+++ b/chervilshift/metrics.py
@@ -17,11 +17,14 @@
 class Metrics:
     """Counters, gauges and histograms by name; an ASGI application."""
 
-    __slots__ = ("_counters", "_gauges", "_histograms")
+    __slots__ = ("_counters", "_gauges", "_histograms", "_labelled")
 
     def __init__(self):
         self._counters: Counter[str] = Counter()
         self._gauges: dict[str, Callable[[], float]] = {}
+        self._labelled: dict[
+            tuple[str, str], Callable[[], dict[str, float]]
+        ] = {}
         self._histograms: dict[str, HdrHistogram] = {}
 
     def count(self, name: str, amount: int = 1) -> None:
@@ -36,6 +39,12 @@
         """Register the gauge `name`; `read` returns its current value."""
         self._gauges[name] = read
 
+    def gauge_by(
+        self, name: str, label: str, read: Callable[[], dict[str, float]]
+    ) -> None:
+        """Register a gauge with values by one label, which `read` returns."""
+        self._labelled[name, label] = read
+
     def observe(self, name: str, seconds: float) -> None:
         """Record a duration in seconds in the histogram `name`."""
         histogram = self._histograms.get(name)
@@ -56,6 +65,11 @@
             f"chervilshift_{name} {read():g}"
             for name, read in sorted(self._gauges.items())
         ]
+        lines += [
+            f'chervilshift_{name}{{{label}="{_escaped(key)}"}} {value:g}'
+            for (name, label), read in sorted(self._labelled.items())
+            for key, value in sorted(read().items())
+        ]
         for name, histogram in sorted(self._histograms.items()):
             lines += [
                 f'chervilshift_{name}_seconds{{quantile="{pct / 100:g}"}} '
@@ -79,3 +93,7 @@
             }
         )
         await send({"type": "http.response.body", "body": body})
+
+
+def _escaped(label: str) -> str:
+    return label.replace("\\", r"\\").replace('"', r"\"").replace("\n", r"\n")
--- a/tests/control/test_duties.py
+++ b/tests/control/test_duties.py
@@ -91,6 +91,7 @@
             presence=self.presence,
             cloud=self.cloud,
             serving_config=lambda: cfg,
+            speeds=dict,
             wall_s=lambda: START_UNIX_S + self.clock.monotonic(),
             usage_window_s=WINDOW_S,
             lease_s=LEASE_S,
--- a/tests/core/fleet/test_news.py
+++ b/tests/core/fleet/test_news.py
@@ -21,13 +21,17 @@
     leader = NewsCopy(source="a")
     leader.set(FleetNews(), now=1.0)
     known_id = leader.news.id
-    leader.set(FleetNews(speeds={"llm": ServiceSpeed()}), now=1.25)
+    leader.set(
+        FleetNews(speeds={"llm": ServiceSpeed(tokens_per_s=9e4)}), now=1.25
+    )
     assert leader.newer_than(known_id).speeds
 
 
 def test_decisions_of_a_new_leader_replace_those_of_the_former():
     former, present = NewsCopy(source="a"), NewsCopy(source="b")
-    former.set(FleetNews(speeds={"llm": ServiceSpeed()}), now=1.0)
+    former.set(
+        FleetNews(speeds={"llm": ServiceSpeed(tokens_per_s=9e4)}), now=1.0
+    )
     present.set(FleetNews(), now=2.0)
     assert present.newer_than(former.news.id) == present.news
 
