--- a/chervilshift/gateway/exchange.py
+++ b/chervilshift/gateway/exchange.py
@@ -75,10 +75,11 @@
     of what a crash may be blamed on, and `answer_recorded` tells whether they
     are recorded as answered. `measures_speed` tells whether the time to the
     first event is a sample of the engine's speed. `version` is the software
-    version of the service at which a stream has to go on, None while that is open;
-    `stream_key` is the stream's, whichever request began it. `whole_reply` is
-    a reply that is ready, and `failed_reply` the failure that an earlier run
-    ended with, for the case that no later attempt brings an answer.
+    version of the service at which a stream has to go on, None while that is
+    open; `stream_key` is the stream's, whichever request began it.
+    `whole_reply` is a reply that is ready, and `failed_reply` the failure that
+    an earlier run ended with, for the case that no later attempt brings an
+    answer.
     """
 
     __slots__ = (
