Orders: bursts use the reserve, and domains share the load by price

By the measured prefill speeds A needs 32 endpoints instead of 39 at its usual load, and B 68 instead of 36; its engines had been above their capacity in bursts. Engines of 80,000 tokens/s are ordered as before, but for what rounding ordered too many: the dearest domains get one less as far as the loss of any domain stays covered.

--- a/chervilshift/control/duties.py
+++ b/chervilshift/control/duties.py
@@ -22,8 +22,8 @@
 from chervilshift.core.fleet.presence import Presence
 from chervilshift.core.fleet.scaling import (
     Fleet,
+    FleetSize,
     Order,
-    PeakSize,
     needed_size,
     plan_orders,
 )
@@ -168,7 +168,7 @@
         self._next_window: int | None = None
         self._order_states: dict[tuple[str, str, bool], _OrderState] = {}
         self._spot_refused_at: dict[str, float] = {}
-        self._sizes: defaultdict[str, PeakSize] = defaultdict(PeakSize)
+        self._sizes: defaultdict[str, FleetSize] = defaultdict(FleetSize)
 
     async def run(self) -> None:
         """Perform the duties until cancelled, while this replica is leader."""
@@ -296,8 +296,11 @@
                 ),
                 spot_unavailable=frozenset(self._spot_refused_at),
             )
-            needed = needed_size(spec, fleet)
-            size = self._sizes[spec.name].observe(needed, now)
+            size = self._sizes[spec.name].observe(
+                needed_size(spec, fleet),
+                needed_size(spec, fleet, in_burst=True),
+                now,
+            )
             for order in plan_orders(spec, fleet, size):
                 held = fleet.ready_count(order.failure_domain, spot=order.spot)
                 await self._place_order(order, held, spec.scaling.boot_s)
--- a/chervilshift/core/fleet/scaling.py
+++ b/chervilshift/core/fleet/scaling.py
@@ -5,11 +5,16 @@
 reclaimed. The plan covers the load with enough spot endpoints that the loss
 of any one domain leaves sufficient capacity, and orders on-demand endpoints
 where spot endpoints are unavailable.
+
+Bursts of some seconds end before an endpoint ordered for them has booted. The
+fleet is therefore sized by what the load has needed for 10 of the last 15 s,
+with a utilization that leaves room for a burst, and grows for a burst only
+beyond that room.
 """
 
 from collections import Counter, deque
 from collections.abc import Iterable
-from math import ceil
+from math import ceil, inf
 
 from chervilshift.core.fleet.model import (
     READY,
@@ -19,7 +24,14 @@
 )
 from chervilshift.core.fleet.placement import PREFILL_TOKENS_PER_S
 
-__all__ = ["Fleet", "Order", "PeakSize", "needed_size", "plan_orders"]
+__all__ = [
+    "Fleet",
+    "FleetSize",
+    "Order",
+    "PeakSize",
+    "needed_size",
+    "plan_orders",
+]
 
 # Endpoints per failure domain at light load; the others are the reserve if one
 # crashes or slows down.
@@ -27,14 +39,23 @@
 # Part of what would be missing after the loss of a further domain that is
 # ordered on demand while spot endpoints are not to be had.
 SUBSTITUTE_SHARE = 0.5
+# Fewer domains share the load only if that saves at least this part of the
+# price; smaller differences change with the size and would move endpoints.
+FEWER_DOMAINS_SAVING = 0.15
 # Share of time that an engine may spend on prefill; above it, concurrent
 # streams pause too often.
 MAX_PREFILL_UTILIZATION = 0.45
 # The fleet shrinks only after a smaller size has sufficed this long, several
 # times the boot time.
 PEAK_WINDOW_S = 15.0
+# Part of that time for which a larger size has to be needed before it counts
+# as lasting. Bursts take up to 7 s, and the reported rates fall within 4 s.
+LASTING_SHARE = 2 / 3
 # Running requests per slot above which the fleet grows.
 MAX_SLOT_UTILIZATION = 0.45
+# Multiple of both utilizations that is accepted in a burst: at 0.8 the queue
+# of an engine is still shorter than the objectives of streams.
+BURST_FACTOR = 0.8 / 0.45
 
 
 class Order:
@@ -145,7 +166,34 @@
         return self._sizes[0][1]
 
 
-def needed_size(spec: ServiceSpec, fleet: Fleet) -> int:
+class FleetSize:
+    """The size that a fleet should have, from the sizes needed so far."""
+
+    __slots__ = ("_peak", "_recent")
+
+    def __init__(self):
+        self._peak = PeakSize()
+        self._recent: deque[tuple[float, int]] = deque()
+
+    def observe(self, needed: int, burst: int, now: float) -> int:
+        """Record the sizes needed now, and return the size to have.
+
+        `needed` is the size for a lasting load and `burst` the one for a
+        burst. A need that has not lasted for `LASTING_SHARE` of the window
+        counts as a burst; without a whole window it counts as lasting.
+        """
+        self._recent.append((now, needed))
+        lasting = needed
+        while now - self._recent[0][0] >= PEAK_WINDOW_S:
+            sizes = sorted(n for _, n in self._recent)
+            lasting = sizes[int((1.0 - LASTING_SHARE) * len(sizes))]
+            self._recent.popleft()
+        return self._peak.observe(max(min(needed, lasting), burst), now)
+
+
+def needed_size(
+    spec: ServiceSpec, fleet: Fleet, *, in_burst: bool = False
+) -> int:
     """Return the number of endpoints that the current load needs.
 
     Without any load, returns the size of an existing fleet, which is kept
@@ -159,7 +207,8 @@
     by_prefill = fleet.prefill_tokens_per_s / (
         MAX_PREFILL_UTILIZATION * fleet.prefill_speed
     )
-    return ceil(max(by_slots, by_prefill))
+    size = max(by_slots, by_prefill)
+    return ceil(size / BURST_FACTOR if in_burst else size)
 
 
 def plan_orders(
@@ -169,6 +218,7 @@
     domains = sorted(set(spec.scaling.prices) | set(fleet.ready_by_domain()))
     if not domains:
         return ()
+    wanted = _wanted(spec.scaling, fleet, domains, size)
     return tuple(
         Order(
             service=spec.name, failure_domain=domain, spot=is_spot, count=count
@@ -176,31 +226,81 @@
         for domain in domains
         for is_spot, count in zip(
             (False, True),
-            _plan_domain(spec.scaling, fleet, domain, size, len(domains)),
+            _plan_domain(spec.scaling, fleet, domain, size, wanted),
             strict=True,
         )
     )
 
 
+def _wanted(
+    scaling: Scaling, fleet: Fleet, domains: list[str], size: int
+) -> dict[str, int]:
+    """Return the numbers of endpoints wanted by domain, without minimum.
+
+    With spot endpoints and load, any one domain may be lost: the others then
+    still have `size`.
+    """
+    # Domains that the configuration gives no price are the dearest.
+    by_price = sorted(domains, key=lambda d: scaling.prices.get(d, inf))
+    if scaling.spot_price < 1 and fleet.has_load and len(domains) > 1:
+        shares = _cheapest_reserve(scaling, by_price, size)
+    else:
+        shares = dict.fromkeys(domains, ceil(size / len(domains)))
+    return {
+        domain: min(
+            scaling.maximum, max(MIN_ENDPOINTS_PER_DOMAIN, shares[domain])
+        )
+        for domain in domains
+    }
+
+
+def _cheapest_reserve(
+    scaling: Scaling, by_price: list[str], size: int
+) -> dict[str, int]:
+    """Return cheap shares of the domains, any of which may be lost.
+
+    The cheapest domains share the load, up to all of them. Their shares differ
+    by one at most, so that a change of `size` moves no others.
+    """
+    dearest = max(scaling.prices.values(), default=1.0)
+    best: dict[str, int] = {}
+    least = inf
+    for count in range(len(by_price), 1, -1):
+        limit = ceil(size / (count - 1))
+        full = size - (limit - 1) * (count - 1) + 1
+        shares = {
+            domain: limit if n < full else limit - 1
+            for n, domain in enumerate(by_price[:count])
+        }
+        shares |= dict.fromkeys(by_price[count:], 0)
+        cost = sum(
+            scaling.prices.get(domain, dearest)
+            * max(MIN_ENDPOINTS_PER_DOMAIN, share)
+            for domain, share in shares.items()
+        )
+        if cost < (1.0 - FEWER_DOMAINS_SAVING) * least:
+            best, least = shares, cost
+    return best
+
+
 def _plan_domain(
-    scaling: Scaling, fleet: Fleet, domain: str, size: int, domain_count: int
+    scaling: Scaling,
+    fleet: Fleet,
+    domain: str,
+    size: int,
+    wanted_by_domain: dict[str, int],
 ) -> tuple[int, int]:
     """Return the numbers of on-demand and spot endpoints of a domain."""
+    wanted = wanted_by_domain[domain]
     if scaling.spot_price >= 1:
-        wanted = max(MIN_ENDPOINTS_PER_DOMAIN, ceil(size / domain_count))
-        return min(scaling.maximum, max(scaling.minimum, wanted)), 0
-    # A reserve for the loss of a domain is kept once there is load. No other
-    # domain can carry the load of a single one, so half of the needed size is
-    # ordered on demand.
-    lost = 1 if fleet.has_load else 0
-    permanent = ceil(size / 2) if domain_count == 1 and lost else 0
-    wanted = max(
-        MIN_ENDPOINTS_PER_DOMAIN, ceil(size / max(1, domain_count - lost))
-    )
-    wanted = min(wanted, scaling.maximum)
+        return max(scaling.minimum, wanted), 0
+    # No other domain can carry the load of a single one, so half of the needed
+    # size is ordered on demand.
+    is_single = len(wanted_by_domain) == 1 and fleet.has_load
+    permanent = ceil(size / 2) if is_single else 0
     on_demand = max(
         permanent,
-        _substitutes(fleet, domain, size, domain_count),
+        _substitutes(fleet, domain, size),
         _retained(fleet, domain, wanted, size),
         scaling.minimum - wanted,
     )
@@ -209,9 +309,7 @@
     return on_demand, min(wanted, scaling.maximum - on_demand)
 
 
-def _substitutes(
-    fleet: Fleet, domain: str, size: int, domain_count: int
-) -> int:
+def _substitutes(fleet: Fleet, domain: str, size: int) -> int:
     """Return the on-demand substitutes in a domain without spot capacity.
 
     They cover what the ready spot endpoints don't carry, and a part of what
--- a/tests/control/test_duties.py
+++ b/tests/control/test_duties.py
@@ -21,6 +21,7 @@
     ServingLimits,
 )
 from chervilshift.core.fleet.presence import Presence
+from chervilshift.core.fleet.speeds import ServiceSpeed
 from chervilshift.core.fleet.state import FleetState
 from chervilshift.core.fleet.sync import GatewayInfo, GatewaySync
 from chervilshift.errors import CloudRefused
@@ -81,7 +82,7 @@
 class World:
     """A `DutyTask` with a manual clock, a fake node and a fake cloud."""
 
-    def __init__(self, fleet: FleetState | None = None, cfg=None):
+    def __init__(self, fleet: FleetState | None = None, cfg=None, speeds=None):
         self.clock = ManualClock()
         self.node = FakeNode(fleet)
         self.cloud = FakeCloud()
@@ -91,7 +92,7 @@
             presence=self.presence,
             cloud=self.cloud,
             serving_config=lambda: cfg,
-            speeds=dict,
+            speeds=lambda: speeds or {},
             wall_s=lambda: START_UNIX_S + self.clock.monotonic(),
             usage_window_s=WINDOW_S,
             lease_s=LEASE_S,
@@ -212,14 +213,14 @@
     assert not world.cloud.usage
 
 
-def scaled_config() -> ServingConfig:
+def scaled_config(maximum: int = 6) -> ServingConfig:
     spec = ServiceSpec(
         name="llm",
         max_connections=9,
         engine=EngineSpec(slots=8, kv_tokens=1),
         scaling=Scaling(
             minimum=1,
-            maximum=6,
+            maximum=maximum,
             boot_s=4.0,
             spot_price=0.2,
             prices={"a": 1.0},
@@ -292,6 +293,49 @@
     assert after[0][:3] == after[1][:3]
 
 
+def report_prompts(world: World, tokens_per_s: float, count: int) -> None:
+    """Report prompts for `count` seconds while the duties run."""
+    info = GatewayInfo(
+        id="g",
+        incarnation="1",
+        address="g:1",
+        failure_domain="a",
+        region="r",
+        ready=True,
+    )
+    for seq in range(count):
+        world.presence.observe(
+            GatewaySync(
+                gateway=info,
+                version=1,
+                revision=1,
+                seq=seq,
+                reading={"llm": tokens_per_s},
+            ),
+            world.clock.monotonic(),
+        )
+        world.run(1.0)
+
+
+def test_measured_speed_decides_how_many_are_ordered():
+    """Engines of half the default speed were ordered half as many."""
+
+    def ordered(**speeds: float) -> int:
+        world = World(
+            cfg=scaled_config(maximum=20),
+            speeds={
+                service: ServiceSpeed(tokens_per_s=speed)
+                for service, speed in speeds.items()
+            },
+        )
+        report_prompts(world, 108_000.0, 8)
+        return max(count for _, count, spot, _ in world.cloud.orders if spot)
+
+    assert ordered() == 3
+    assert ordered(other=10_000.0) == 3
+    assert ordered(llm=48_000.0) == 5
+
+
 def test_order_is_not_repeated_while_the_endpoints_boot():
     world = World(cfg=scaled_config())
     world.run(LEASE_S + CLOUD_CALL_TIMEOUT_S + 4.0)
--- a/tests/core/fleet/test_scaling.py
+++ b/tests/core/fleet/test_scaling.py
@@ -1,18 +1,25 @@
 """Orders of spot and on-demand endpoints: domain losses, refusals, load."""
 
+from math import ceil
+
+import pytest
+
 from chervilshift.core.fleet.model import (
     EndpointRecord,
     EngineSpec,
     Scaling,
     ServiceSpec,
 )
+from chervilshift.core.fleet.placement import PREFILL_TOKENS_PER_S
 from chervilshift.core.fleet.scaling import (
     PEAK_WINDOW_S,
     Fleet,
+    FleetSize,
     PeakSize,
     needed_size,
     plan_orders,
 )
+from chervilshift.core.rates import DecayingRate
 
 DOMAINS = {"a": 0.85, "b": 1.0, "far": 1.2}
 # Requests that need four endpoints: two per domain, so that the loss of any
@@ -214,3 +221,161 @@
         Fleet(endpoints=booted, active=1, prefill_tokens_per_s=100.0)
     )
     assert sum(light.values()) < 9
+
+
+# Loads of the two customers: uncached prompt tokens per second, with a tenth
+# of the shared parts read again, prefill speed and slots of the engines, and
+# running requests.
+LOADS = {
+    "A": (838_600, 93_600, 24, 100),
+    "B": (766_200, 39_300, 16, 160),
+}
+STEP_S = 0.25
+
+
+class Planned:
+    """Sizes planned for a load over time, with the former rule beside it.
+
+    That took 80,000 tokens/s, sized for the largest need of the last 15 s, and
+    ordered the same number in each domain.
+    """
+
+    def __init__(self, customer: str, tokens_per_s: float | None = None):
+        self.tokens, speed, self.slots, self.active = LOADS[customer]
+        self.speed = tokens_per_s or speed
+        # As the gateways report it.
+        self.rate = DecayingRate(window_s=4.0)
+        self.now = 0.0
+        self.size = FleetSize()
+        self.former_size = PeakSize()
+        self.total = self.former_total = 0
+        self.planned: dict[str, int] = {}
+
+    def fleet(self, factor: float, speed: float) -> Fleet:
+        return Fleet(
+            endpoints=(),
+            active=round(self.active * factor),
+            prefill_tokens_per_s=self.rate.value(self.now),
+            prefill_speed=speed,
+        )
+
+    def run(self, seconds: float, factor: float = 1.0) -> list[int]:
+        """Go through a time of a load; return the totals ordered."""
+        service = spec(maximum=1000)
+        service = ServiceSpec(
+            name="llm",
+            max_connections=10,
+            engine=EngineSpec(slots=self.slots, kv_tokens=1),
+            scaling=service.scaling,
+        )
+        totals = []
+        for _ in range(round(seconds / STEP_S)):
+            self.now += STEP_S
+            self.rate.add(self.now, self.tokens * factor * STEP_S)
+            fleet = self.fleet(factor, self.speed)
+            size = self.size.observe(
+                needed_size(service, fleet),
+                needed_size(service, fleet, in_burst=True),
+                self.now,
+            )
+            orders = plan_orders(service, fleet, size)
+            self.planned = {
+                o.failure_domain: o.count for o in orders if o.spot
+            }
+            totals.append(sum(self.planned.values()))
+            former = self.former_size.observe(
+                needed_size(service, self.fleet(factor, PREFILL_TOKENS_PER_S)),
+                self.now,
+            )
+            share = ceil(former / (len(DOMAINS) - 1))
+            self.former_total = share * len(DOMAINS)
+        self.total = totals[-1]
+        return totals
+
+    def utilization(self, factor: float, *, lost: int = 0) -> float:
+        """Return the share of time in prefill, with endpoints lost."""
+        return self.tokens * factor / self.speed / (self.total - lost)
+
+
+@pytest.mark.parametrize("customer", LOADS)
+def test_engines_of_the_default_speed_are_ordered_as_before(customer):
+    """Deployments served so far would else get a fleet of another size."""
+    planned = Planned(customer, tokens_per_s=PREFILL_TOKENS_PER_S)
+    planned.run(40.0)
+    assert planned.former_total - 1 <= planned.total <= planned.former_total
+
+
+def test_fast_engines_are_fewer_and_slow_ones_more_than_before():
+    """Slow engines spent nine tenths of their time in prefill."""
+    fast, slow = Planned("A"), Planned("B")
+    fast.run(40.0)
+    slow.run(40.0)
+    assert (fast.former_total, fast.total) == (39, 32)
+    assert (slow.former_total, slow.total) == (36, 68)
+
+
+@pytest.mark.parametrize("customer", LOADS)
+@pytest.mark.parametrize("burst_s", [3.0, 7.0])
+def test_burst_is_carried_by_the_reserve_and_orders_little(customer, burst_s):
+    """Endpoints ordered for it boot when it is over, and stay for 15 s."""
+    planned = Planned(customer)
+    planned.run(40.0)
+    usual = planned.total
+    assert planned.utilization(2.3) < 0.8
+    totals = planned.run(burst_s, 2.3) + planned.run(30.0)
+    assert max(totals) <= 1.4 * usual
+    assert abs(totals[-1] - usual) <= 1
+
+
+@pytest.mark.parametrize("customer", LOADS)
+def test_load_that_lasts_grows_the_fleet_and_a_drop_shrinks_it(customer):
+    planned = Planned(customer)
+    planned.run(40.0)
+    usual = planned.total
+    assert planned.run(15.0, 2.0)[-1] >= 1.65 * usual
+    assert planned.run(20.0, 2.0)[-1] >= 1.9 * usual
+    assert planned.run(32.0)[-1] <= usual + 1
+
+
+@pytest.mark.parametrize("customer", LOADS)
+def test_loss_of_a_domain_leaves_the_utilization_for_streams(customer):
+    planned = Planned(customer)
+    planned.run(40.0)
+    for lost in planned.planned.values():
+        assert planned.utilization(1.0, lost=lost) <= 0.45
+        assert planned.utilization(1.7, lost=lost) < 0.8
+
+
+def test_load_that_begins_is_not_taken_for_a_burst():
+    """The fleet as found was kept for 15 s only."""
+    planned = Planned("A")
+    planned.run(14.0)
+    assert planned.total >= 28
+
+
+def test_cheaper_domains_have_the_remainder():
+    planned = counts(Fleet(endpoints=(), active=200))
+    assert [planned[d, True] for d in ("a", "b", "far")] == [3, 3, 2]
+
+
+def test_dear_domains_are_used_no_more_than_their_price_allows():
+    def planned(price: float) -> dict:
+        prices = {"a": 1.0, "b": 1.0, "dear": price}
+        return counts(Fleet(endpoints=(), active=270), prices=prices)
+
+    assert planned(1.5)["dear", True] == 3
+    assert planned(6.0)["dear", True] == 1
+    assert planned(6.0)["a", True] == 6
+
+
+def test_size_that_grows_by_one_moves_no_endpoint():
+    """Endpoints that move lose their cache, and boot for 4 s."""
+    for prices in (DOMAINS, dict.fromkeys("abcdef", 1.0)):
+        service = spec(maximum=1000, prices=prices)
+        before = {}
+        for size in range(1, 80):
+            orders = plan_orders(service, Fleet(endpoints=(), active=1), size)
+            now = {o.failure_domain: o.count for o in orders if o.spot}
+            assert all(now[d] >= n for d, n in before.items())
+            assert sum(now.values()) - max(now.values()) >= size
+            before = now
