Placement: few candidates of many endpoints, prompts overflow to next homes

Callers: in bursts, prompts with shared parts waited in queues of prompts whose parts were read again, and a decision took a gateway's processor in proportion to the endpoints.

Cause: all gateways chose the least of all queues by the same news, 0.25 to 1 s old. Prompts that left their home went to one engine after the other and had their shared parts read there, which filled these queues as well.

Change: with over 8 endpoints that may be used, the candidates are the first 3 homes in rendezvous order, the endpoint that this gateway used last for the key, 1 at random and 1 of another region; for plain services 8 at random and 1 of another region. A queue in the news counts as far as it can't have been worked off since, else the mean of the last reports. Reading shared parts again costs more than its time. Health at one gateway does not change the order of homes. The failure rate of a service is kept as a sum that decays. With at most 8 endpoints in use all are considered as before; which one is the home of a key changes once, as another hash function is used.

--- a/chervilshift/core/fleet/health.py
+++ b/chervilshift/core/fleet/health.py
@@ -5,7 +5,7 @@
 last.
 """
 
-__all__ = ["DecayingMean", "Health"]
+__all__ = ["DecayingMean", "FailureTally", "Health"]
 
 # Weight of the newest sample in a running mean.
 SAMPLE_WEIGHT = 0.2
@@ -61,10 +61,45 @@
         self._updated_at = now
 
 
+class FailureTally:
+    """Sums of the failure rates and weights of a service's endpoints.
+
+    Both decay like those of each endpoint, so the sums are kept without
+    visiting the endpoints.
+    """
+
+    __slots__ = ("_failures", "_updated_at", "_weights")
+
+    def __init__(self):
+        self._failures = 0.0
+        self._weights = 0.0
+        self._updated_at = float("-inf")
+
+    def add(self, failures: float, weight: float, now: float) -> None:
+        """Add changes of one endpoint's failure rate and weight."""
+        kept = self._kept(now)
+        self._failures = max(0.0, self._failures * kept + failures)
+        self._weights = max(0.0, self._weights * kept + weight)
+        self._updated_at = max(now, self._updated_at)
+
+    def failures(self, now: float) -> float:
+        """Return the sum of the failure rates."""
+        return self._failures * self._kept(now)
+
+    def mean_rate(self, now: float) -> float:
+        """Return the mean failure rate of the endpoints tried recently."""
+        kept = self._kept(now)
+        return self._failures * kept / max(1.0, self._weights * kept)
+
+    def _kept(self, now: float) -> float:
+        return 0.5 ** (max(0.0, now - self._updated_at) / DECAY_HALF_LIFE_S)
+
+
 class Health:
     """Failure rate, slowness and stalls of one endpoint.
 
-    All times are seconds of the monotonic clock.
+    All times are seconds of the monotonic clock. Changes of the failure rate
+    are added to `tally`.
     """
 
     __slots__ = (
@@ -77,11 +112,13 @@
         "_resumed_at",
         "_pause_observed",
         "_slowness",
+        "_tally",
         "_tried_at",
         "replied_at",
     )
 
-    def __init__(self):
+    def __init__(self, *, tally: FailureTally | None = None):
+        self._tally = tally
         self._failures = DecayingMean(neutral=0.0)
         self._slowness = DecayingMean(neutral=1.0)
         # Exclusions since the last success.
@@ -119,11 +156,11 @@
         self.record_activity(now)
         self.replied_at = now
         self._end_exclusion()
-        self._failures.add(0.0, now)
+        self._add_outcome(0.0, now)
 
     def record_failure(self, now: float) -> None:
         """Record a failed attempt; excludes a stalled endpoint."""
-        self._failures.add(1.0, now)
+        self._add_outcome(1.0, now)
         if self.stalled_s(now) and not self.is_excluded(now):
             self._exclude(now)
             self._excluded_as_silent = True
@@ -133,7 +170,7 @@
 
         Connections that fail while it is excluded were begun before.
         """
-        self._failures.add(1.0, now)
+        self._add_outcome(1.0, now)
         if not self.is_excluded(now):
             self._exclude(now)
 
@@ -201,6 +238,19 @@
         """Whether the endpoint is excluded after a recent failure."""
         return now < self._excluded_until
 
+    def leave_tally(self, now: float) -> None:
+        """Take the endpoint's failures out of its service's sums."""
+        if self._tally is not None:
+            failures = self._failures
+            self._tally.add(-failures.value(now), -failures.weight(now), now)
+
+    def _add_outcome(self, failure: float, now: float) -> None:
+        rate, weight = self._failures.value(now), self._failures.weight(now)
+        self._failures.add(failure, now)
+        if self._tally is not None:
+            change = self._failures.value(now) - rate
+            self._tally.add(change, 1.0 - weight, now)
+
     def _exclude(self, now: float) -> None:
         exclusion_s = min(EXCLUSION_MAX_S, EXCLUSION_S * 2**self._exclusions)
         self._excluded_until = now + exclusion_s
@@ -211,6 +261,7 @@
         """Forget what attempts that were given up in the pause told."""
         self._resumed_at = now
         self._pause_observed = False
+        self.leave_tally(now)
         self._failures = DecayingMean(neutral=0.0)
         if self._excluded_as_silent:
             self._end_exclusion()
--- a/chervilshift/core/fleet/placement.py
+++ b/chervilshift/core/fleet/placement.py
@@ -1,5 +1,11 @@
 """Selects the endpoint for an attempt by its predicted cost in seconds.
 
+The endpoint with the lowest cost among some candidates is chosen. With many
+endpoints these are the first homes of the prompt, which all gateways of a
+region agree on, the endpoint that this gateway sent its parts to last, and few
+at random. In a burst, prompts that a home has no time for go to the next one,
+and not to whichever endpoint seemed idle in news that all gateways have.
+
 The load of an endpoint is the gateway's own, which is current, plus that of
 other gateways, as control last reported it.
 
@@ -8,7 +14,8 @@
 tokens of streams on the same engine, so long prompts avoid engines with many
 streams, and long streams avoid engines with much prefill. Each prompt has a
 home, the engine where its shared parts are cached, chosen by rendezvous
-hashing. For plain services the cost is the predicted reply time.
+hashing; see `candidates`. For plain services the cost is the predicted reply
+time.
 
 An endpoint that this gateway has not tried lately is expected to fail as often
 as those of its service that it has. Some requests go to such an endpoint
@@ -17,13 +24,19 @@
 that the gateways of a fleet don't all ask the same.
 """
 
-import hashlib
 from collections import OrderedDict, defaultdict
-from collections.abc import Container, Iterable
+from collections.abc import Callable, Container, Iterable
 from itertools import chain
 from random import Random
 
-from chervilshift.core.fleet.health import Health
+from chervilshift.core.fleet.candidates import (
+    HOMES,
+    MAX_ALL,
+    EndpointPool,
+    draw,
+    first_of,
+)
+from chervilshift.core.fleet.health import FailureTally, Health
 from chervilshift.core.fleet.model import (
     GONE,
     READY,
@@ -65,6 +78,37 @@
 NON_HOME_COST_S = 0.03
 # Prompt parts assumed cached per endpoint, about what its memory holds.
 MAX_CACHED_PARTS = 400
+# Seconds for which an engine keeps parts after their last use. Measured: a
+# second read within 7.6 to 9.1 s after the last use was avoidable.
+CACHED_S = 8.0
+# Keys whose last use by this gateway is kept.
+MAX_LAST_USES = 4_096
+# Weight of the newest report in the mean of the prefill queued by others; a
+# mean over some seconds, in which gateways that act on the same reports don't
+# see the effect of one decision as a new state.
+QUEUE_SAMPLE_WEIGHT = 0.1
+# Age of the load of other gateways when it is used: 0.25 to 1 s.
+LOAD_NEWS_AGE_S = 0.5
+# Weight of a home's time in prefill in the likelihood that prompts of its
+# keys have also been read at their next home.
+NEXT_HOME_WEIGHT = 0.5
+# Cost of a second of reading shared parts again, in seconds of wait. It delays
+# what is queued behind it, which then leaves its own homes: with a weight of 0
+# or 1, bursts that the engines could read once were read several times (see
+# tests/core/fleet/test_shared_parts.py).
+READ_AGAIN_WEIGHT = 3.0
+# With at most this many endpoints that may be open, all are looked at to find
+# out whether few are open.
+MAX_SCANNED = 2 * MAX_ALL
+# Endpoints drawn at random in this region beside the homes; each one more is
+# where some prompts go as its load seems low, and read their parts again.
+DRAWS = 1
+# Endpoints of plain services, which have no homes, drawn in this region.
+PLAIN_DRAWS = 8
+# With fewer open ones among those, all endpoints are looked at.
+MIN_DRAWN = 4
+# Endpoints drawn at random in other regions.
+REMOTE_DRAWS = 1
 # A failed call costs the caller about one more call.
 FAILURE_COST_S = 0.3
 # Failure rates that sum up to less make no difference to placement.
@@ -107,6 +151,11 @@
         shared = self.parts[:-1] or self.parts
         return shared[-1][0] if shared else ""
 
+    @property
+    def own_tokens(self) -> int:
+        """The tokens of the whole prompt beyond its shared parts."""
+        return self.tokens - sum(tokens for _, tokens in self.parts[:-1])
+
 
 class Endpoint:
     """Load, health and assumed cache of one endpoint at this gateway.
@@ -120,6 +169,7 @@
         "_cached_parts",
         "active",
         "health",
+        "mean_other_tokens",
         "other_load",
         "prefill_fraction",
         "prefill_tokens",
@@ -127,15 +177,23 @@
         "remote",
     )
 
-    def __init__(self, *, record: EndpointRecord, remote: bool):
+    def __init__(
+        self,
+        *,
+        record: EndpointRecord,
+        remote: bool,
+        tally: FailureTally | None = None,
+    ):
         self.record = record
         self.remote = remote
         self.active = 0
         self.prefill_tokens = 0
         self.other_load = EndpointLoad()
+        self.mean_other_tokens = 0.0
         self.prefill_fraction = 0.0
-        self.health = Health()
-        self._cached_parts: OrderedDict[str, None] = OrderedDict()
+        self.health = Health(tally=tally)
+        # When a prompt with the part was last read here, the latest last.
+        self._cached_parts: OrderedDict[str, float] = OrderedDict()
 
     @property
     def id(self) -> str:
@@ -155,6 +213,9 @@
     def set_other_load(self, load: EndpointLoad) -> None:
         """Set the load from other gateways, and sample the prefill share."""
         self.other_load = load
+        self.mean_other_tokens += QUEUE_SAMPLE_WEIGHT * (
+            load.prefill_tokens - self.mean_other_tokens
+        )
         queued_tokens = self.prefill_tokens + load.prefill_tokens
         utilization = min(
             1.0, queued_tokens / PREFILL_TOKENS_PER_S / FULL_PREFILL_BACKLOG_S
@@ -169,26 +230,44 @@
             return self.health.replied_recently(now)
         return self.record.state == READY
 
-    def uncached_tokens(self, work: Work, *, home: bool) -> int:
-        """Return the prompt tokens that need prefill at the endpoint.
+    def expected_other_tokens(self) -> float:
+        """Return the prefill that others have queued, as far as news tell.
 
-        At a prompt's home all parts but the last are assumed cached.
+        A queue that may have been worked off since it was reported says
+        little about the queue now; then the mean of the last reports counts.
+        """
+        latest = self.other_load.prefill_tokens
+        done_since = PREFILL_TOKENS_PER_S * LOAD_NEWS_AGE_S
+        trust = min(1.0, latest / done_since)
+        mean = self.mean_other_tokens
+        return mean + trust * (latest - mean)
+
+    def uncached_tokens(
+        self, work: Work, *, likelihood: float, since: float = float("-inf")
+    ) -> int:
+        """Return the prompt tokens expected to need prefill at the endpoint.
+
+        Parts that this gateway's prompts had there after `since` are cached;
+        `likelihood` is that of the other shared parts. The last part is the
+        request's own.
         """
-        cached_tokens = 0
+        cached_tokens = 0.0
         shared = len(work.parts) - 1
+        share = 1.0
         for index, (part_id, tokens) in enumerate(work.parts):
-            is_cached = part_id in self._cached_parts or (
-                home and index < shared
-            )
-            if not is_cached:
+            if self._cached_parts.get(part_id, float("-inf")) < since or (
+                part_id not in self._cached_parts
+            ):
+                share = min(share, likelihood if index < shared else 0.0)
+            if not share:
                 break
-            cached_tokens += tokens
-        return max(0, work.tokens - cached_tokens)
+            cached_tokens += share * tokens
+        return max(0, work.tokens - round(cached_tokens))
 
-    def add_cached(self, work: Work) -> None:
+    def add_cached(self, work: Work, now: float = 0.0) -> None:
         """Record that a prompt's parts are now cached at the endpoint."""
         for part_id, _ in work.parts:
-            self._cached_parts[part_id] = None
+            self._cached_parts[part_id] = now
             self._cached_parts.move_to_end(part_id)
         while len(self._cached_parts) > MAX_CACHED_PARTS:
             self._cached_parts.popitem(last=False)
@@ -213,6 +292,27 @@
         self._credits = min(1.0, credits)
 
 
+class LastUses:
+    """Where this gateway's last prompts with each key went, and when."""
+
+    __slots__ = ("_uses",)
+
+    def __init__(self):
+        self._uses: OrderedDict[str, tuple[float, str]] = OrderedDict()
+
+    def find(self, key: str, now: float) -> str:
+        """Return the endpoint's id, "" if its engine may have evicted."""
+        used_at, endpoint_id = self._uses.get(key, (float("-inf"), ""))
+        return endpoint_id if now - used_at <= CACHED_S else ""
+
+    def record(self, key: str, endpoint_id: str, now: float) -> None:
+        """Record that a prompt with a key goes to an endpoint."""
+        self._uses[key] = (now, endpoint_id)
+        self._uses.move_to_end(key)
+        if len(self._uses) > MAX_LAST_USES:
+            self._uses.popitem(last=False)
+
+
 class Choice:
     """A candidate endpoint for an attempt, with predicted wait and cost.
 
@@ -221,7 +321,8 @@
     ratio. `wait_s` is the prediction for this endpoint. `cost_s` adds the
     delay of other requests, the risk of failure and the preference for the
     prompt's home. `uncached_tokens` is the part of the prompt expected to
-    need prefill. A trial counts in `trial_budget`.
+    need prefill. A trial counts in `trial_budget`, and the use of the `key` of
+    its shared parts in `last_uses`.
     """
 
     __slots__ = (
@@ -229,6 +330,8 @@
         "cost_s",
         "endpoint",
         "is_trial",
+        "key",
+        "last_uses",
         "trial_budget",
         "uncached_tokens",
         "wait_s",
@@ -246,6 +349,8 @@
         self.endpoint = endpoint
         self.is_trial = False
         self.trial_budget: TrialBudget | None = None
+        self.key = ""
+        self.last_uses: LastUses | None = None
         self.baseline_s = baseline_s
         self.wait_s = wait_s
         self.cost_s = cost_s
@@ -274,6 +379,10 @@
         self.endpoint.health.record_start(self._started_at)
         if self.choice.trial_budget is not None:
             self.choice.trial_budget.record(is_trial=self.choice.is_trial)
+        if self.choice.last_uses is not None:
+            self.choice.last_uses.record(
+                self.choice.key, self.endpoint.id, self._started_at
+            )
         return self
 
     def __exit__(self, *exc_info: object) -> None:
@@ -297,10 +406,14 @@
 
     __slots__ = (
         "_endpoints",
+        "_last_uses",
         "_latency_ratios",
+        "_now",
+        "_pools",
         "_region",
         "_regions",
         "_rng",
+        "_tallies",
         "_trial_budgets",
     )
 
@@ -309,6 +422,12 @@
         self._region = region
         self._regions = regions
         self._endpoints: dict[str, Endpoint] = {}
+        self._pools: dict[str, EndpointPool[Endpoint]] = {}
+        self._tallies: defaultdict[str, FailureTally] = defaultdict(
+            FailureTally
+        )
+        self._last_uses = LastUses()
+        self._now = 0.0
         self._latency_ratios: defaultdict[str, float] = defaultdict(
             lambda: 1.0
         )
@@ -326,11 +445,23 @@
             endpoint = self._endpoints.get(record.id)
             if endpoint is None or endpoint.record.born_ms != record.born_ms:
                 endpoint = Endpoint(
-                    record=record, remote=self._is_remote(record)
+                    record=record,
+                    remote=self._is_remote(record),
+                    tally=self._tallies[record.service],
                 )
             endpoint.record = record
             endpoints[record.id] = endpoint
+        for endpoint_id, endpoint in self._endpoints.items():
+            if endpoints.get(endpoint_id) is not endpoint:
+                endpoint.health.leave_tally(self._now)
         self._endpoints = endpoints
+        members = defaultdict(list)
+        for endpoint in endpoints.values():
+            members[endpoint.record.service].append(endpoint)
+        self._pools = {
+            service: EndpointPool(found, self._pools.get(service))
+            for service, found in members.items()
+        }
 
     def change_endpoints(self, records: Iterable[EndpointRecord]) -> None:
         """Take over changed records, and remove endpoints that have ended."""
@@ -347,6 +478,7 @@
         """Set the services that the configuration names."""
         forget_unnamed(self._latency_ratios, names)
         forget_unnamed(self._trial_budgets, names)
+        forget_unnamed(self._tallies, names)
 
     def set_other_loads(self, loads: dict[str, EndpointLoad]) -> None:
         """Set the load from other gateways, by endpoint id."""
@@ -364,11 +496,8 @@
 
     def endpoints_of(self, service: str) -> tuple[Endpoint, ...]:
         """Return all endpoints of a service."""
-        return tuple(
-            endpoint
-            for endpoint in self._endpoints.values()
-            if endpoint.record.service == service
-        )
+        pool = self._pools.get(service)
+        return pool.members if pool else ()
 
     def endpoints(self) -> tuple[Endpoint, ...]:
         """Return all endpoints."""
@@ -381,42 +510,37 @@
         now: float,
         excluding: frozenset[str] = frozenset(),
     ) -> Choice | None:
-        """Return the endpoint with the lowest cost, or one to try, or None.
+        """Return the candidate with the lowest cost, or one to try, or None.
 
         `excluding` are the ids of endpoints not to be used. Endpoints
         excluded by their health are used only if there is no other.
         """
-        endpoints = self.endpoints_of(spec.name)
-        usable = [
-            endpoint
-            for endpoint in endpoints
-            if endpoint.usable(now) and endpoint.id not in excluding
-        ]
-        not_excluded = [e for e in usable if not e.health.is_excluded(now)]
-        candidates = not_excluded or usable
-        if not candidates:
+        self._now = now
+        pool = self._pools.get(spec.name)
+        if pool is None:
+            return None
+        candidates = self._candidates(spec, work, now, excluding)
+        if not candidates.endpoints:
             return None
         latency_ratio = self._latency_ratios[spec.name]
-        failure_rate = _usual_failure_rate(endpoints, now)
+        failure_rate = self._usual_failure_rate(spec.name, now)
         if spec.engine is None:
             choices = [
                 _plain_choice(e, latency_ratio, failure_rate, now)
-                for e in candidates
+                for e in candidates.endpoints
             ]
         else:
-            home = self._home(candidates, work)
-            slots = spec.engine.slots
             choices = [
                 _engine_choice(
                     e,
-                    slots,
+                    spec.engine.slots,
                     work,
                     latency_ratio,
                     failure_rate,
                     now,
-                    home=e is home,
+                    candidates=candidates,
                 )
-                for e in candidates
+                for e in candidates.endpoints
             ]
         least_s = min(choice.cost_s for choice in choices)
         best = [c for c in choices if c.cost_s == least_s]
@@ -427,6 +551,9 @@
         choice = self._rng.choice(trials or best)
         choice.is_trial = bool(trials)
         choice.trial_budget = budget
+        if candidates.is_part and len(work.parts) > 1:
+            choice.key = work.affinity_key
+            choice.last_uses = self._last_uses
         return choice
 
     def has_responsive(
@@ -458,22 +585,134 @@
             LATENCY_RATIO_MAX, max(LATENCY_RATIO_MIN, latency_ratio)
         )
 
-    def _home(self, candidates: list[Endpoint], work: Work) -> Endpoint:
-        """Return the endpoint that caches a prompt.
+    def _candidates(
+        self,
+        spec: ServiceSpec,
+        work: Work,
+        now: float,
+        excluding: frozenset[str],
+    ) -> "_Candidates":
+        """Return the endpoints to choose from.
 
-        Gateways of one region choose the same one from the same candidates.
+        If most endpoints of a large pool are closed, all are looked at.
         """
-        local = [e for e in candidates if not e.remote] or candidates
-        return max(local, key=lambda e: _rendezvous(work.affinity_key, e.id))
+        pool = self._pools[spec.name]
+        key = work.affinity_key
+
+        def is_open(endpoint: Endpoint) -> bool:
+            return (
+                endpoint.id not in excluding
+                and endpoint.usable(now)
+                and not endpoint.health.is_excluded(now)
+            )
+
+        if pool.size - len(excluding) > MAX_SCANNED:
+            if spec.engine is None:
+                found = self._draw(pool, PLAIN_DRAWS, is_open)
+                if len(found) >= MIN_DRAWN:
+                    return _Candidates(endpoints=found, is_part=True)
+            elif len(work.parts) > 1:
+                homes = pool.homes(key, HOMES, is_open)
+                if len(homes) == min(HOMES, len(pool.local)):
+                    return self._around(homes, pool, key, now, is_open)
+            else:
+                # Without shared parts any endpoint may be the home.
+                homes = self._draw(pool, HOMES, is_open)
+                if homes:
+                    return self._around(homes, pool, key, now, is_open)
+        usable = [
+            endpoint
+            for endpoint in chain(pool.local, pool.remote)
+            if endpoint.id not in excluding and endpoint.usable(now)
+        ]
+        found = [e for e in usable if not e.health.is_excluded(now)] or usable
+        is_part = len(found) > MAX_ALL
+        if spec.engine is None:
+            if is_part:
+                found = draw(found, MAX_ALL, self._rng)
+            return _Candidates(endpoints=found, is_part=is_part)
+        local = [e for e in found if not e.remote] or found
+        homes = first_of(local, key, HOMES if is_part else 1)
+        if is_part:
+            return self._around(homes, EndpointPool(found), key, now, is_open)
+        return _Candidates(endpoints=found, homes=homes)
+
+    def _around(
+        self,
+        homes: list[Endpoint],
+        pool: EndpointPool[Endpoint],
+        key: str,
+        now: float,
+        is_open: Callable[[Endpoint], bool],
+    ) -> "_Candidates":
+        """Return homes with some other endpoints of a pool."""
+        found = homes + self._draw(pool, DRAWS, is_open)
+        last_used = self._endpoints.get(self._last_uses.find(key, now))
+        if last_used is not None and is_open(last_used):
+            found.append(last_used)
+        return _Candidates(
+            endpoints=list(dict.fromkeys(found)), homes=homes, is_part=True
+        )
+
+    def _draw(
+        self,
+        pool: EndpointPool[Endpoint],
+        count: int,
+        is_open: Callable[[Endpoint], bool],
+    ) -> list[Endpoint]:
+        """Return some open endpoints of this region, few of others."""
+        remote_count = max(REMOTE_DRAWS, count - len(pool.local))
+        drawn = chain(
+            draw(pool.local, count, self._rng),
+            draw(pool.remote, remote_count, self._rng),
+        )
+        return [endpoint for endpoint in drawn if is_open(endpoint)]
+
+    def _usual_failure_rate(self, service: str, now: float) -> float:
+        """Return the mean failure rate of the endpoints tried recently."""
+        tally = self._tallies[service]
+        if tally.failures(now) < NEGLIGIBLE_FAILURE_RATE:
+            return 0.0
+        return tally.mean_rate(now)
 
     def _is_remote(self, record: EndpointRecord) -> bool:
         region = self._regions.get(record.failure_domain, self._region)
         return region != self._region
 
 
-def _rendezvous(key: str, endpoint_id: str) -> bytes:
-    text = f"{key}|{endpoint_id}".encode()
-    return hashlib.blake2b(text, digest_size=8).digest()
+class _Candidates:
+    """Endpoints considered for an attempt, and the first homes in order.
+
+    `is_part` is false if they are all that may be used; then there is one
+    home.
+    """
+
+    __slots__ = ("endpoints", "homes", "is_part")
+
+    def __init__(
+        self,
+        *,
+        endpoints: list[Endpoint],
+        homes: Iterable[Endpoint] = (),
+        is_part: bool = False,
+    ):
+        self.endpoints = endpoints
+        self.homes = tuple(homes)
+        self.is_part = is_part
+
+    def likelihood(self, endpoint: Endpoint) -> float:
+        """Return the likelihood that shared parts are cached at an endpoint.
+
+        The first home has them. A next one has them as far as those before
+        it have been in prefill lately: other gateways, whose news were the
+        same, then went on to it.
+        """
+        likelihood = 1.0
+        for home in self.homes:
+            if home is endpoint:
+                return likelihood
+            likelihood *= NEXT_HOME_WEIGHT * home.prefill_fraction
+        return 0.0
 
 
 def _engine_choice(
@@ -484,12 +723,22 @@
     usual_failure_rate: float,
     now: float,
     *,
-    home: bool,
+    candidates: _Candidates,
 ) -> Choice:
-    uncached_tokens = endpoint.uncached_tokens(work, home=home)
-    queued_tokens = (
-        endpoint.prefill_tokens + endpoint.other_load.prefill_tokens
-    )
+    home = endpoint is candidates.homes[0]
+    if candidates.is_part:
+        uncached_tokens = endpoint.uncached_tokens(
+            work,
+            likelihood=candidates.likelihood(endpoint),
+            since=now - CACHED_S,
+        )
+        other_tokens = endpoint.expected_other_tokens()
+    else:
+        uncached_tokens = endpoint.uncached_tokens(
+            work, likelihood=1.0 if home else 0.0
+        )
+        other_tokens = endpoint.other_load.prefill_tokens
+    queued_tokens = endpoint.prefill_tokens + other_tokens
     active = endpoint.total_active()
     baseline_s = (
         uncached_tokens + queued_tokens
@@ -518,6 +767,10 @@
     )
     cost_s += _failure_cost_s(endpoint, usual_failure_rate, now)
     cost_s += 0.0 if home else NON_HOME_COST_S
+    if candidates.is_part:
+        read_again = max(0, uncached_tokens - work.own_tokens)
+        read_again_s = read_again / PREFILL_TOKENS_PER_S * latency_ratio
+        cost_s += READ_AGAIN_WEIGHT * read_again_s
     return Choice(
         endpoint=endpoint,
         baseline_s=baseline_s,
@@ -546,15 +799,6 @@
     )
 
 
-def _usual_failure_rate(endpoints: Iterable[Endpoint], now: float) -> float:
-    """Return the mean failure rate of the endpoints tried recently."""
-    failures = sum(e.health.failure_rate(now) for e in endpoints)
-    if failures < NEGLIGIBLE_FAILURE_RATE:
-        return 0.0
-    weights = sum(e.health.failure_weight(now) for e in endpoints)
-    return failures / max(1.0, weights)
-
-
 def _failure_cost_s(
     endpoint: Endpoint, usual_failure_rate: float, now: float
 ) -> float:
--- a/chervilshift/gateway/dispatch.py
+++ b/chervilshift/gateway/dispatch.py
@@ -615,7 +615,7 @@
             if first:
                 first = False
                 placed.prefill_done()
-                endpoint.add_cached(exchange.work)
+                endpoint.add_cached(exchange.work, now)
                 endpoint.health.record_success(now)
                 self._state.placement.observe(
                     placed.choice, now - sent_at, now
