Limits: what can't be granted in time is refused at once

Callers of a customer that sent several times its limit were each held for 0.35 of their objective, refused, and told to return in 0.25 s, for as long as the burst lasted. The leader stated only when its bucket would be positive again, at most 0.05 s ahead, and not what already waited for it.

The leader now counts what gateways and pools still wait for; a gateway holds a request only if that backlog leaves it time, and otherwise refuses it with 429 and a Retry-After that counts what waits and what was told to return earlier. Control processes forget what a gateway waited for 0.3 s after its report.

--- a/chervilshift/core/fleet/distribution.py
+++ b/chervilshift/core/fleet/distribution.py
@@ -53,6 +53,9 @@
 # A control process that did not relay for this long is no longer told to
 # gateways with its place.
 CONTROL_EXPIRY_S = 20.0
+# A gateway whose requests wait reports several times in this time. What an
+# older report asks for waits no longer.
+NEED_EXPIRY_S = 0.3
 # Ages in messages are finite.
 MAX_NEWS_AGE_S = 1e9
 
@@ -193,6 +196,9 @@
     def sweep(self, now: float) -> None:
         """Drop what is no longer reported."""
         self.presence.sweep(now)
+        for gateway_id, at in self._served.items():
+            if now - at > NEED_EXPIRY_S:
+                self._pool.drop(gateway_id)
         for gateway_id, at in tuple(self._served.items()):
             sync = self.presence.report(gateway_id)
             if sync is None or now - at > load_expiry_s(sync.interval_s):
@@ -412,7 +418,9 @@
     ) -> RelayReply:
         """Record a follower's relay and return the reply to it."""
         if relay.grants_only:
-            grants, waits = self._grant(relay.needed, {}, now)
+            grants, waits = self._grant(
+                relay.sender.address, relay.needed, {}, now
+            )
             return RelayReply(grants=grants, waits=waits)
         self._controls[relay.sender.address] = (relay.sender, now)
         for sync in relay.reports:
@@ -422,7 +430,9 @@
             for same in relay.unchanged
             if not self.presence.confirm(same, now)
         )
-        grants, waits = self._grant(relay.needed, relay.prefetch, now)
+        grants, waits = self._grant(
+            relay.sender.address, relay.needed, relay.prefetch, now
+        )
         is_known = relay.loads_source == self._source
         gateways = self.presence.listing.since(
             relay.gateways_cursor if is_known else 0
@@ -447,7 +457,9 @@
         )
 
     def _leader_news(self, sync: GatewaySync, now: float) -> GatewayNews:
-        grants, waits = self._grant(sync.needed, sync.prefetch, now)
+        grants, waits = self._grant(
+            sync.gateway.id, sync.needed, sync.prefetch, now
+        )
         return GatewayNews(
             loads=self._loads_delta(
                 self.presence.load_sums, sync.loads_source, sync.loads_cursor
@@ -466,14 +478,18 @@
         )
 
     def _grant(
-        self, needed: dict[str, float], prefetch: dict[str, float], now: float
+        self,
+        asker: str,
+        needed: dict[str, float],
+        prefetch: dict[str, float],
+        now: float,
     ) -> tuple[dict[str, float], dict[str, float]]:
         """Return grants, and the waits of exhausted limits."""
         if not self._may_grant:
             return {}, {}
         self._allocator.set_gateway_count(self._gateway_count)
         grants = self._allocator.grant(
-            self._limits, needed, prefetch, self._silent_share, now
+            self._limits, needed, prefetch, self._silent_share, now, asker
         )
         return grants, self._allocator.waits(self._limits)
 
--- a/chervilshift/core/fleet/limits.py
+++ b/chervilshift/core/fleet/limits.py
@@ -10,7 +10,7 @@
 """
 
 from collections.abc import Iterable
-from math import floor
+from math import exp, floor
 
 from chervilshift.core.fleet.intervals import (
     DIRECT_FALLBACK_AFTER_S,
@@ -56,6 +56,13 @@
 # Part of the tolerated overshoot that small requests may use, so that many
 # large requests don't starve them; small ones add little to the sum.
 SMALL_REQUEST_SHARE = 0.2
+# What an asker waits for counts for this long after its last request: longer
+# than the interval of reports, with the time that a report may be late.
+UNMET_EXPIRY_S = 0.3
+# Time constant of the backlogs that replies state: each is of one moment, and
+# gateways that all follow one moment's ask for nothing and then all at once.
+BACKLOG_WINDOW_S = 0.5
+NEGLIGIBLE_WAIT_S = 0.001
 # How far requests to an endpoint may exceed the rate that it states.
 ENDPOINT_WINDOW_S = 4.0
 ENDPOINT_TOLERANCE = 0.5
@@ -175,6 +182,7 @@
         "_lapsed",
         "_leader_since",
         "_policy",
+        "_unmet",
     )
 
     def __init__(self, *, policy: LimitPolicy):
@@ -184,6 +192,8 @@
         self._leader_since: float | None = None
         self._granted_at = 0.0
         self._lapsed = False
+        # What an asker still waits for, by limit, and when it asked.
+        self._unmet: dict[str, tuple[float, dict[str, float]]] = {}
 
     def set_gateway_count(self, count: int) -> None:
         """Set the number of gateways that share the limits."""
@@ -192,6 +202,7 @@
     def step_down(self) -> None:
         """Drop the buckets, since another leader may grant from now on."""
         self._buckets = {}
+        self._unmet = {}
         self._leader_since = None
         self._lapsed = False
 
@@ -220,12 +231,15 @@
         prefetch: dict[str, float],
         silent_share: float,
         now: float,
+        asker: str = "",
     ) -> dict[str, float]:
         """Return the amounts granted to one gateway or pool, by limit.
 
         `needed` is what waiting requests lack and `prefetch` what it may
         hold in advance, both by limit. `silent_share` is the part of the
         known gateways, 0 to 1, that may be spending their fallback shares.
+        `asker` names the gateway or pool, whose last request counts in
+        `waits`.
         """
         if not self.is_granting(now):
             return {}
@@ -244,19 +258,30 @@
             if limit.rate_per_s > 0
             and (limit.name in needed or isinstance(limit, Customer))
         }
+        self._note_unmet(asker, needed, grants, now)
         return {name: amount for name, amount in grants.items() if amount}
 
     def waits(self, limits: Iterable[Limit]) -> dict[str, float]:
-        """Return the seconds until each exhausted limit has room."""
-        levels = (
-            (limit, self._buckets[limit.name].level)
+        """Return the seconds until each exhausted limit has room.
+
+        What gateways and pools still wait for goes first.
+        """
+        backlog: dict[str, float] = {}
+        for asked_at, unmet in self._unmet.values():
+            if self._granted_at - asked_at > UNMET_EXPIRY_S:
+                continue
+            for name, amount in unmet.items():
+                backlog[name] = backlog.get(name, 0.0) + amount
+        lacking = (
+            (limit, backlog.get(limit.name, 0.0) - bucket.level)
             for limit in limits
-            if limit.rate_per_s > 0 and limit.name in self._buckets
+            if limit.rate_per_s > 0
+            and (bucket := self._buckets.get(limit.name)) is not None
         )
         return {
-            limit.name: -level / limit.rate_per_s
-            for limit, level in levels
-            if level <= 0
+            limit.name: amount / limit.rate_per_s
+            for limit, amount in lacking
+            if amount >= 0
         }
 
     def retain(self, limits: Iterable[Limit]) -> None:
@@ -268,6 +293,26 @@
             if name in names
         }
 
+    def _note_unmet(
+        self,
+        asker: str,
+        needed: dict[str, float],
+        grants: dict[str, float],
+        now: float,
+    ) -> None:
+        unmet = {
+            name: lacking
+            for name, amount in needed.items()
+            if (lacking := amount - grants.get(name, 0.0)) > 0
+        }
+        self._unmet.pop(asker, None)
+        if unmet:
+            self._unmet[asker] = (now, unmet)
+        for other, (asked_at, _) in tuple(self._unmet.items()):
+            if now - asked_at <= UNMET_EXPIRY_S:
+                break
+            del self._unmet[other]
+
     def _reserve_lapse(self, now: float) -> None:
         """Reserve the fallback shares of the time since the last grant."""
         reserved_from = self._granted_at + reserve_after_s(
@@ -341,7 +386,8 @@
 
     __slots__ = (
         "_accounts",
-        "_available_at",
+        "_backlogs_at",
+        "_backlogs_s",
         "_customers",
         "_fallback_after_s",
         "_gateways",
@@ -351,7 +397,8 @@
 
     def __init__(self, *, policy: LimitPolicy):
         self._policy = policy
-        self._available_at: dict[str, float] = {}
+        self._backlogs_s: dict[str, float] = {}
+        self._backlogs_at = float("-inf")
         self._accounts: dict[str, _Account] = {}
         self._customers: dict[str, Customer] = {}
         self._gateways = 1
@@ -386,7 +433,7 @@
             for name, account in self._accounts.items():
                 share = self._fallback_share(name)
                 account.charge_debt_to_balance(share, now)
-        self._available_at = {name: now + wait for name, wait in waits.items()}
+        self._smooth_backlogs(waits, now)
         for name, amount in grants.items():
             self._account(name).balance += amount
 
@@ -402,9 +449,31 @@
             return True
         return self._spend_small_request(account, customer, amount, now)
 
-    def available_in_s(self, name: str, now: float) -> float:
-        """Return the seconds until a limit has room, as the leader replied."""
-        return max(0.0, self._available_at.get(name, now) - now)
+    def backlog_s(self, name: str) -> float:
+        """Return how long a limit has no room, by the leader's last replies.
+
+        Others join what waits as it is granted, so it does not shrink with
+        the age of the replies.
+        """
+        return self._backlogs_s.get(name, 0.0)
+
+    def fallback_in_s(self, name: str, ahead: float, now: float) -> float:
+        """Return the seconds until the fallback share has room.
+
+        `ahead` is what is spent before.
+        """
+        account, share = self._account(name), self._fallback_share(name)
+        if share <= 0:
+            return 0.0
+        self._refill_fallback(account, name, now)
+        debt = min(0.0, account.balance)
+        return max(0.0, ahead - account.fallback.level - debt) / share
+
+    def expected_share(self, name: str) -> float:
+        """Return an equal share of a limit's rate."""
+        customer = self._customers.get(name)
+        rate = customer.rate_per_s if customer else 0.0
+        return max(1.0, rate) / self._gateways
 
     def refund(self, customer: Customer, amount: float) -> None:
         """Return the amount charged for a request that never ran."""
@@ -451,23 +520,43 @@
             interval_s, relayed=is_relayed(count)
         )
 
+    def _smooth_backlogs(self, waits: dict[str, float], now: float) -> None:
+        age_s = max(0.0, now - self._backlogs_at)
+        weight = 1 - exp(-age_s / BACKLOG_WINDOW_S)
+        smoothed = {
+            name: old_s + weight * (waits.get(name, 0.0) - old_s)
+            for name in {**self._backlogs_s, **waits}
+            for old_s in (self._backlogs_s.get(name, 0.0),)
+        }
+        self._backlogs_at = now
+        self._backlogs_s = {
+            name: wait_s
+            for name, wait_s in smoothed.items()
+            if wait_s > NEGLIGIBLE_WAIT_S
+        }
+
     def _spend_fallback(
         self, account: _Account, customer: Customer, amount: float, now: float
     ) -> bool:
         if not self.uses_fallback(now):
             return False
-        account.fallback.refilled_at = max(
-            account.fallback.refilled_at,
-            self._leader_reply_at + self._fallback_after_s,
-        )
-        share = self._fallback_share(customer.name)
-        account.fallback.refill(share, share * FALLBACK_BURST_S, now)
+        self._refill_fallback(account, customer.name, now)
         account.charge_debt_to_fallback()
         if account.fallback.level <= 0:
             return False
         account.fallback.level -= amount
         return True
 
+    def _refill_fallback(
+        self, account: _Account, name: str, now: float
+    ) -> None:
+        account.fallback.refilled_at = max(
+            account.fallback.refilled_at,
+            self._leader_reply_at + self._fallback_after_s,
+        )
+        share = self._fallback_share(name)
+        account.fallback.refill(share, share * FALLBACK_BURST_S, now)
+
     def _spend_small_request(
         self, account: _Account, customer: Customer, amount: float, now: float
     ) -> bool:
--- a/chervilshift/gateway/admission.py
+++ b/chervilshift/gateway/admission.py
@@ -23,6 +23,9 @@
 # Without a reply of the leader for this long, the limit is tried again: the
 # fallback share is refilled locally.
 GRANT_TIMEOUT_S = 0.15
+# A grant is asked for after this time at the latest, also if the limit has no
+# room before: the control processes then know what waits.
+MAX_REQUEST_DELAY_S = 0.1
 # Retry-After of responses to failures that are expected to pass soon.
 TRANSIENT_RETRY_AFTER_S = 0.25
 # Retry-After while this gateway stops: another one can serve the client at
@@ -43,23 +46,47 @@
         self._clock = clock
 
     async def admit(self, exchange: Exchange) -> bool:
-        """Charge the limit; return False if it stays spent for too long."""
+        """Charge the limit; return False if it can't be in time."""
         customer = exchange.customer
         if customer is None:
             return True
-        limits = self._state.limits
-        exchange.charged = limits.try_spend(
-            customer, exchange.limit_cost, self._clock.monotonic()
+        queue = self._state.limit_queue
+        waiting = queue.join(
+            customer,
+            exchange.limit_cost,
+            exchange.priority,
+            MAX_LIMIT_WAIT_SHARE * exchange.route.objective_s,
+            self._clock.monotonic(),
         )
-        if exchange.charged:
-            return True
-        limits.add_waiting(customer.name, exchange.limit_cost)
         try:
-            await self._wait(exchange)
+            while not waiting.charged:
+                now = self._clock.monotonic()
+                if queue.waits_in_vain(waiting, now):
+                    break
+                with anyio.move_on_after(waiting.until - now):
+                    await self._wait_reply(queue.available_in_s(waiting, now))
+                queue.serve(customer.name, self._clock.monotonic())
         finally:
-            limits.remove_waiting(customer.name, exchange.limit_cost)
+            exchange.charged = waiting.charged
+            queue.leave(waiting)
+        if not exchange.charged:
+            now = self._clock.monotonic()
+            exchange.retry_after_s = queue.defer(
+                waiting, exchange.deadline_at - now, now
+            )
         return exchange.charged
 
+    async def _wait_reply(self, expected_s: float) -> None:
+        """Return at the next reply of control, or after a time-out.
+
+        It is asked for when the request is expected to be granted.
+        """
+        with anyio.move_on_after(min(expected_s, MAX_REQUEST_DELAY_S)):
+            await self._sync.wait_reply()
+            return
+        with anyio.move_on_after(GRANT_TIMEOUT_S):
+            await self._sync.refresh()
+
     async def wait_for_endpoint(
         self,
         exchange: Exchange,
@@ -86,39 +113,8 @@
             choice = place()
         return choice
 
-    def available_in_s(self, exchange: Exchange) -> float:
-        """Return the seconds after which the client may retry.
-
-        That is when the limit allows requests again, but never sooner than
-        `TRANSIENT_RETRY_AFTER_S`.
-        """
-        now = self._clock.monotonic()
-        name = exchange.customer.name
-        return max(
-            TRANSIENT_RETRY_AFTER_S,
-            self._state.limits.available_in_s(name, now),
-        )
-
     def refund_if_not_run(self, exchange: Exchange) -> None:
         """Refund the charge of a request that no endpoint can have run."""
         if exchange.charged and not exchange.maybe_ran:
             limits = self._state.limits
             limits.refund(exchange.customer, exchange.limit_cost)
-
-    async def _wait(self, exchange: Exchange) -> None:
-        customer = exchange.customer
-        limits = self._state.limits
-        wait_until = self._clock.monotonic() + (
-            MAX_LIMIT_WAIT_SHARE * exchange.route.objective_s
-        )
-        while not exchange.charged:
-            now = self._clock.monotonic()
-            available_at = now + limits.available_in_s(customer.name, now)
-            if now >= wait_until or available_at >= wait_until:
-                return
-            with anyio.move_on_after(min(wait_until - now, GRANT_TIMEOUT_S)):
-                await anyio.sleep(available_at - now)
-                await self._sync.refresh()
-            exchange.charged = limits.try_spend(
-                customer, exchange.limit_cost, self._clock.monotonic()
-            )
--- a/chervilshift/gateway/dispatch.py
+++ b/chervilshift/gateway/dispatch.py
@@ -189,7 +189,7 @@
             )
             return
         if not await self._limiter.admit(exchange):
-            retry_after_s = self._limiter.available_in_s(exchange)
+            retry_after_s = exchange.retry_after_s
             failure = OverLimit(
                 customer=exchange.customer.name,
                 needs=exchange.limit_cost,
--- a/chervilshift/gateway/exchange.py
+++ b/chervilshift/gateway/exchange.py
@@ -63,7 +63,8 @@
     """One request being served, and the state of its attempts.
 
     Times are monotonic, in seconds. `limit_cost` is what it is charged to its
-    customer's limit, and `charged` whether it was. `maybe_ran` is true once
+    customer's limit, and `charged` whether it was. `retry_after_s` is when a
+    client that was refused may return. `maybe_ran` is true once
     an endpoint may have run it, and `usage_counted` once it is counted as
     begun. `attempts_sent` counts the attempts whose request was sent,
     `retry_paid` tells whether the budget was charged for the next one, and
@@ -101,6 +102,7 @@
         "maybe_ran",
         "relay",
         "request",
+        "retry_after_s",
         "retry_paid",
         "route",
         "service",
@@ -156,6 +158,7 @@
         self.answer_recorded = False
         self.limit_cost = _limit_cost(request, customer)
         self.charged = False
+        self.retry_after_s = 0.0
         self.usage_counted = False
         self.maybe_ran = False
         self.attempts_sent = 0
--- a/chervilshift/gateway/state.py
+++ b/chervilshift/gateway/state.py
@@ -19,6 +19,7 @@
 )
 from chervilshift.core.fleet.holds import EndpointHolds
 from chervilshift.core.fleet.intervals import DIRECT_INTERVAL_S
+from chervilshift.core.fleet.limitqueue import LimitQueue
 from chervilshift.core.fleet.limits import LimitAccount, LimitPolicy
 from chervilshift.core.fleet.model import EndpointRecord, ServingConfig
 from chervilshift.core.fleet.news import NEWS_EXPIRY_S, NewsCopy, Observed
@@ -94,6 +95,7 @@
         self._retry_budgets: dict[str, RetryBudget] = {}
         self.placement = placement
         self.limits = LimitAccount(policy=limit_policy)
+        self.limit_queue = LimitQueue(account=self.limits, rng=rng)
         self._prefill_rates: defaultdict[str, DecayingRate] = defaultdict(
             lambda: DecayingRate(window_s=PREFILL_RATE_WINDOW_S)
         )
@@ -388,6 +390,7 @@
         self.table = RouteTable(cfg=cfg)
         self._configured.set()
         self.limits.configure(cfg.customers)
+        self.limit_queue.configure({c.name for c in cfg.customers})
         self.placement.set_services(cfg.services)
         forget_unnamed(self._retry_budgets, cfg.services)
         forget_unnamed(self._prefill_rates, cfg.services)
--- a/chervilshift/gateway/sync.py
+++ b/chervilshift/gateway/sync.py
@@ -81,9 +81,12 @@
 
     async def refresh(self) -> None:
         """Sync soon; return when a control process has replied."""
-        replied = self._replied
         self.request()
-        await replied.wait()
+        await self.wait_reply()
+
+    async def wait_reply(self) -> None:
+        """Return when a control process has replied."""
+        await self._replied.wait()
 
     @property
     def address(self) -> str:
