Log: orders of rollouts, their stages and verdicts

Operators will order that a service moves to another version of its endpoints. The log holds the newest order of each service: what it moves to and from, deadline, stage, share and verdict. Whether an order is the same as the last one, conflicts with one that runs, or names an unknown service is decided when it is applied, so all replicas answer alike.

--- a/chervilshift/core/commands.py
+++ b/chervilshift/core/commands.py
@@ -2,11 +2,13 @@
 
 from chervilshift.core.fleet.commands import (
     AcceptServing,
+    AdvanceRollout,
     AnnounceEndpoint,
     ClearParts,
     CommitUsage,
     CrashesNoted,
     EndpointKnown,
+    EndRollout,
     ExpireParts,
     GatewaysNoted,
     LeavingNoted,
@@ -18,7 +20,10 @@
     NoteStreams,
     QuarantineParts,
     ReleaseParts,
+    RolloutChanged,
+    RolloutStarted,
     ServingAccepted,
+    StartRollout,
     StartTrial,
     StreamsNoted,
     UsageCommitted,
@@ -175,6 +180,9 @@
     | ReleaseParts
     | ExpireParts
     | StartTrial
+    | StartRollout
+    | AdvanceRollout
+    | EndRollout
 )
 CommandReply = (
     Applied
@@ -191,4 +199,6 @@
     | LimitsNoted
     | StreamsNoted
     | CrashesNoted
+    | RolloutStarted
+    | RolloutChanged
 )
--- a/chervilshift/core/fleet/commands.py
+++ b/chervilshift/core/fleet/commands.py
@@ -7,11 +7,15 @@
 from chervilshift.core.message import Message
 
 __all__ = [
+    "ACCEPTED",
     "AcceptServing",
+    "AdvanceRollout",
     "AnnounceEndpoint",
+    "CONFLICT",
     "ClearParts",
     "CommitUsage",
     "CrashesNoted",
+    "EndRollout",
     "EndpointKnown",
     "ReleaseParts",
     "GatewaysNoted",
@@ -24,12 +28,23 @@
     "NoteStreams",
     "QuarantineParts",
     "ExpireParts",
+    "RolloutChanged",
+    "RolloutStarted",
+    "SAME",
     "ServingAccepted",
+    "StartRollout",
     "StartTrial",
     "StreamsNoted",
+    "UNKNOWN_SERVICE",
     "UsageCommitted",
 ]
 
+# What becomes of an order of a rollout.
+ACCEPTED = "accepted"
+SAME = "same"
+CONFLICT = "conflict"
+UNKNOWN_SERVICE = "unknown service"
+
 
 class AcceptServing(Message):
     """Activate a packed serving document if its version is the highest.
@@ -154,6 +169,51 @@
     now_s: float
 
 
+class StartRollout(Message):
+    """Order that a service moves to the version `to`; `now_s` is Unix time.
+
+    The same order as the last one of the service changes nothing.
+    """
+
+    service: str
+    to: str
+    ramp_s: float
+    now_s: float
+
+
+class AdvanceRollout(Message):
+    """Move the rollout that was ordered at `order` to a stage and share."""
+
+    service: str
+    order: int
+    stage: str
+    share: float
+
+
+class EndRollout(Message):
+    """End the rollout that was ordered at `order`; `now_s` is Unix time."""
+
+    service: str
+    order: int
+    state: str
+    reason: str
+    now_s: float
+
+
+class RolloutStarted(Message):
+    """What became of an order, one of the constants of this module."""
+
+    outcome: str
+
+
+class RolloutChanged(Message):
+    """The service's rollout after the command, 0 and empty without one."""
+
+    order: int = 0
+    state: str = ""
+    stage: str = ""
+
+
 class CrashesNoted(Message):
     """The log position of the last change to crashes and quarantine."""
 
--- a/chervilshift/core/fleet/state.py
+++ b/chervilshift/core/fleet/state.py
@@ -6,11 +6,13 @@
 
 from chervilshift.core.fleet.commands import (
     AcceptServing,
+    AdvanceRollout,
     AnnounceEndpoint,
     ClearParts,
     CommitUsage,
     CrashesNoted,
     EndpointKnown,
+    EndRollout,
     ExpireParts,
     GatewaysNoted,
     LeavingNoted,
@@ -22,7 +24,10 @@
     NoteStreams,
     QuarantineParts,
     ReleaseParts,
+    RolloutChanged,
+    RolloutStarted,
     ServingAccepted,
+    StartRollout,
     StartTrial,
     StreamsNoted,
     UsageCommitted,
@@ -42,6 +47,8 @@
     with_state,
 )
 from chervilshift.core.fleet.origins import OriginSnapshot, OriginTable
+from chervilshift.core.fleet.rolloutlog import RolloutTable
+from chervilshift.core.fleet.versions import Rollout
 from chervilshift.core.message import Message
 
 __all__ = ["MAX_ENDPOINTS", "FleetState", "FleetSnapshot"]
@@ -73,6 +80,8 @@
     limits: dict[str, StatedLimit] = {}
     limits_revision: int = 0
     origins: OriginSnapshot = OriginSnapshot()
+    rollouts: tuple[Rollout, ...] = ()
+    rollouts_revision: int = 0
 
 
 class FleetState:
@@ -97,6 +106,7 @@
         "limits_revision",
         "origins",
         "revision",
+        "rollouts",
         "services",
         "version",
     )
@@ -116,6 +126,9 @@
         self.gateways = stored.gateways
         self.crashes = CrashTable(snapshot=stored.crashes)
         self.origins = OriginTable(snapshot=stored.origins)
+        self.rollouts = RolloutTable(
+            rollouts=stored.rollouts, revision=stored.rollouts_revision
+        )
         self._set_limits(dict(stored.limits), stored.limits_revision)
 
     def snapshot(self) -> FleetSnapshot:
@@ -132,6 +145,8 @@
             limits=self.limits,
             limits_revision=self.limits_revision,
             origins=self.origins.snapshot(),
+            rollouts=tuple(self.rollouts.rollouts.values()),
+            rollouts_revision=self.rollouts.revision,
         )
 
     def endpoint(self, endpoint_id: str) -> EndpointRecord | None:
@@ -192,6 +207,7 @@
             self.version = command.version
             self.document = command.document
             self.services = frozenset(command.services)
+            self.rollouts.retain(self.services, index)
         return ServingAccepted(version=self.version)
 
     @apply.register
@@ -226,6 +242,20 @@
             self._set_limits(self.limits | newer, index)
         return LimitsNoted(revision=self.limits_revision)
 
+    @apply.register
+    def _(self, command: StartRollout, index: int) -> RolloutStarted:
+        return self.rollouts.start(
+            command, self.services, self._endpoints.values(), index
+        )
+
+    @apply.register
+    def _(self, command: AdvanceRollout, index: int) -> RolloutChanged:
+        return self.rollouts.advance(command, index)
+
+    @apply.register
+    def _(self, command: EndRollout, index: int) -> RolloutChanged:
+        return self.rollouts.end(command, self._endpoints.values(), index)
+
     @apply.register
     def _(self, command: NoteStreams, index: int) -> StreamsNoted:
         self.origins.note(command.batches, command.now_s, command.kept_s)
@@ -290,6 +320,12 @@
         self._note_versions(
             filter(None, (stored, other, announced)), command.now_s
         )
+        self.rollouts.settle(
+            (announced.service,),
+            self._endpoints.values(),
+            command.now_s,
+            index,
+        )
         self._prune_tombstones()
         return EndpointKnown(state=announced.state)
 
--- a/chervilshift/core/machine.py
+++ b/chervilshift/core/machine.py
@@ -24,9 +24,11 @@
 )
 from chervilshift.core.fleet.commands import (
     AcceptServing,
+    AdvanceRollout,
     AnnounceEndpoint,
     ClearParts,
     CommitUsage,
+    EndRollout,
     ExpireParts,
     NoteCrashes,
     NoteGateways,
@@ -35,6 +37,7 @@
     NoteStreams,
     QuarantineParts,
     ReleaseParts,
+    StartRollout,
     StartTrial,
 )
 from chervilshift.core.fleet.state import FleetSnapshot, FleetState
@@ -164,6 +167,7 @@
         return Fenced(token=index)
 
     @_apply.register(AcceptServing)
+    @_apply.register(AdvanceRollout)
     @_apply.register(AnnounceEndpoint)
     @_apply.register(ClearParts)
     @_apply.register(CommitUsage)
@@ -174,7 +178,9 @@
     @_apply.register(NoteLimits)
     @_apply.register(NoteStreams)
     @_apply.register(QuarantineParts)
+    @_apply.register(EndRollout)
     @_apply.register(ExpireParts)
+    @_apply.register(StartRollout)
     @_apply.register(StartTrial)
     def _(self, command: Command, index: int) -> CommandReply:
         return self.fleet.apply(command, index)
