Rollouts: a new version gets its share, is tested, and takes over

What the log says of rollouts goes to gateways with the endpoints, so a gateway that knows endpoints of a new version knows that they are on trial. Each gateway keeps to the exposure share by its own counts, and sends nothing to a new version without fresh news of the leader. The leader compares the outcomes of both versions by route with a sequential test, and commits stages, shares and the verdict. Settings rollout_share, rollout_slack and rollback_ms; without rollout_share nothing changes.

--- a/chervilshift/control/fleet.py
+++ b/chervilshift/control/fleet.py
@@ -15,6 +15,7 @@
 from chervilshift.control.origins import OriginService
 from chervilshift.control.quarantine import Quarantine
 from chervilshift.control.relay import LeaderRelay
+from chervilshift.control.rollouts import RolloutService
 from chervilshift.control.statements import StatementNotes
 from chervilshift.core.commands import (
     AcceptServing,
@@ -51,6 +52,7 @@
     ServingDocument,
     SyncReply,
 )
+from chervilshift.core.fleet.versions import RolloutPolicy
 from chervilshift.core.fleet.walltime import WallTime
 from chervilshift.core.message import Message
 from chervilshift.errors import Failure, NotLeader, NotReady, Unserved
@@ -66,6 +68,8 @@
 # An operator waits one second for the reply, longer for large documents.
 CONFIG_COMMIT_TIMEOUT_S = 0.95
 CONFIG_READ_TIMEOUT_S = 0.9
+ROLLOUT_COMMIT_TIMEOUT_S = 0.95
+ROLLOUT_READ_TIMEOUT_S = 0.9
 # Gateways wait longer for both.
 ORIGIN_COMMIT_TIMEOUT_S = 1.0
 ORIGIN_READ_TIMEOUT_S = 0.6
@@ -106,6 +110,7 @@
         info: ControlInfo,
         clock: Clock,
         events: EventLog,
+        rollout_policy: RolloutPolicy | None = None,
     ):
         self._node = node
         self._clients = clients
@@ -137,10 +142,24 @@
             submit=lambda command: self._submit(
                 command, ORIGIN_COMMIT_TIMEOUT_S
             ),
-            ask_leader=self._ask_leader,
+            ask_leader=lambda message: self._ask_leader(
+                message, ORIGIN_READ_TIMEOUT_S
+            ),
             serving_config=self.serving_config,
             wall_s=self.wall_s,
         )
+        self.rollouts = RolloutService(
+            policy=rollout_policy,
+            node=node,
+            submit=lambda command: self._submit(
+                command, ROLLOUT_COMMIT_TIMEOUT_S
+            ),
+            ask_leader=lambda message: self._ask_leader(
+                message, ROLLOUT_READ_TIMEOUT_S
+            ),
+            wall_s=self.wall_s,
+            events=events,
+        )
         self.relay = LeaderRelay(
             leader=self._leader_to_relay_to,
             make=self._make_relay,
@@ -156,7 +175,7 @@
         self._unforwarded_heartbeats: dict[str, Heartbeat] = {}
         self._last_heartbeats: dict[str, tuple[int, float]] = {}
         self._leading_since: float | None = None
-        self._planner = FleetPlanner()
+        self._planner = self._new_planner()
         self._cfg: ServingConfig | None = None
 
     # Used by the HTTP interfaces for operators, endpoints and clients
@@ -343,6 +362,9 @@
         limits = None
         if fleet.limits_revision > message.limits_revision:
             limits = fleet.limits
+        rollouts = None
+        if fleet.rollouts.revision > message.rollouts_revision:
+            rollouts = self.rollouts.current()
         return SyncReply(
             leader=self._node.leader_address(),
             leader_age_s=min(news.leader_age_s, MAX_AGE_S),
@@ -367,6 +389,8 @@
             mixed=self.origins.mixed_services(),
             news=news.news,
             news_age_s=news.news_age_s,
+            rollouts=rollouts,
+            rollouts_revision=fleet.rollouts.revision,
         )
 
     async def receive_relay(self, message: Relay) -> RelayReply:
@@ -455,12 +479,15 @@
                     await self._quarantine.step()
                     await self._expire_endpoints()
                     await self._update_gateways()
-                    self._plan()
+                    await self._plan()
                 elif not self._node.raft.is_leader:
                     self._leading_since = None
-                    self._planner = FleetPlanner()
+                    self._planner = self._new_planner()
+
+    def _new_planner(self) -> FleetPlanner:
+        return FleetPlanner(rollout_policy=self.rollouts.policy)
 
-    def _plan(self) -> None:
+    async def _plan(self) -> None:
         """Decide for all gateways; called as leader."""
         cfg = self.serving_config()
         if cfg is None:
@@ -472,9 +499,15 @@
                 endpoints=self._node.machine.fleet.endpoints(),
                 cfg=cfg,
                 now=now,
+                rollouts=self.rollouts.current(),
+                gateways=self.presence.known_gateways(
+                    self._node.machine.fleet.gateways
+                ),
+                wall_s=self.wall_s(),
             )
         )
         self._distributor.set_news(news, now)
+        await self.rollouts.step(self._planner.rollouts, news.versions)
 
     def _leader_to_relay_to(self) -> str:
         """Return the leader's address, empty if this process leads."""
@@ -507,9 +540,11 @@
         reply = await self._leader.call(Submit(command=command), timeout_s)
         return reply.map(lambda submitted: submitted.reply)
 
-    async def _ask_leader(self, message: Message) -> Result[Message, Failure]:
+    async def _ask_leader(
+        self, message: Message, timeout_s: float
+    ) -> Result[Message, Failure]:
         self._update_leader_addresses()
-        return await self._leader.call(message, ORIGIN_READ_TIMEOUT_S)
+        return await self._leader.call(message, timeout_s)
 
     def _update_leader_addresses(self) -> None:
         leader_address = self._node.leader_address()
--- a/chervilshift/control/routed.py
+++ b/chervilshift/control/routed.py
@@ -79,6 +79,7 @@
             ),
             clock=self._clock,
             events=self._events,
+            rollout_policy=self._settings.rollout_policy(),
         )
         return ControlServer(node=self.node, fleet=self.fleet)
 
@@ -140,6 +141,13 @@
         metrics.gauge(
             "reports_refused", lambda: self.fleet.presence.refused_reports
         )
+        metrics.gauge(
+            "rollouts_running",
+            lambda: sum(r.is_running for r in self.fleet.rollouts.current()),
+        )
+        metrics.gauge("rollout_share", self.fleet.rollouts.largest_share)
+        metrics.gauge("rollout_suspicion", self.fleet.rollouts.suspicion)
+        metrics.gauge("rollout_attempts", self.fleet.rollouts.attempts)
         return metrics
 
     def _identity(self) -> Identity:
--- a/chervilshift/control/server.py
+++ b/chervilshift/control/server.py
@@ -15,10 +15,12 @@
     GatewaySync,
     OriginFound,
     ReadOrigin,
+    ReadRollout,
     ReadServing,
     RecordStreams,
     Relay,
     RelayReply,
+    RolloutFound,
     ServingDocument,
     StreamsRecorded,
     SyncReply,
@@ -138,6 +140,10 @@
     async def _(self, message: ReadServing) -> ServingDocument:
         return await self._fleet_service().answer_read()
 
+    @_serve.register
+    async def _(self, message: ReadRollout) -> RolloutFound:
+        return await self._fleet_service().rollouts.answer_read(message)
+
     @_serve.register
     async def _(self, message: RecordStreams) -> StreamsRecorded:
         return await self._fleet_service().origins.record(message)
--- a/chervilshift/core/fleet/distribution.py
+++ b/chervilshift/core/fleet/distribution.py
@@ -526,5 +526,6 @@
         and old.stated_limits == new.stated_limits
         and old.leaving == new.leaving
         and old.observed == new.observed
+        and old.rollouts_revision == new.rollouts_revision
         and not new.usage
     )
--- a/chervilshift/core/fleet/news.py
+++ b/chervilshift/core/fleet/news.py
@@ -7,9 +7,9 @@
 
 import msgspec
 
-from chervilshift.core.fleet.rollouts import VersionOutcomes, VersionShares
 from chervilshift.core.fleet.room import RoomLevel, RoomReport
 from chervilshift.core.fleet.speeds import ServiceSpeed, SpeedReport
+from chervilshift.core.fleet.versions import VersionOutcomes, VersionShares
 from chervilshift.core.fleet.zones import FlowReport, SpillShares
 from chervilshift.core.message import Message
 
--- a/chervilshift/core/fleet/planner.py
+++ b/chervilshift/core/fleet/planner.py
@@ -4,10 +4,11 @@
 
 from chervilshift.core.fleet.model import EndpointRecord, ServingConfig
 from chervilshift.core.fleet.news import FleetNews
-from chervilshift.core.fleet.rollouts import RolloutPlanner
+from chervilshift.core.fleet.rollouts import RolloutInput, RolloutPlanner
 from chervilshift.core.fleet.room import RoomPlanner
 from chervilshift.core.fleet.speeds import SpeedPlanner
 from chervilshift.core.fleet.sync import GatewaySync
+from chervilshift.core.fleet.versions import Rollout, RolloutPolicy
 from chervilshift.core.fleet.zones import SpillPlanner
 
 __all__ = ["FleetPlanner", "PlanInput"]
@@ -17,9 +18,19 @@
     """What decisions are made from.
 
     `reports` are those of gateways that are heard, and `now` is monotonic.
+    `rollouts` are those of the log, `gateways` the ids of all gateways that
+    may be running, and `wall_s` is Unix time.
     """
 
-    __slots__ = ("cfg", "endpoints", "now", "reports")
+    __slots__ = (
+        "cfg",
+        "endpoints",
+        "gateways",
+        "now",
+        "reports",
+        "rollouts",
+        "wall_s",
+    )
 
     def __init__(
         self,
@@ -28,11 +39,17 @@
         endpoints: Iterable[EndpointRecord],
         cfg: ServingConfig,
         now: float,
+        rollouts: Iterable[Rollout] = (),
+        gateways: Iterable[str] = (),
+        wall_s: float = 0.0,
     ):
         self.reports = tuple(reports)
         self.endpoints = tuple(endpoints)
         self.cfg = cfg
         self.now = now
+        self.rollouts = tuple(rollouts)
+        self.gateways = tuple(gateways)
+        self.wall_s = wall_s
 
 
 class FleetPlanner:
@@ -40,10 +57,10 @@
 
     __slots__ = ("rollouts", "room", "speeds", "spill")
 
-    def __init__(self):
+    def __init__(self, *, rollout_policy: RolloutPolicy | None = None):
         self.speeds = SpeedPlanner()
         self.room = RoomPlanner()
-        self.rollouts = RolloutPlanner()
+        self.rollouts = RolloutPlanner(policy=rollout_policy)
         self.spill = SpillPlanner()
 
     def plan(self, given: PlanInput) -> FleetNews:
@@ -53,6 +70,17 @@
         return FleetNews(
             speeds=speeds,
             levels=self.room.plan((o.room for o in observed), given.cfg),
-            versions=self.rollouts.plan(o.outcomes for o in observed),
+            versions=self.rollouts.plan(_rollout_input(given)),
             spill=self.spill.plan(o.flows for o in observed),
         )
+
+
+def _rollout_input(given: PlanInput) -> RolloutInput:
+    return RolloutInput(
+        rollouts=given.rollouts,
+        reports=given.reports,
+        endpoints=given.endpoints,
+        gateways=given.gateways,
+        now=given.now,
+        wall_s=given.wall_s,
+    )
--- a/chervilshift/core/fleet/sync.py
+++ b/chervilshift/core/fleet/sync.py
@@ -5,6 +5,7 @@
 from chervilshift.core.fleet.model import EndpointRecord
 from chervilshift.core.fleet.news import FleetNews, Observed
 from chervilshift.core.fleet.origins import Origin, OriginBatch
+from chervilshift.core.fleet.versions import Rollout
 from chervilshift.core.message import Message
 
 __all__ = [
@@ -18,10 +19,12 @@
     "LoadsDelta",
     "OriginFound",
     "ReadOrigin",
+    "ReadRollout",
     "ReadServing",
     "RecordStreams",
     "Relay",
     "RelayReply",
+    "RolloutFound",
     "ServingDocument",
     "StreamsRecorded",
     "SyncReply",
@@ -105,7 +108,8 @@
     `answers` the Unix times of the last answers to requests with suspected
     prompt parts, and `refused` the quarantined parts that are still asked for.
     `observed` is what the leader's decisions are made from, and `news_id`
-    names those that the gateway has.
+    names those that the gateway has. `rollouts_revision` is that of the
+    rollouts that it follows.
     """
 
     gateway: GatewayInfo
@@ -131,6 +135,7 @@
     leaving: dict[str, int] = {}
     observed: Observed = Observed()
     news_id: str = ""
+    rollouts_revision: int = 0
 
 
 class SyncReply(Message):
@@ -151,7 +156,7 @@
     number of known gateways and `interval_s` the time until the next report.
     `mixed` are the services that had several versions a short time ago.
     `news` are the leader's decisions, made `news_age_s` ago, None if the
-    gateway has them.
+    gateway has them. `rollouts` are those of the log, None if it has them.
     """
 
     leader: str
@@ -177,6 +182,8 @@
     mixed: tuple[str, ...] = ()
     news: FleetNews | None = None
     news_age_s: float = 0.0
+    rollouts: tuple[Rollout, ...] | None = None
+    rollouts_revision: int = 0
 
 
 class Heartbeat(Message):
@@ -251,6 +258,18 @@
     document: bytes
 
 
+class ReadRollout(Message):
+    """Request a service's rollout from the leader, valid under its lease."""
+
+    service: str
+
+
+class RolloutFound(Message):
+    """The newest rollout of a service, None if there was none."""
+
+    rollout: Rollout | None = None
+
+
 class RecordStreams(Message):
     """Record which versions began a gateway's streams."""
 
--- a/chervilshift/gateway/chooser.py
+++ b/chervilshift/gateway/chooser.py
@@ -14,7 +14,8 @@
     """Places requests at endpoints that take them now.
 
     Endpoints may be held, as they asked for no requests, or exhausted, as
-    their rate limit is spent. A stream goes on at endpoints of its version.
+    their rate limit is spent. A stream goes on at endpoints of its version,
+    and rollouts exclude versions.
     """
 
     __slots__ = ("_clock", "_limiter", "_metrics", "_state")
@@ -51,7 +52,7 @@
 
         It did not fail the request before.
         """
-        barred_ids = self._held_ids(exchange)
+        barred_ids = self._barred_ids(exchange)
         barred_ids |= self._state.exhausted_endpoints()
         barred_ids |= exchange.failed_ids | {endpoint.id}
         return self._state.placement.has_responsive(
@@ -61,7 +62,7 @@
     def has_other(self, exchange: Exchange, endpoint: Endpoint) -> bool:
         """Return whether an endpoint is left that has not got the request."""
         now = self._clock.monotonic()
-        barred_ids = self._held_ids(exchange) | exchange.barred_ids
+        barred_ids = self._barred_ids(exchange) | exchange.barred_ids
         barred_ids |= {endpoint.id}
         endpoints = self._state.placement.endpoints_of(exchange.service)
         return any(
@@ -86,6 +87,45 @@
         return reason, self._state.available_in_s(exchange.service)
 
     def _place(self, exchange: Exchange) -> Choice | None:
+        """Choose an endpoint, of the version preferred if there is one."""
+        versions = self._state.versions
+        if not versions.has_rule(exchange.service):
+            return self._place_among(exchange, frozenset())
+        for excluded_ids in self._version_preferences(exchange):
+            choice = self._place_among(exchange, excluded_ids)
+            if choice is not None:
+                record = choice.endpoint.record
+                versions.record_placed(exchange.service, record.version)
+                return choice
+        return None
+
+    def _version_preferences(
+        self, exchange: Exchange
+    ) -> tuple[frozenset[str], ...]:
+        """Return sets of endpoints that rollouts exclude, the best first.
+
+        What a request has drawn is kept while it waits. Retries prefer the
+        safe version.
+        """
+        now = self._clock.monotonic()
+        versions = self._state.versions
+        if exchange.wants_new is None:
+            exchange.wants_new = versions.wants_new(
+                exchange.service, exchange.route.name
+            )
+        return versions.preferences(
+            exchange.service,
+            self._state.placement.endpoints_of(exchange.service),
+            now,
+            self._state.wall_s(),
+            wants_new=exchange.wants_new and not exchange.attempts_sent,
+            is_fresh=self._state.follows_rollouts(now),
+            version=exchange.version,
+        )
+
+    def _place_among(
+        self, exchange: Exchange, excluded_ids: frozenset[str]
+    ) -> Choice | None:
         """Choose an endpoint and spend what its rate limit takes for it."""
         spec = self._state.table.cfg.services.get(exchange.service)
         if spec is None:
@@ -93,7 +133,7 @@
         now = self._clock.monotonic()
         limits = self._state.endpoint_limits
         choose = self._state.placement.choose
-        held_ids = self._held_ids(exchange)
+        held_ids = self._held_ids(exchange) | excluded_ids
         exhausted_ids = self._state.exhausted_endpoints()
         barred_ids = held_ids | exhausted_ids
         failed_ids = frozenset(exchange.failed_ids)
@@ -124,10 +164,20 @@
             e.id for e in endpoints if e.record.version != exchange.version
         )
 
+    def _barred_ids(self, exchange: Exchange) -> frozenset[str]:
+        """Return the endpoints that are held or not of a version to use."""
+        held_ids = self._held_ids(exchange)
+        if not self._state.versions.has_rule(exchange.service):
+            return held_ids
+        for excluded_ids in self._version_preferences(exchange):
+            return held_ids | excluded_ids
+        endpoints = self._state.placement.endpoints_of(exchange.service)
+        return held_ids.union(e.id for e in endpoints)
+
     def _exhausted_ids(self, exchange: Exchange) -> frozenset[str]:
         """Return the usable endpoints that their rate limits exclude now."""
         now = self._clock.monotonic()
         endpoints = self._state.placement.endpoints_of(exchange.service)
         usable_ids = {e.id for e in endpoints if e.usable(now)}
-        usable_ids -= self._held_ids(exchange)
+        usable_ids -= self._barred_ids(exchange)
         return usable_ids & self._state.exhausted_endpoints()
--- a/chervilshift/gateway/dispatch.py
+++ b/chervilshift/gateway/dispatch.py
@@ -338,6 +338,7 @@
             sent_at = self._clock.monotonic()
             self._metrics.observe("connect", sent_at - connect_began_at)
             exchange.attempts_sent += 1
+            self._record_version(exchange, placed.choice, sent_at)
             exchange.attempts.append(
                 describe_choice(placed.choice, sent_at - exchange.arrived_at)
                 + f" connection {upstream.connection}"
@@ -362,6 +363,8 @@
                 if not exc.sent:
                     refused = True
                     exchange.maybe_ran = maybe_ran_before
+                elif exchange.rollout_attempt is not None:
+                    exchange.rollout_attempt.record_failure()
                 raise
             finally:
                 if upstream.head is not None:
@@ -381,11 +384,31 @@
                     exchange, placed, upstream, reply, downstream, sent_at
                 )
             except EndpointFailed as exc:
+                if exchange.rollout_attempt is not None:
+                    exchange.rollout_attempt.record_failure()
                 # A crash breaks off all streams that have begun.
                 if not (exc.broken and downstream.started):
                     endpoint.health.record_failure(self._clock.monotonic())
                 raise
 
+    def _record_version(
+        self, exchange: Exchange, choice: Choice, now: float
+    ) -> None:
+        """Count an attempt for the rollout of its service, if any."""
+        versions = self._state.versions
+        if not versions.has_rule(exchange.service):
+            return
+        spec = self._state.table.cfg.services.get(exchange.service)
+        exchange.rollout_attempt = versions.begin(
+            exchange.service,
+            exchange.route.name,
+            choice,
+            exchange.work,
+            now,
+            is_first=exchange.attempts_sent == 1,
+            is_engine=spec is not None and spec.engine is not None,
+        )
+
     @contextmanager
     def _connecting(
         self, exchange: Exchange, endpoint: Endpoint
@@ -522,6 +545,8 @@
         now = self._clock.monotonic()
         failed = reply.status >= 500
         placed.endpoint.health.record_activity(now)
+        if exchange.rollout_attempt is not None:
+            exchange.rollout_attempt.record_reply(now, ok=reply.status < 400)
         retry = (
             failed
             and exchange.route.repeatable
@@ -617,6 +642,8 @@
                 placed.prefill_done()
                 endpoint.add_cached(exchange.work)
                 endpoint.health.record_success(now)
+                if exchange.rollout_attempt is not None:
+                    exchange.rollout_attempt.record_reply(now)
                 self._state.placement.observe(
                     placed.choice, now - sent_at, now
                 )
@@ -684,7 +711,12 @@
     async def _fail_timed_out(
         self, exchange: Exchange, downstream: Downstream
     ) -> None:
-        elapsed_s = self._clock.monotonic() - exchange.arrived_at
+        now = self._clock.monotonic()
+        elapsed_s = now - exchange.arrived_at
+        if exchange.rollout_attempt is not None and (
+            now >= exchange.deadline_at
+        ):
+            exchange.rollout_attempt.record_timeout(now)
         if self._pass_on_failure(exchange, f"no answer in {elapsed_s:.3f} s"):
             return
         if exchange.maybe_ran:
--- a/chervilshift/gateway/exchange.py
+++ b/chervilshift/gateway/exchange.py
@@ -11,6 +11,7 @@
 from chervilshift.core.fleet.model import STREAM, Customer, Route
 from chervilshift.core.fleet.origins import stream_key
 from chervilshift.core.fleet.placement import Work
+from chervilshift.core.fleet.versiongate import Attempt
 from chervilshift.gateway.protocol import ClientRequest, Headers
 from chervilshift.gateway.relay import Relay
 
@@ -74,7 +75,9 @@
     between the events of a stream. `suspect_parts` are the ids and positions
     of what a crash may be blamed on, and `answer_recorded` tells whether they
     are recorded as answered. `version` is the software version
-    of the service at which a stream has to go on, None while that is open;
+    of the service at which a stream has to go on, None while that is open.
+    `wants_new` is drawn while a rollout runs, and `rollout_attempt` counts
+    the last attempt then, None without;
     `stream_key` is the stream's, whichever request began it. `whole_reply` is
     a reply that is ready, and `failed_reply` the failure that an earlier run
     ended with, for the case that no later attempt brings an answer.
@@ -102,12 +105,14 @@
         "relay",
         "request",
         "retry_paid",
+        "rollout_attempt",
         "route",
         "service",
         "stream_key",
         "suspect_parts",
         "usage_counted",
         "version",
+        "wants_new",
         "whole_reply",
         "work",
     )
@@ -153,6 +158,8 @@
             else request.resumed_id or request.id
         )
         self.version: str | None = None
+        self.wants_new: bool | None = None
+        self.rollout_attempt: Attempt | None = None
         self.answer_recorded = False
         self.limit_cost = _limit_cost(request, customer)
         self.charged = False
--- a/chervilshift/gateway/process.py
+++ b/chervilshift/gateway/process.py
@@ -208,6 +208,7 @@
             controls_digest=self._controls_digest,
             clock=self._clock,
             events=self._events,
+            rollout_policy=settings.rollout_policy(),
         )
 
     def _register_gauges(self, metrics: Metrics) -> None:
@@ -243,6 +244,8 @@
             "limits_fallen_back",
             lambda: state.limits.uses_fallback(self._clock.monotonic()),
         )
+        metrics.gauge("rollout_requests", state.versions.requests)
+        metrics.gauge("rollout_attempts", state.versions.attempts)
 
     def _info(self) -> GatewayInfo:
         return GatewayInfo(
--- a/chervilshift/gateway/state.py
+++ b/chervilshift/gateway/state.py
@@ -26,13 +26,14 @@
 from chervilshift.core.fleet.otherload import OtherLoads
 from chervilshift.core.fleet.placement import Placement
 from chervilshift.core.fleet.retries import RetryBudget, RetryPolicy
-from chervilshift.core.fleet.rollouts import VersionGate
 from chervilshift.core.fleet.room import RoomGate
 from chervilshift.core.fleet.routes import RouteTable
 from chervilshift.core.fleet.speeds import SpeedBook
 from chervilshift.core.fleet.sync import GatewayInfo, GatewaySync, SyncReply
 from chervilshift.core.fleet.tables import forget_unnamed
 from chervilshift.core.fleet.usage import UsageCounter
+from chervilshift.core.fleet.versiongate import VersionGate
+from chervilshift.core.fleet.versions import RolloutPolicy
 from chervilshift.core.fleet.walltime import WallTime
 from chervilshift.core.fleet.zones import SpillGate
 from chervilshift.core.rates import DecayingRate
@@ -84,6 +85,7 @@
         rng: Random,
         clock: Clock,
         events: EventLog,
+        rollout_policy: RolloutPolicy | None = None,
     ):
         self._controls_digest = controls_digest
         self._info = info
@@ -109,7 +111,7 @@
         self._news = NewsCopy(source="")
         self.room = RoomGate()
         self.speeds = SpeedBook()
-        self.versions = VersionGate()
+        self.versions = VersionGate(rng=rng, policy=rollout_policy)
         self.spill = SpillGate()
         self._mixed_now: frozenset[str] = frozenset()
         self._lately_mixed: tuple[str, ...] = ()
@@ -213,6 +215,7 @@
                 flows=self.spill.report(now),
             ),
             news_id=self._news.news.id,
+            rollouts_revision=self.versions.revision,
         )
 
     def record_statements(
@@ -293,6 +296,9 @@
         self._wall_time.observe(reply.leader, reply.wall_s, wall_s, now)
         if reply.document is not None and reply.version > self.version:
             self._apply_document(reply.document)
+        # Before the endpoints: those of a new version may be among them.
+        if reply.rollouts is not None:
+            self.versions.set_rollouts(reply.rollouts, reply.rollouts_revision)
         if reply.endpoints is not None and reply.revision > self.revision:
             self._note_new_versions(reply.endpoints)
             if reply.partial:
@@ -330,6 +336,10 @@
         """Whether the leader's decisions are recent enough to be followed."""
         return self._news.age_s(now) <= NEWS_EXPIRY_S
 
+    def follows_rollouts(self, now: float) -> bool:
+        """Whether the leader's shares of versions may be followed."""
+        return self._news.age_s(now) <= self.versions.news_expiry_s
+
     def _apply_news(self, reply: SyncReply, now: float) -> None:
         if not self._news.receive(reply.news, reply.news_age_s, now):
             return
--- a/chervilshift/settings.py
+++ b/chervilshift/settings.py
@@ -12,6 +12,7 @@
 from returns.result import Result
 
 from chervilshift.core.fleet.limits import LimitPolicy
+from chervilshift.core.fleet.versions import RolloutPolicy
 from chervilshift.errors import SettingsRefused
 from chervilshift.keys import HASH_PATTERN
 from chervilshift.structs import convert
@@ -34,6 +35,7 @@
 KeyHash = Annotated[str, Meta(pattern=HASH_PATTERN)]
 PositiveFloat = Annotated[float, Meta(gt=0)]
 NonNegativeFloat = Annotated[float, Meta(ge=0)]
+Share = Annotated[float, Meta(gt=0, le=1)]
 # Shortest election timeout in seconds. At most one second: the time that a new
 # leader waits for its predecessor's lease to expire covers no more.
 ElectionTimeout = Annotated[float, Meta(gt=0, le=1.0)]
@@ -113,7 +115,9 @@
     other processes these listen on the same port as this process. `regions`
     maps failure domains to regions. `limit_window_s`, `limit_tolerance` and
     `limit_slack` are the fields of `LimitPolicy`; usage is reported per
-    window of `usage_window_s`.
+    window of `usage_window_s`. `rollout_share`, `rollout_slack` and
+    `rollback_ms` are the fields of `RolloutPolicy`; without `rollout_share`
+    there are no rollouts.
     """
 
     seeds: list[Address]
@@ -123,6 +127,9 @@
     limit_slack: NonNegativeFloat
     usage_window_s: PositiveFloat
     metrics_listen: Address | None = None
+    rollout_share: Share | None = None
+    rollout_slack: NonNegativeFloat = 0.0
+    rollback_ms: PositiveFloat = 5000.0
 
     def limit_policy(self) -> LimitPolicy:
         """Return the policy for how far customers' limits may be exceeded."""
@@ -132,6 +139,16 @@
             slack=self.limit_slack,
         )
 
+    def rollout_policy(self) -> RolloutPolicy | None:
+        """Return the limits of rollouts, None if there are to be none."""
+        if self.rollout_share is None:
+            return None
+        return RolloutPolicy(
+            share=self.rollout_share,
+            slack=self.rollout_slack,
+            rollback_s=self.rollback_ms / 1000,
+        )
+
     @property
     def control(self) -> list[str]:
         """Addresses on which the seeds accept calls of other processes."""
--- a/chervilshift/wire/messages.py
+++ b/chervilshift/wire/messages.py
@@ -16,10 +16,12 @@
     GatewaySync,
     OriginFound,
     ReadOrigin,
+    ReadRollout,
     ReadServing,
     RecordStreams,
     Relay,
     RelayReply,
+    RolloutFound,
     ServingDocument,
     StreamsRecorded,
     SyncReply,
@@ -199,6 +201,8 @@
         | RelayReply
         | ReadServing
         | ServingDocument
+        | ReadRollout
+        | RolloutFound
         | RecordStreams
         | StreamsRecorded
         | FindOrigin
