--- a/chervilshift/errors.py
+++ b/chervilshift/errors.py
@@ -32,6 +32,7 @@
     "OutcomeUnknown",
     "PeerUnreachable",
     "Quarantined",
+    "RolloutRunning",
     "SettingsRefused",
     "StorageFailed",
     "StreamLost",
@@ -101,6 +102,14 @@
     remedy = "send the request again"
 
 
+class RolloutRunning(Failure):
+    """Another rollout of the service has not ended."""
+
+    status, not_run = 409, True
+    template = "another rollout of service {service!r} is running"
+    remedy = "wait until it has ended"
+
+
 class Unauthorized(Failure):
     """The key is missing, or not valid for this kind of request."""
 
--- a/chervilshift/platform/api.py
+++ b/chervilshift/platform/api.py
@@ -10,6 +10,7 @@
 
 from chervilshift.bytebudget import ByteBudget, HeldBody
 from chervilshift.control.fleet import FleetService
+from chervilshift.core.fleet.commands import CONFLICT, UNKNOWN_SERVICE
 from chervilshift.core.fleet.model import GONE, EndpointRecord
 from chervilshift.errors import (
     BadRequest,
@@ -17,6 +18,7 @@
     BodyTooLarge,
     ConfigRefused,
     Failure,
+    RolloutRunning,
     Unserved,
 )
 from chervilshift.platform.announcements import (
@@ -24,12 +26,15 @@
     decode_departure,
 )
 from chervilshift.platform.reply import send_json
+from chervilshift.platform.rollouts import decode_rollout
 from chervilshift.untrusted import is_token
 
 __all__ = ["control_app", "directory_app"]
 
 CONFIG_PATH = "/api/config"
 INSTANCES_PATH = "/api/instances/"
+ROLLOUTS_PATH = "/api/rollouts"
+ROLLOUT_PATH = "/api/rollouts/"
 RESOLVE_PATH = "/api/resolve"
 # Clients are told to cache a lookup for this long; some cache it for three
 # times as long.
@@ -83,6 +88,10 @@
     elif path.startswith(INSTANCES_PATH) and method in ("PUT", "DELETE"):
         name = path[len(INSTANCES_PATH) :]
         await _handle_instance(fleet, method, name, body, send)
+    elif path == ROLLOUTS_PATH and method == "POST":
+        await _post_rollout(fleet, body, send)
+    elif path.startswith(ROLLOUT_PATH) and method == "GET":
+        await _get_rollout(fleet, path[len(ROLLOUT_PATH) :], send)
     else:
         await send_json(send, 404)
 
@@ -128,6 +137,50 @@
     await send_json(send, 200, result.unwrap().document)
 
 
+async def _post_rollout(
+    fleet: FleetService, body: bytes, send: Callable
+) -> None:
+    if fleet.rollouts.policy is None:
+        await send_json(send, 404)
+        return
+    decoded = decode_rollout(body)
+    if isinstance(decoded, Bad):
+        await send_json(send, 400, _error_body(decoded.failure()))
+        return
+    order = decoded.unwrap()
+    result = await fleet.rollouts.start(order.service, order.to, order.ramp_s)
+    if isinstance(result, Bad):
+        await send_json(send, 503, _error_body(result.failure()))
+        return
+    outcome = result.unwrap()
+    if outcome == UNKNOWN_SERVICE:
+        failure = BadRequest(reason=f"unknown service {order.service[:64]!r}")
+        await send_json(send, 400, _error_body(failure))
+    elif outcome == CONFLICT:
+        failure = RolloutRunning(service=order.service)
+        await send_json(send, failure.status, _error_body(failure))
+    else:
+        await send_json(send, 200, b"{}")
+
+
+async def _get_rollout(
+    fleet: FleetService, service: str, send: Callable
+) -> None:
+    if fleet.rollouts.policy is None:
+        await send_json(send, 404)
+        return
+    result = await fleet.rollouts.read(service)
+    if isinstance(result, Bad):
+        await send_json(send, 503, _error_body(result.failure()))
+        return
+    rollout = result.unwrap()
+    if rollout is None:
+        await send_json(send, 404)
+        return
+    response = {"state": rollout.state, "to": rollout.to}
+    await send_json(send, 200, msgspec.json.encode(response))
+
+
 async def _handle_instance(
     fleet: FleetService,
     method: str,
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -220,9 +220,11 @@
 class Platform:
     """Three control processes, gateways, endpoints and a cloud."""
 
-    def __init__(self, folder: Path, tg, gateways: int = 1):
+    def __init__(self, folder: Path, tg, gateways: int = 1, **settings):
         self._folder = folder
         self._tg = tg
+        # Optional settings of all processes.
+        self._settings = settings
         self._clock = SystemClock()
         self.gateway_count = gateways
         self._log = StringIO()
@@ -264,6 +266,7 @@
                 announce_interval_ms=ANNOUNCE_INTERVAL_MS,
                 duty_lease_ms=300,
                 **COMMON,
+                **self._settings,
             )
             self.control_settings.append(settings)
             self._start_control(settings)
@@ -336,6 +339,7 @@
             retry_extra=400,
             retry_window_s=10,
             **COMMON,
+            **self._settings,
         )
         gateway = platform_gateway(
             settings, self._clock, self._events(), Metrics()
