--- a/chervilshift/gateway/exchange.py
+++ b/chervilshift/gateway/exchange.py
@@ -11,6 +11,7 @@
 from chervilshift.core.fleet.model import STREAM, Customer, Route
 from chervilshift.core.fleet.origins import stream_key
 from chervilshift.core.fleet.placement import Work
+from chervilshift.core.fleet.versiongate import Attempt
 from chervilshift.gateway.protocol import ClientRequest, Headers
 from chervilshift.gateway.relay import Relay
 
@@ -77,10 +78,11 @@
     are recorded as answered. `measures_speed` tells whether the time to the
     first event is a sample of the engine's speed. `version` is the software
     version of the service at which a stream has to go on, None while that is
-    open; `stream_key` is the stream's, whichever request began it.
-    `whole_reply` is a reply that is ready, and `failed_reply` the failure that
-    an earlier run ended with, for the case that no later attempt brings an
-    answer.
+    open. `wants_new` is drawn while a rollout runs, and `rollout_attempt`
+    counts the last attempt then, None without. `stream_key` is the stream's,
+    whichever request began it. `whole_reply` is a reply that is ready, and
+    `failed_reply` the failure that an earlier run ended with, for the case
+    that no later attempt brings an answer.
     """
 
     __slots__ = (
@@ -107,12 +109,14 @@
         "request",
         "retry_after_s",
         "retry_paid",
+        "rollout_attempt",
         "route",
         "service",
         "stream_key",
         "suspect_parts",
         "usage_counted",
         "version",
+        "wants_new",
         "whole_reply",
         "work",
     )
@@ -158,6 +162,8 @@
             else request.resumed_id or request.id
         )
         self.version: str | None = None
+        self.wants_new: bool | None = None
+        self.rollout_attempt: Attempt | None = None
         self.answer_recorded = False
         self.limit_cost = _limit_cost(request, customer)
         self.charged = False
