HTTP listeners: what is read ahead of a request is bounded and counted

Seen: pipelined requests made gateways grow to 3.5 GB and control to 1.2 GB.

Cause: uvicorn resumes reading when an answer is complete and whenever an application waits for the client to disconnect. Each time uvloop read up to 250 KB more, though requests that were read before were still waiting in h11's buffer, so that each answered request of a hundred bytes added up to 250 KB. Nothing counted them.

Reading now depends on what a connection holds of unprocessed bytes (64 KB; 24 KB while memory is short), and what uvicorn pauses is the parser. h11 gets nothing while a request is being served, apart from the rest of one slice. Reads go to one buffer a server and are as large as the rest of the limit. A guard counts unprocessed bytes and answers that are not taken over all listeners of a process; above 24 MiB it closes connections that make no progress, the largest first. Connections are limited to a part of the descriptors; at the limit halted, unused and idle ones are closed, and otherwise the new one is refused with 503 (not run). Connections whose client takes nothing of an answer for 15 s are closed; closing them waited without end before.

--- a/chervilshift/control/replica.py
+++ b/chervilshift/control/replica.py
@@ -11,6 +11,7 @@
 from chervilshift.addresses import split_address
 from chervilshift.background import BackgroundTasks
 from chervilshift.clock import Clock
+from chervilshift.connguard import ConnectionGuard
 from chervilshift.control.node import Node
 from chervilshift.control.server import ControlServer
 from chervilshift.control.storage import Identity, Storage
@@ -49,6 +50,9 @@
         self._clients = Clients(
             hlc=events.hlc, credentials=settings.credentials()
         )
+        self._guard = ConnectionGuard(
+            limits=settings.client_limits, now=clock.monotonic
+        )
         self.node: Node | None = None
 
     async def run(
@@ -78,6 +82,7 @@
             await server.start(host, port)
             rejoin = partial(self._rejoin_loop, local_voter)
             self._tasks.start(tg, "rejoin", rejoin)
+            self._tasks.start(tg, "client connections", self._guard.run)
             await self._start_tasks(tg)
             self._events.emit(
                 "started", role="control", replica=local_voter.id
--- a/chervilshift/control/routed.py
+++ b/chervilshift/control/routed.py
@@ -100,6 +100,7 @@
                 self._metrics(),
                 self._settings.metrics_listen,
                 IDLE_TIMEOUT_S,
+                self._guard.listener(probes=True),
             )
         self._tasks.start(tg, "fleet", self.fleet.run)
         self._tasks.start(tg, "duties", duties.run)
@@ -107,12 +108,19 @@
             (self._adapter.control_app, self._settings.api_listen),
             (self._adapter.directory_app, self._settings.directory_listen),
         ):
-            await tg.start(serve_app, app(self.fleet), address, IDLE_TIMEOUT_S)
+            await tg.start(
+                serve_app,
+                app(self.fleet),
+                address,
+                IDLE_TIMEOUT_S,
+                self._guard.listener(),
+            )
 
     def _metrics(self) -> Metrics:
         """Return the metrics of this replica."""
         node = self.node
         metrics = Metrics()
+        self._guard.register(metrics)
         metrics.gauge("leads", lambda: node.raft.is_leader)
         metrics.gauge("lease_held", node.has_lease)
         metrics.gauge("term", lambda: node.raft.term)
--- a/chervilshift/entry/process.py
+++ b/chervilshift/entry/process.py
@@ -8,6 +8,7 @@
 
 from chervilshift.addresses import split_address
 from chervilshift.clock import Clock
+from chervilshift.connguard import ConnectionGuard
 from chervilshift.core.registry import LEASE_S, EntryInfo
 from chervilshift.endpoints.engine import EngineClient
 from chervilshift.endpoints.service import ServiceClient
@@ -58,6 +59,10 @@
         self._clock = clock
         self._events = events
         self._metrics = metrics
+        self._guard = ConnectionGuard(
+            limits=settings.client_limits, now=clock.monotonic
+        )
+        self._guard.register(metrics)
         credentials = settings.credentials()
         self._clients = Clients(hlc=events.hlc, credentials=credentials)
         self._leader = LeaderClient(
@@ -139,6 +144,7 @@
             tg.start_soon(self.watch.run)
             tg.start_soon(self.scheduler.run)
             tg.start_soon(self._apply_changes, stop)
+            tg.start_soon(self._guard.run)
             tg.start_soon(http.serve)
             self._events.emit("started", role="entry")
             while not http.started:
@@ -178,6 +184,7 @@
         return server_config(
             app.build(),
             self._settings.listen,
+            self._guard.listener(),
             timeout_graceful_shutdown=CLOSE_TIMEOUT_S,
         )
 
--- a/chervilshift/gateway/process.py
+++ b/chervilshift/gateway/process.py
@@ -9,6 +9,7 @@
 
 from chervilshift.background import BackgroundTasks
 from chervilshift.clock import Clock
+from chervilshift.connguard import ConnectionGuard
 from chervilshift.core.fleet.controls import ControlChooser
 from chervilshift.core.fleet.model import ServingConfig
 from chervilshift.core.fleet.placement import Placement
@@ -91,6 +92,10 @@
         self._events = events
         self._metrics = metrics
         self._incarnation = token_hex(INCARNATION_ID_BYTES)
+        self._guard = ConnectionGuard(
+            limits=settings.client_limits,
+            now=clock.monotonic,
+        )
         self._http: HttpServer | None = None
         self._clients = Clients(
             hlc=events.hlc, credentials=settings.credentials()
@@ -158,6 +163,7 @@
                 self.ingress,
                 self._settings.listen,
                 INITIAL_IDLE_TIMEOUT_S,
+                self._guard.listener(),
             )
             ready_app = self._protocol.ready_app(self._is_ready)
             await tg.start(
@@ -165,6 +171,7 @@
                 ready_app,
                 self._settings.ready_listen,
                 PROBE_IDLE_TIMEOUT_S,
+                self._guard.listener(probes=True),
             )
             if self._settings.metrics_listen:
                 await tg.start(
@@ -172,8 +179,10 @@
                     self._metrics,
                     self._settings.metrics_listen,
                     PROBE_IDLE_TIMEOUT_S,
+                    self._guard.listener(probes=True),
                 )
             tasks.start(tg, "connections", self._maintain)
+            tasks.start(tg, "client connections", self._guard.run)
             self._events.emit("started", role="gateway")
             task_status.started()
             await stop.wait()
@@ -213,6 +222,7 @@
     def _register_gauges(self, metrics: Metrics) -> None:
         state = self.state
         placement = state.placement
+        self._guard.register(metrics)
         metrics.gauge("config_version", lambda: state.version)
         metrics.gauge("ready", self._is_ready)
         metrics.gauge("gateways_known", lambda: state.gateway_count)
--- a/chervilshift/httpserver.py
+++ b/chervilshift/httpserver.py
@@ -1,20 +1,29 @@
 """uvicorn servers without signal handlers, stopped by cancellation.
 
 What clients send is parsed in slices, so that a client that sends many small
-chunks or requests at once does not hold up all others.
+chunks or requests at once does not hold up all others. While a request is
+being served, what follows it is read up to a limit and not parsed.
 """
 
 import asyncio
 import socket
 import time
+from collections.abc import Callable
 from contextlib import contextmanager
 
 import anyio
 import h11
 import uvicorn
+from uvicorn.protocols.http.flow_control import FlowControl
 from uvicorn.protocols.http.h11_impl import H11Protocol
 
 from chervilshift.addresses import split_address
+from chervilshift.connguard import (
+    LATE_HEAD,
+    ClientLimits,
+    ConnectionGuard,
+    Listener,
+)
 
 __all__ = ["HttpServer", "listen_on", "serve_app", "server_config"]
 
@@ -27,18 +36,39 @@
 SLICE_S = 0.005
 # Until a configuration sets it.
 INITIAL_HEAD_TIMEOUT_S = 3.0
+# Largest read; one buffer of this size serves all connections of a server.
+READ_BYTES = 64 << 10
+# A connection that may hold more reads at least this much.
+MIN_READ_BYTES = 1 << 10
+# Nothing of a request is left to come.
+COMPLETE_STATES = (
+    h11.DONE,
+    h11.MUST_CLOSE,
+    h11.CLOSED,
+    h11.MIGHT_SWITCH_PROTOCOL,
+    h11.SWITCHED_PROTOCOL,
+)
 # A process that was paused reads what has come meanwhile in this time.
 PAUSE_MARGIN_S = 0.25
 LATE_HEAD_RESPONSE = (
     b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\n"
     b"Content-Length: 0\r\n\r\n"
 )
+REFUSAL_RESPONSE = (
+    b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\n"
+    b"Retry-After: 1\r\nContent-Length: 0\r\n\r\n"
+)
 
 
 class _Config(uvicorn.Config):
-    """The configuration of a server, with the time limit of a head."""
+    """The configuration of a server, with the time limit of a head.
+
+    `listener` bounds its connections, and they read into `buffer`.
+    """
 
     head_timeout_s = INITIAL_HEAD_TIMEOUT_S
+    listener: Listener
+    buffer: memoryview
 
 
 class HttpServer(uvicorn.Server):
@@ -57,31 +87,126 @@
         )
 
 
+class _Reader(asyncio.BufferedProtocol):
+    """Reads for a `_SlicedProtocol` no more than it may hold.
+
+    With a plain protocol uvloop decides how much it reads at once: 250 KB.
+    """
+
+    def __init__(self, inner: "_SlicedProtocol", buffer: memoryview):
+        self._buffer = buffer
+        self.get_buffer = inner.get_buffer
+        self._data_received = inner.data_received
+        self.connection_made = inner.connection_made
+        self.connection_lost = inner.connection_lost
+        self.eof_received = inner.eof_received
+        self.pause_writing = inner.pause_writing
+        self.resume_writing = inner.resume_writing
+
+    def buffer_updated(self, size_bytes: int) -> None:
+        """Take what was read into the buffer."""
+        self._data_received(bytes(self._buffer[:size_bytes]))
+
+
+class _ReadAheadFlow(FlowControl):
+    """Pauses parsing where uvicorn pauses reading."""
+
+    def __init__(self, transport: asyncio.Transport, parse: Callable):
+        super().__init__(transport)
+        self._parse = parse
+
+    def pause_reading(self) -> None:
+        """Parse nothing until the application asks for more."""
+        self.read_paused = True
+
+    def resume_reading(self) -> None:
+        """Parse what has been read."""
+        if self.read_paused:
+            self.read_paused = False
+            self._parse()
+
+
 class _SlicedProtocol(H11Protocol):
     """Parses at most `MAX_SLICE_BYTES` before other tasks run.
 
     Slices are smaller for a client whose bytes take long to parse.
     A head that is not complete in the configured time after its first byte
     gets 408, and its connection is closed.
+
+    uvicorn resumes reading for each request and whenever an application waits
+    for the client to disconnect. So reading depends here only on what was
+    read and not processed yet, and what uvicorn pauses is the parser. `moves`
+    counts reads and resumed writing.
     """
 
     def __init__(self, *args, **kwargs):
         super().__init__(*args, **kwargs)
+        self._listener: Listener = self.config.listener
+        self._guard = self._listener.guard
+        self._buffer: memoryview = self.config.buffer
         self._unparsed = memoryview(b"")
+        self._is_parsing = False
+        self._reading_paused = False
+        self._held_bytes = 0
         self._slice_bytes = MIN_SLICE_BYTES
         self._head_timer: asyncio.TimerHandle | None = None
+        self.moves = 0
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Serve a connection, or close it if there are too many."""
+        super().connection_made(transport)
+        self.flow = _ReadAheadFlow(transport, self._continue_parsing)
+        if not self._listener.admit(self):
+            transport.write(REFUSAL_RESPONSE)
+            transport.close()
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return where the next bytes are read to."""
+        if not self._held_bytes:
+            return self._buffer
+        rest_bytes = self._guard.read_ahead_bytes - self._held_bytes
+        return self._buffer[: max(MIN_READ_BYTES, rest_bytes)]
 
     def data_received(self, data: bytes) -> None:
         """Parse what has arrived, the first slice at once."""
-        parses = bool(self._unparsed)
-        self._unparsed = memoryview(bytes(self._unparsed) + data)
-        if not parses:
+        self.moves += 1
+        if self._unparsed:
+            self._unparsed = memoryview(bytes(self._unparsed) + data)
+            self._count_unprocessed()
+        else:
+            self._unparsed = memoryview(data)
             self._parse()
 
+    def _continue_parsing(self) -> None:
+        if self._unparsed and not self._is_parsing:
+            self._is_parsing = True
+            self.loop.call_soon(self._parse)
+
+    def _must_wait(self) -> bool:
+        """Whether the request in work must end, or take its body, first."""
+        if self.flow.read_paused:
+            return True
+        # h11 would hold what follows a request, or call it an error.
+        return (
+            self.conn.their_state in COMPLETE_STATES
+            and self.conn.our_state is not h11.IDLE
+        )
+
     def _parse(self) -> None:
+        self._is_parsing = False
+        if self.transport.is_closing():
+            self._drop_unprocessed()
+            return
+        if not self._must_wait():
+            self._parse_slice()
         if self.transport.is_closing():
-            self._unparsed = memoryview(b"")
+            self._drop_unprocessed()
             return
+        if self._unparsed and not self._must_wait():
+            self._continue_parsing()
+        self._count_unprocessed()
+
+    def _parse_slice(self) -> None:
         part = bytes(self._unparsed[: self._slice_bytes])
         self._unparsed = self._unparsed[self._slice_bytes :]
         began_at = time.perf_counter()
@@ -91,14 +216,102 @@
         else:
             self._slice_bytes = min(MAX_SLICE_BYTES, 2 * self._slice_bytes)
         self._watch_head()
+        if self.conn.their_state is not h11.IDLE:
+            self._listener.note_request(self)
+
+    def on_response_complete(self) -> None:
+        """Go on with the next request."""
+        # An application may answer without reading the body.
+        if self.cycle.body:
+            self.cycle.body = bytearray()
+        super().on_response_complete()
         if self.transport.is_closing():
             return
-        if self._unparsed:
+        if self._held_bytes:
+            self._watch_head()
+            self._continue_parsing()
+            self._count_unprocessed()
+        if self.conn.their_state is h11.IDLE:
+            self._listener.note_idle(self)
+
+    def resume_writing(self) -> None:
+        """Note that the client takes its answers."""
+        self.moves += 1
+        super().resume_writing()
+
+    def count_read(self) -> int:
+        """Count what was read and not processed; return its size."""
+        if self._held_bytes:
+            self._count_unprocessed()
+        return self._held_bytes
+
+    def _count_unprocessed(self) -> None:
+        """Count what was read and not processed; pause or resume reading."""
+        held_bytes = len(self._unparsed) + len(self.conn.trailing_data[0])
+        if self.cycle is not None:
+            held_bytes += len(self.cycle.body)
+        if held_bytes != self._held_bytes:
+            self._guard.read_bytes += held_bytes - self._held_bytes
+            self._held_bytes = held_bytes
+        if held_bytes and held_bytes >= self._guard.read_ahead_bytes:
+            self._reading_paused = True
             self.transport.pause_reading()
-            self.loop.call_soon(self._parse)
-        elif not self.flow.read_paused:
+        elif self._reading_paused and not self.transport.is_closing():
+            self._reading_paused = False
             self.transport.resume_reading()
 
+    def _drop_unprocessed(self) -> None:
+        """Forget what has not been parsed."""
+        self._unparsed = memoryview(b"")
+        self._guard.read_bytes -= self._held_bytes
+        self._held_bytes = 0
+
+    def unsent_bytes(self) -> int:
+        """Return how much of its answers the client has not taken."""
+        return self.transport.get_write_buffer_size()
+
+    def waits_for_client(self) -> bool:
+        """Whether a request has begun and the rest of it has not come."""
+        if self._unparsed or self.flow.read_paused:
+            return False
+        if self.transport.is_closing():
+            return False
+        their_state = self.conn.their_state
+        return their_state is h11.SEND_BODY or (
+            their_state is h11.IDLE and bool(self._held_bytes)
+        )
+
+    def timeout_keep_alive_handler(self) -> None:
+        """Close a connection that is idle for too long.
+
+        h11 has no event for it once a client has asked for a tunnel.
+        """
+        if not self.transport.is_closing():
+            self.transport.close()
+
+    def evict(self) -> None:
+        """Close a connection on which no request is being served."""
+        if self.unsent_bytes():
+            self.transport.abort()
+        else:
+            self.timeout_keep_alive_handler()
+
+    def end(self) -> None:
+        """Close a connection whose client makes no progress."""
+        if self._may_say_not_run():
+            self.transport.write(LATE_HEAD_RESPONSE)
+            self.transport.close()
+        else:
+            self.transport.abort()
+
+    def _may_say_not_run(self) -> bool:
+        """Whether the next response is that to an incomplete request."""
+        return (
+            self.waits_for_client()
+            and not self.unsent_bytes()
+            and self.conn.our_state in (h11.IDLE, h11.SEND_RESPONSE)
+        )
+
     def _watch_head(self) -> None:
         """Time a head that has begun and is not complete."""
         begun = (
@@ -124,16 +337,24 @@
 
     def _end_late_head(self) -> None:
         if not self.transport.is_closing():
+            self._guard.count(LATE_HEAD)
             self.transport.write(LATE_HEAD_RESPONSE)
             self.transport.close()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Forget what has not been parsed."""
-        self._unparsed = memoryview(b"")
+        """Forget the connection and what has not been parsed."""
+        self._listener.forget(self)
+        self._drop_unprocessed()
         self._unwatch_head()
         super().connection_lost(exc)
 
 
+def _make_protocol(config: _Config, **options: object) -> _Reader:
+    """Return the protocol of one connection."""
+    inner = _SlicedProtocol(config=config, **options)
+    return _Reader(inner, config.buffer)
+
+
 class _CancelledServer(HttpServer):
     """A server that only cancellation stops, not `should_exit`.
 
@@ -161,43 +382,54 @@
 
 
 def server_config(
-    app: object, address: str, **options: object
+    app: object, address: str, listener: Listener, **options: object
 ) -> uvicorn.Config:
     """Return the configuration of a server at HOST:PORT.
 
-    It bounds what clients send in a head and what is parsed at once.
+    It bounds what clients send in a head and what is parsed at once, and
+    `listener` bounds the connections and what they hold.
     """
     host, port = split_address(address)
-    return _Config(
+    cfg = _Config(
         app,
         host=host,
         port=port,
         log_config=None,
         access_log=False,
         lifespan="off",
-        http=_SlicedProtocol,
+        http=_make_protocol,
         ws="none",
         **options,
     )
+    cfg.listener = listener
+    cfg.buffer = memoryview(bytearray(READ_BYTES))
+    return cfg
 
 
 async def serve_app(
     app: object,
     address: str,
     idle_timeout_s: float,
+    listener: Listener | None = None,
     *,
     task_status=anyio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serve an ASGI application at HOST:PORT until cancelled.
 
     Connections may stay idle for `idle_timeout_s` seconds. Reports the
-    running `HttpServer` through `task_status`. Raises OSError if it can't
+    running `HttpServer` through `task_status`. Without a `listener` the
+    default limits hold for this server alone. Raises OSError if it can't
     listen on the address.
     """
     host, port = split_address(address)
+    own_guard = None
+    if listener is None:
+        own_guard = ConnectionGuard(limits=ClientLimits(), now=time.monotonic)
+        listener = own_guard.listener()
     cfg = server_config(
         app,
         address,
+        listener,
         proxy_headers=False,
         server_header=False,
         date_header=False,
@@ -209,6 +441,8 @@
         try:
             async with anyio.create_task_group() as tg:
                 tg.start_soon(server.serve, [sock])
+                if own_guard is not None:
+                    tg.start_soon(own_guard.run)
                 while not server.started:
                     await anyio.sleep(START_POLL_INTERVAL_S)
                 task_status.started(server)
--- a/chervilshift/metrics.py
+++ b/chervilshift/metrics.py
@@ -17,9 +17,10 @@
 class Metrics:
     """Counters, gauges and histograms by name; an ASGI application."""
 
-    __slots__ = ("_counters", "_gauges", "_histograms")
+    __slots__ = ("_counters", "_gauges", "_histograms", "_read_counters")
 
     def __init__(self):
+        self._read_counters: dict[str, Callable[[], int]] = {}
         self._counters: Counter[str] = Counter()
         self._gauges: dict[str, Callable[[], float]] = {}
         self._histograms: dict[str, HdrHistogram] = {}
@@ -36,6 +37,10 @@
         """Register the gauge `name`; `read` returns its current value."""
         self._gauges[name] = read
 
+    def counter(self, name: str, read: Callable[[], int]) -> None:
+        """Register the counter `name`, kept elsewhere; `read` returns it."""
+        self._read_counters[name] = read
+
     def observe(self, name: str, seconds: float) -> None:
         """Record a duration in seconds in the histogram `name`."""
         histogram = self._histograms.get(name)
@@ -50,7 +55,12 @@
         """Return all metrics in the Prometheus text exposition format."""
         lines = [
             f"chervilshift_{name}_total {value}"
-            for name, value in sorted(self._counters.items())
+            for name, value in sorted(
+                [
+                    *self._counters.items(),
+                    *((name, r()) for name, r in self._read_counters.items()),
+                ]
+            )
         ]
         lines += [
             f"chervilshift_{name} {read():g}"
--- a/chervilshift/settings.py
+++ b/chervilshift/settings.py
@@ -11,6 +11,7 @@
 from returns.result import Failure as Bad
 from returns.result import Result
 
+from chervilshift.connguard import ClientLimits
 from chervilshift.core.fleet.limits import LimitPolicy
 from chervilshift.errors import SettingsRefused
 from chervilshift.keys import HASH_PATTERN
@@ -57,7 +58,8 @@
 
     `process` is the process's name, which events and logs show. `rpc_listen`
     is where it accepts calls of other processes, with `cluster_key`. The
-    event file is written to `events_folder`.
+    event file is written to `events_folder`. `client_limits` bounds the
+    connections to all listeners and what they hold.
     """
 
     process: str
@@ -69,6 +71,7 @@
     events_folder: Path | None = None
     tls: Tls | None = None
     log_level: str = "info"
+    client_limits: ClientLimits = ClientLimits()
 
     def credentials(self) -> Credentials:
         """Return the key and TLS contexts for calls between processes."""
