Gateways: idle connections to endpoints are bounded by the descriptors

Seen in the crowd with POSTs of 64 KB whose ids repeat: 956 descriptors of a gateway after 6 s, 340 more each second, all of them to one endpoint.

Cause: a connection never carries the same id twice, so each of these requests opened a connection, and all were kept for the endpoint's idle timeout of ten seconds.

Idle connections to all known endpoints take at most a quarter of the descriptors, and at least eight are kept for each endpoint; the one that was released first is closed. With 4,096 descriptors and 70 endpoints these are 14 each.

The new test failed before; tests/gateway/test_connections.py: 8 passed.

--- a/chervilshift/gateway/connections.py
+++ b/chervilshift/gateway/connections.py
@@ -8,6 +8,7 @@
 
 import itertools
 import re
+import resource
 import socket
 from collections import defaultdict
 from collections.abc import Callable
@@ -45,6 +46,10 @@
 DEFAULT_IDLE_TIMEOUT_S = 10.0
 # A connection remembers the ids that it carried; with more it is not reused.
 MAX_REQUESTS_PER_CONNECTION = 256
+# Idle connections to all endpoints have this part of the descriptors. A client
+# that repeats a request id needs a new connection for each request.
+IDLE_PART = 4
+MIN_IDLE_PER_ENDPOINT = 8
 # A server may say with it that it closes an idle connection.
 IDLE_TIMEOUT_STATUS = 408
 # How long connections of an endpoint that answered twice are not reused.
@@ -246,6 +251,12 @@
     return httpcore.Origin(b"http", host.encode(), port)
 
 
+def _max_idle(*, endpoints: int) -> int:
+    """Return how many idle connections to one endpoint are kept."""
+    files = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    return max(MIN_IDLE_PER_ENDPOINT, files // IDLE_PART // max(1, endpoints))
+
+
 class ConnectionPool:
     """Opens connections and keeps idle ones; the newest is reused first.
 
@@ -258,6 +269,7 @@
         "_backend",
         "_clock",
         "_idle",
+        "_max_idle",
         "_numbers",
         "_on_late_reply",
         "_open_counts",
@@ -280,6 +292,7 @@
         self._backend = CallBackend(stream_type=_EndpointStream)
         self._idle: defaultdict[str, list[Connection]] = defaultdict(list)
         self._open_counts: defaultdict[str, int] = defaultdict(int)
+        self._max_idle = _max_idle(endpoints=1)
 
     def open_count(self, endpoint_id: str) -> int:
         """Return the number of open connections to an endpoint."""
@@ -386,7 +399,10 @@
         keep_s = conn.idle_timeout_s - IDLE_CLOSE_MARGIN_S
         conn.expires_at = self._clock.monotonic() + keep_s
         if self._is_reusable(conn):
-            self._idle[conn.endpoint_id].append(conn)
+            idle = self._idle[conn.endpoint_id]
+            idle.append(conn)
+            if len(idle) > self._max_idle:
+                await self.discard(idle.pop(0))
         else:
             await self.discard(conn)
 
@@ -400,6 +416,7 @@
 
         Those to endpoints that are not in `known_ids` are closed too.
         """
+        self._max_idle = _max_idle(endpoints=len(known_ids))
         self._answered_twice_at = {
             endpoint_id: at
             for endpoint_id, at in self._answered_twice_at.items()
--- a/tests/gateway/test_connections.py
+++ b/tests/gateway/test_connections.py
@@ -15,6 +15,7 @@
 import pytest
 
 from chervilshift.clock import SystemClock
+from chervilshift.gateway import connections
 from chervilshift.gateway.connections import ConnectionPool
 from chervilshift.gateway.upstream import Upstream
 from chervilshift.outgoing import CallBackend
@@ -105,6 +106,29 @@
     anyio.run(run)
 
 
+def test_repeated_request_id_leaves_a_bounded_number_of_connections(
+    monkeypatch,
+):
+    """One client opened 340 connections a second, until none were left."""
+    monkeypatch.setattr(connections, "MIN_IDLE_PER_ENDPOINT", 3)
+    monkeypatch.setattr(connections, "IDLE_PART", 1 << 30)
+    address = free_address()
+
+    async def run() -> None:
+        pool = ConnectionPool(clock=SystemClock())
+        with ExitStack() as stack:
+            listen(stack, address, backlog=32)
+            for _ in range(10):
+                conn = await pool.acquire("e1", address, b"r1")
+                conn.http._state = conn.http._state.IDLE
+                await pool.release(conn, None)
+            assert pool.open_count("e1") == 3
+            newest = await pool.acquire("e1", address, b"r2")
+            assert newest is conn
+
+    anyio.run(run)
+
+
 def test_second_answer_that_is_read_with_the_first_is_not_overlooked():
     # uvloop reads that much at once.
     answer = b"x" * 256_000
