--- a/chervilshift/metrics.py
+++ b/chervilshift/metrics.py
@@ -17,9 +17,16 @@
 class Metrics:
     """Counters, gauges and histograms by name; an ASGI application."""
 
-    __slots__ = ("_counters", "_gauges", "_histograms", "_labelled")
+    __slots__ = (
+        "_counters",
+        "_gauges",
+        "_histograms",
+        "_labelled",
+        "_read_counters",
+    )
 
     def __init__(self):
+        self._read_counters: dict[str, Callable[[], int]] = {}
         self._counters: Counter[str] = Counter()
         self._gauges: dict[str, Callable[[], float]] = {}
         self._labelled: dict[
@@ -45,6 +52,10 @@
         """Register a gauge with values by one label, which `read` returns."""
         self._labelled[name, label] = read
 
+    def counter(self, name: str, read: Callable[[], int]) -> None:
+        """Register the counter `name`, kept elsewhere; `read` returns it."""
+        self._read_counters[name] = read
+
     def observe(self, name: str, seconds: float) -> None:
         """Record a duration in seconds in the histogram `name`."""
         histogram = self._histograms.get(name)
@@ -59,7 +70,12 @@
         """Return all metrics in the Prometheus text exposition format."""
         lines = [
             f"chervilshift_{name}_total {value}"
-            for name, value in sorted(self._counters.items())
+            for name, value in sorted(
+                [
+                    *self._counters.items(),
+                    *((name, r()) for name, r in self._read_counters.items()),
+                ]
+            )
         ]
         lines += [
             f"chervilshift_{name} {read():g}"
