--- a/chervilshift/connguard.py
+++ b/chervilshift/connguard.py
@@ -6,7 +6,6 @@
 memory without progress are closed, the one that holds most first.
 """
 
-import resource
 from collections import Counter
 from collections.abc import Callable, Iterator
 from functools import partial
@@ -16,6 +15,7 @@
 import msgspec
 from msgspec import Meta
 
+from chervilshift.descriptors import max_descriptors
 from chervilshift.metrics import Metrics
 
 __all__ = ["ClientLimits", "ConnectionGuard", "Listener"]
@@ -240,7 +240,7 @@
 
     def listener(self, *, probes: bool = False) -> Listener:
         """Return a new listener, of callers or of probes."""
-        files = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+        files = max_descriptors()
         if probes:
             most = min(self.limits.max_probe_connections, files // PROBE_PART)
         else:
--- a/chervilshift/gateway/connections.py
+++ b/chervilshift/gateway/connections.py
@@ -8,7 +8,6 @@
 
 import itertools
 import re
-import resource
 import socket
 from collections import defaultdict
 from collections.abc import Callable
@@ -20,6 +19,7 @@
 from chervilshift.bytebudget import ByteBudget
 from chervilshift.clock import Clock
 from chervilshift.core.pacing import PartBudget
+from chervilshift.descriptors import max_descriptors
 from chervilshift.gateway.protocol import Headers, ReplyHead
 from chervilshift.outgoing import (
     MAX_READ_BYTES,
@@ -253,7 +253,7 @@
 
 def _max_idle(*, endpoints: int) -> int:
     """Return how many idle connections to one endpoint are kept."""
-    files = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    files = max_descriptors()
     return max(MIN_IDLE_PER_ENDPOINT, files // IDLE_PART // max(1, endpoints))
 
 
