Gateways: a control process with an old state is left for another one

A gateway leaves a control process that has lost the leader, by the age of its relay, but not one whose log lags behind: the two go over connections of their own. The reply has stated the age of the log all along and was not looked at.

--- a/chervilshift/gateway/sync.py
+++ b/chervilshift/gateway/sync.py
@@ -28,13 +28,16 @@
 # Interval of syncs while no control process has heard of a leader. Requests
 # that wait for grants don't shorten it: there is nobody to give them.
 NO_LEADER_INTERVAL_S = 0.1
+# A control process whose replicated state is older is replaced by another one:
+# it hands out an old configuration and old endpoints.
+MAX_STATE_AGE_S = 1.5
 
 
 class ControlSync:
     """Syncs periodically with one control process at a time.
 
-    `chooser` chooses it. Another is chosen when it does not reply, or has lost
-    the leader.
+    `chooser` chooses it. Another is chosen when it does not reply, has lost
+    the leader, or has an old state.
     """
 
     def __init__(
@@ -149,7 +152,7 @@
         self._state.apply_reply(reply)
         self._chooser.update(reply.controls, reply.leader, reply.gateways)
         self._log_choice(address, reply)
-        if not _knows_leader(reply):
+        if not _is_current(reply):
             self._chooser.set_aside(address, now)
             await anyio.sleep(NO_LEADER_INTERVAL_S)
         self._replied.set()
@@ -158,7 +161,7 @@
 
     def _log_choice(self, address: str, reply: SyncReply) -> None:
         """Log a change of the control process, and the loss of all."""
-        chosen = address if _knows_leader(reply) else ""
+        chosen = address if _is_current(reply) else ""
         if chosen == self._address:
             return
         self._events.emit(
@@ -168,11 +171,19 @@
             failed_syncs=self._failures,
             leader=reply.leader,
             leader_age_s=round(reply.leader_age_s, 3),
+            stale_s=round(reply.stale_s, 3),
             gateways=reply.gateways,
             interval_s=round(reply.interval_s, 3),
         )
         self._address, self._failures = chosen, 0
 
 
-def _knows_leader(reply: SyncReply) -> bool:
-    return reply.leader_age_s <= MAX_LEADER_AGE_S
+def _is_current(reply: SyncReply) -> bool:
+    """Whether the sender follows the leader, and its log does too.
+
+    Both go over connections of their own, so one may be cut off alone.
+    """
+    return (
+        reply.leader_age_s <= MAX_LEADER_AGE_S
+        and reply.stale_s <= MAX_STATE_AGE_S
+    )
--- a/tests/gateway/test_sync.py
+++ b/tests/gateway/test_sync.py
@@ -162,3 +162,12 @@
         lambda a: reply(leader_age_s=5.0 if a == "b:1" else 0.1), 0.6
     )
     assert asked.count("b:1") == 1
+
+
+def test_control_process_whose_log_lags_is_replaced():
+    """One that relays to the leader, but lags in the log, keeps gateways.
+
+    They then handle requests by an old configuration.
+    """
+    asked, _ = play(lambda a: reply(stale_s=5.0 if a == "b:1" else 0.1), 0.6)
+    assert asked.count("b:1") == 1
