Orders: probes before the first load do not shrink the fleet

A load that needs less than a tenth of the fleet as found counts as none for a minute at most, and the fleet as found is the largest that was known by then, with endpoints that had been told to leave.

--- a/chervilshift/control/duties.py
+++ b/chervilshift/control/duties.py
@@ -300,6 +300,8 @@
                 needed_size(spec, fleet),
                 needed_size(spec, fleet, in_burst=True),
                 now,
+                found=fleet.known_size(),
+                has_load=fleet.has_load,
             )
             for order in plan_orders(spec, fleet, size):
                 held = fleet.ready_count(order.failure_domain, spot=order.spot)
--- a/chervilshift/core/fleet/scaling.py
+++ b/chervilshift/core/fleet/scaling.py
@@ -51,6 +51,10 @@
 # Part of that time for which a larger size has to be needed before it counts
 # as lasting. Bursts take up to 7 s, and the reported rates fall within 4 s.
 LASTING_SHARE = 2 / 3
+# A load that needs less of the fleet as found counts as none for this long,
+# which is longer than operators take to let callers in after their checks.
+NEGLIGIBLE_LOAD_SHARE = 0.1
+NEGLIGIBLE_LOAD_MAX_S = 60.0
 # Running requests per slot above which the fleet grows.
 MAX_SLOT_UTILIZATION = 0.45
 # Multiple of both utilizations that is accepted in a burst: at 0.8 the queue
@@ -141,6 +145,13 @@
         ready = Counter(e.spot for e in self.endpoints if e.state == READY)
         return max(ready.values(), default=1)
 
+    def known_size(self) -> int:
+        """Return the size with endpoints of the larger kind that leave.
+
+        Some may have been told to while others had not announced themselves.
+        """
+        return max(Counter(e.spot for e in self.endpoints).values(), default=0)
+
     def ready_by_domain(self) -> Counter[str]:
         """Return the number of ready endpoints by failure domain."""
         return Counter(
@@ -169,19 +180,38 @@
 class FleetSize:
     """The size that a fleet should have, from the sizes needed so far."""
 
-    __slots__ = ("_peak", "_recent")
+    __slots__ = ("_found", "_loaded", "_negligible_since", "_peak", "_recent")
 
     def __init__(self):
         self._peak = PeakSize()
         self._recent: deque[tuple[float, int]] = deque()
+        # The largest fleet seen before there was load.
+        self._found = 0
+        self._loaded = False
+        self._negligible_since: float | None = None
 
-    def observe(self, needed: int, burst: int, now: float) -> int:
+    def observe(
+        self,
+        needed: int,
+        burst: int,
+        now: float,
+        *,
+        found: int = 0,
+        has_load: bool = True,
+    ) -> int:
         """Record the sizes needed now, and return the size to have.
 
         `needed` is the size for a lasting load and `burst` the one for a
         burst. A need that has not lasted for `LASTING_SHARE` of the window
         counts as a burst; without a whole window it counts as lasting.
+        `found` is the size of the fleet as it is, which is kept until load
+        begins: probes of a fleet that is about to be used are none.
         """
+        if not self._loaded:
+            self._found = max(self._found, found)
+            self._loaded = has_load and not self._is_negligible(needed, now)
+            if not self._loaded:
+                needed = burst = max(needed, self._found)
         self._recent.append((now, needed))
         lasting = needed
         while now - self._recent[0][0] >= PEAK_WINDOW_S:
@@ -190,6 +220,14 @@
             self._recent.popleft()
         return self._peak.observe(max(min(needed, lasting), burst), now)
 
+    def _is_negligible(self, needed: int, now: float) -> bool:
+        """Whether a first load needs next to nothing of the fleet as found."""
+        if needed >= NEGLIGIBLE_LOAD_SHARE * self._found:
+            return False
+        if self._negligible_since is None:
+            self._negligible_since = now
+        return now - self._negligible_since <= NEGLIGIBLE_LOAD_MAX_S
+
 
 def needed_size(
     spec: ServiceSpec, fleet: Fleet, *, in_burst: bool = False
--- a/tests/core/fleet/test_scaling.py
+++ b/tests/core/fleet/test_scaling.py
@@ -353,6 +353,23 @@
     assert planned.total >= 28
 
 
+def test_probes_do_not_shrink_the_fleet_before_its_first_load():
+    """Two thirds of a fleet were left when callers came 10 s after probes."""
+    size = FleetSize()
+    assert size.observe(45, 45, 0.0, found=45, has_load=False) == 45
+    for n in range(1, 30):
+        assert size.observe(1, 1, float(n), found=30) == 45
+    assert size.observe(32, 18, 30.0, found=45) == 45
+    assert size.observe(32, 18, 46.0, found=45) == 32
+
+
+def test_negligible_load_that_lasts_shrinks_the_fleet():
+    size = FleetSize()
+    sizes = [size.observe(1, 1, float(n), found=45) for n in range(100)]
+    assert sizes[59] == 45
+    assert sizes[-1] == 1
+
+
 def test_cheaper_domains_have_the_remainder():
     planned = counts(Fleet(endpoints=(), active=200))
     assert [planned[d, True] for d in ("a", "b", "far")] == [3, 3, 2]
