Zones: work stays in its failure domain or region while that has room

Callers: with the setting `zone_spill: true`, requests use endpoints of their gateway's failure domain (services with large shared prompt parts: of its region) as far as these have room. Without the setting, which is the default, nothing changes.

Change: gateways report what they send to each failure domain; the leader computes shares from demand and capacity, damped; gateways choose the zone of a request by the shares, and placement takes its candidates from there, with two others that have to be cheaper by the delay. Without news a gateway uses its own zone and its own measurements.

--- a/chervilshift/control/fleet.py
+++ b/chervilshift/control/fleet.py
@@ -52,6 +52,7 @@
     SyncReply,
 )
 from chervilshift.core.fleet.walltime import WallTime
+from chervilshift.core.fleet.zones import SpillPlanner, SpillShares
 from chervilshift.core.message import Message
 from chervilshift.errors import Failure, NotLeader, NotReady, Unserved
 from chervilshift.events import EventLog
@@ -106,6 +107,7 @@
         info: ControlInfo,
         clock: Clock,
         events: EventLog,
+        make_spill: Callable[[], SpillPlanner | None] = lambda: None,
     ):
         self._node = node
         self._clients = clients
@@ -156,7 +158,9 @@
         self._unforwarded_heartbeats: dict[str, Heartbeat] = {}
         self._last_heartbeats: dict[str, tuple[int, float]] = {}
         self._leading_since: float | None = None
-        self._planner = FleetPlanner()
+        self._make_spill = make_spill
+        self._planner = FleetPlanner(spill=make_spill())
+        self.spill: dict[str, SpillShares] = {}
         self._cfg: ServingConfig | None = None
 
     # Used by the HTTP interfaces for operators, endpoints and clients
@@ -458,7 +462,8 @@
                     self._plan()
                 elif not self._node.raft.is_leader:
                     self._leading_since = None
-                    self._planner = FleetPlanner()
+                    self._planner = FleetPlanner(spill=self._make_spill())
+                    self.spill = {}
 
     def _plan(self) -> None:
         """Decide for all gateways; called as leader."""
@@ -474,8 +479,22 @@
                 now=now,
             )
         )
+        self._note_spill(news.spill)
         self._distributor.set_news(news, now)
 
+    def _note_spill(self, spill: dict[str, SpillShares]) -> None:
+        """Log changed shares of work that leave."""
+        for service, shares in spill.items():
+            if shares != self.spill.get(service, SpillShares(by=shares.by)):
+                self._events.emit(
+                    "spill",
+                    service=service,
+                    by=shares.by,
+                    shares=shares.shares,
+                    reasons=shares.reasons,
+                )
+        self.spill = spill
+
     def _leader_to_relay_to(self) -> str:
         """Return the leader's address, empty if this process leads."""
         return "" if self._node.raft.is_leader else self._node.leader_address()
--- a/chervilshift/control/routed.py
+++ b/chervilshift/control/routed.py
@@ -11,6 +11,7 @@
 from chervilshift.control.server import ControlServer
 from chervilshift.control.storage import Identity
 from chervilshift.core.fleet.sync import ControlInfo
+from chervilshift.core.fleet.zones import share_gauges
 from chervilshift.core.raft.messages import Voter
 from chervilshift.events import EventLog
 from chervilshift.httpserver import serve_app
@@ -72,6 +73,7 @@
             decode=self._adapter.decode,
             announce_interval_s=self._settings.announce_interval_ms / 1000,
             limit_policy=self._settings.limit_policy(),
+            make_spill=self._settings.spill_planner,
             info=ControlInfo(
                 address=self._settings.rpc_listen,
                 failure_domain=self._settings.failure_domain,
@@ -118,6 +120,9 @@
         metrics.gauge("term", lambda: node.raft.term)
         metrics.gauge("log_commit", lambda: node.raft.commit)
         metrics.gauge("stale_seconds", node.stale_s)
+        metrics.gauge_family(
+            "spill_share", lambda: share_gauges(self.fleet.spill)
+        )
         metrics.gauge("voters", lambda: len(node.raft.voter_ids))
         metrics.gauge("config_version", lambda: node.machine.fleet.version)
         metrics.gauge(
--- a/chervilshift/core/fleet/placement.py
+++ b/chervilshift/core/fleet/placement.py
@@ -46,6 +46,7 @@
 )
 from chervilshift.core.fleet.sync import EndpointLoad
 from chervilshift.core.fleet.tables import forget_unnamed
+from chervilshift.core.fleet.zones import Zone
 
 __all__ = ["Choice", "Endpoint", "Placed", "Placement", "Work"]
 
@@ -97,6 +98,8 @@
 # or 1, bursts that the engines could read once were read several times (see
 # tests/core/fleet/test_shared_parts.py).
 READ_AGAIN_WEIGHT = 3.0
+# Candidates outside of the zone that is preferred.
+OUTSIDE = 2
 # With at most this many endpoints that may be open, all are looked at to find
 # out whether few are open.
 MAX_SCANNED = 2 * MAX_ALL
@@ -322,7 +325,7 @@
     delay of other requests, the risk of failure and the preference for the
     prompt's home. `uncached_tokens` is the part of the prompt expected to
     need prefill. A trial counts in `trial_budget`, and the use of the `key` of
-    its shared parts in `last_uses`.
+    its shared parts in `last_uses`. `zone` is where the request should go.
     """
 
     __slots__ = (
@@ -335,6 +338,7 @@
         "trial_budget",
         "uncached_tokens",
         "wait_s",
+        "zone",
     )
 
     def __init__(
@@ -350,6 +354,7 @@
         self.is_trial = False
         self.trial_budget: TrialBudget | None = None
         self.key = ""
+        self.zone: Zone | None = None
         self.last_uses: LastUses | None = None
         self.baseline_s = baseline_s
         self.wait_s = wait_s
@@ -415,6 +420,7 @@
         "_rng",
         "_tallies",
         "_trial_budgets",
+        "_zone_pools",
     )
 
     def __init__(self, *, region: str, regions: dict[str, str], rng: Random):
@@ -423,6 +429,8 @@
         self._regions = regions
         self._endpoints: dict[str, Endpoint] = {}
         self._pools: dict[str, EndpointPool[Endpoint]] = {}
+        # Made when first used.
+        self._zone_pools: dict[tuple[str, Zone], EndpointPool[Endpoint]] = {}
         self._tallies: defaultdict[str, FailureTally] = defaultdict(
             FailureTally
         )
@@ -462,6 +470,11 @@
             service: EndpointPool(found, self._pools.get(service))
             for service, found in members.items()
         }
+        self._zone_pools = {
+            (service, zone): self._make_zone_pool(service, zone, pool)
+            for (service, zone), pool in self._zone_pools.items()
+            if service in self._pools
+        }
 
     def change_endpoints(self, records: Iterable[EndpointRecord]) -> None:
         """Take over changed records, and remove endpoints that have ended."""
@@ -509,17 +522,22 @@
         work: Work,
         now: float,
         excluding: frozenset[str] = frozenset(),
+        *,
+        zone: Zone | None = None,
     ) -> Choice | None:
         """Return the candidate with the lowest cost, or one to try, or None.
 
         `excluding` are the ids of endpoints not to be used. Endpoints
-        excluded by their health are used only if there is no other.
+        excluded by their health are used only if there is no other. Those
+        outside of `zone` cost more, and few of them are candidates.
         """
         self._now = now
         pool = self._pools.get(spec.name)
         if pool is None:
             return None
-        candidates = self._candidates(spec, work, now, excluding)
+        candidates = self._candidates(spec, pool, work, now, excluding)
+        if zone is not None:
+            self._prefer_zone(candidates, zone, spec, work, now, excluding)
         if not candidates.endpoints:
             return None
         latency_ratio = self._latency_ratios[spec.name]
@@ -542,6 +560,11 @@
                 )
                 for e in candidates.endpoints
             ]
+        if zone is not None:
+            for choice in choices:
+                choice.zone = zone
+                if not self._is_in(zone, choice.endpoint):
+                    choice.cost_s += zone.extra_cost_s
         least_s = min(choice.cost_s for choice in choices)
         best = [c for c in choices if c.cost_s == least_s]
         budget = self._trial_budgets[spec.name]
@@ -585,9 +608,53 @@
             LATENCY_RATIO_MAX, max(LATENCY_RATIO_MIN, latency_ratio)
         )
 
+    def _is_in(self, zone: Zone, endpoint: Endpoint) -> bool:
+        domain = endpoint.record.failure_domain
+        return zone.includes(domain, self._regions.get(domain, self._region))
+
+    def _make_zone_pool(
+        self,
+        service: str,
+        zone: Zone,
+        former: EndpointPool[Endpoint] | None = None,
+    ) -> EndpointPool[Endpoint]:
+        members = self._pools[service].members
+        return EndpointPool(
+            [e for e in members if self._is_in(zone, e)], former
+        )
+
+    def _prefer_zone(
+        self,
+        candidates: "_Candidates",
+        zone: Zone,
+        spec: ServiceSpec,
+        work: Work,
+        now: float,
+        excluding: frozenset[str],
+    ) -> None:
+        """Take most candidates from a zone, if it has open ones."""
+        place = (spec.name, zone)
+        pool = self._zone_pools.get(place)
+        if pool is None:
+            pool = self._make_zone_pool(spec.name, zone)
+            self._zone_pools[place] = pool
+        inside = self._candidates(spec, pool, work, now, excluding)
+        open_ones = [
+            e for e in inside.endpoints if not e.health.is_excluded(now)
+        ]
+        if not open_ones:
+            return
+        outside = [e for e in candidates.endpoints if not self._is_in(zone, e)]
+        if candidates.is_part:
+            outside = outside[-OUTSIDE:]
+        candidates.endpoints = open_ones + outside
+        candidates.homes = inside.homes
+        candidates.is_part = candidates.is_part or inside.is_part
+
     def _candidates(
         self,
         spec: ServiceSpec,
+        pool: EndpointPool[Endpoint],
         work: Work,
         now: float,
         excluding: frozenset[str],
@@ -596,7 +663,6 @@
 
         If most endpoints of a large pool are closed, all are looked at.
         """
-        pool = self._pools[spec.name]
         key = work.affinity_key
 
         def is_open(endpoint: Endpoint) -> bool:
--- a/chervilshift/core/fleet/planner.py
+++ b/chervilshift/core/fleet/planner.py
@@ -8,7 +8,7 @@
 from chervilshift.core.fleet.room import RoomPlanner
 from chervilshift.core.fleet.speeds import SpeedPlanner
 from chervilshift.core.fleet.sync import GatewaySync
-from chervilshift.core.fleet.zones import SpillPlanner
+from chervilshift.core.fleet.zones import SpillPlanner, SpillShares
 
 __all__ = ["FleetPlanner", "PlanInput"]
 
@@ -36,15 +36,18 @@
 
 
 class FleetPlanner:
-    """Makes the decisions; made anew by each leader."""
+    """Makes the decisions; made anew by each leader.
+
+    Without `spill` no work is told to leave its failure domain.
+    """
 
     __slots__ = ("rollouts", "room", "speeds", "spill")
 
-    def __init__(self):
+    def __init__(self, *, spill: SpillPlanner | None = None):
         self.speeds = SpeedPlanner()
         self.room = RoomPlanner()
         self.rollouts = RolloutPlanner()
-        self.spill = SpillPlanner()
+        self.spill = spill
 
     def plan(self, given: PlanInput) -> FleetNews:
         """Return the decisions in force from now on."""
@@ -54,5 +57,14 @@
             speeds=speeds,
             levels=self.room.plan((o.room for o in observed), given.cfg),
             versions=self.rollouts.plan(o.outcomes for o in observed),
-            spill=self.spill.plan(o.flows for o in observed),
+            spill=self._plan_spill(given),
+        )
+
+    def _plan_spill(self, given: PlanInput) -> dict[str, SpillShares]:
+        if self.spill is None:
+            return {}
+        flows = (
+            (report.gateway.failure_domain, report.observed.flows)
+            for report in given.reports
         )
+        return self.spill.plan(flows, given.endpoints, given.cfg)
--- a/chervilshift/gateway/chooser.py
+++ b/chervilshift/gateway/chooser.py
@@ -1,5 +1,7 @@
 """Chooses the endpoint for the next attempt of a request."""
 
+from functools import partial
+
 from chervilshift.clock import Clock
 from chervilshift.core.fleet.placement import Choice, Endpoint
 from chervilshift.gateway.admission import RateLimiter
@@ -92,11 +94,14 @@
             return None
         now = self._clock.monotonic()
         limits = self._state.endpoint_limits
-        choose = self._state.placement.choose
         held_ids = self._held_ids(exchange)
         exhausted_ids = self._state.exhausted_endpoints()
         barred_ids = held_ids | exhausted_ids
         failed_ids = frozenset(exchange.failed_ids)
+        choose = partial(
+            self._state.placement.choose,
+            zone=self._state.zone(exchange.service, exchange.work),
+        )
         choice = choose(spec, exchange.work, now, failed_ids | barred_ids)
         if choice is None and exchange.route.repeatable:
             # Only endpoints that failed are left; the failure may have passed.
--- a/chervilshift/gateway/dispatch.py
+++ b/chervilshift/gateway/dispatch.py
@@ -314,6 +314,15 @@
     ) -> None:
         self._state.record_prefill(exchange.service, choice.uncached_tokens)
         now = self._clock.monotonic()
+        self._state.spill.record_sent(
+            exchange.service,
+            choice.endpoint.record.failure_domain,
+            choice.zone,
+            now,
+            tokens=choice.uncached_tokens,
+            shared_tokens=exchange.work.tokens - exchange.work.own_tokens,
+            size_bytes=len(exchange.body),
+        )
         with Placed(choice=choice, now=now) as placed:
             await self._send(exchange, placed, downstream)
 
@@ -542,7 +551,7 @@
             placed.endpoint.health.record_failure(now)
         else:
             placed.endpoint.health.record_success(now)
-            self._state.placement.observe(placed.choice, now - sent_at, now)
+            self._state.observe(placed.choice, now - sent_at, now)
             self._record_answer(exchange)
         exchange.drop_failure()
         exchange.whole_reply = whole_reply
@@ -617,9 +626,7 @@
                 placed.prefill_done()
                 endpoint.add_cached(exchange.work, now)
                 endpoint.health.record_success(now)
-                self._state.placement.observe(
-                    placed.choice, now - sent_at, now
-                )
+                self._state.observe(placed.choice, now - sent_at, now)
                 self._metrics.observe("first_event", now - exchange.arrived_at)
         if relay.incomplete_bytes:
             raise upstream.failure("stream ended inside an event", broken=True)
--- a/chervilshift/gateway/process.py
+++ b/chervilshift/gateway/process.py
@@ -15,6 +15,7 @@
 from chervilshift.core.fleet.retries import RetryPolicy
 from chervilshift.core.fleet.stopping import Stopping
 from chervilshift.core.fleet.sync import GatewayInfo
+from chervilshift.core.fleet.zones import SpillGate
 from chervilshift.errors import Failure
 from chervilshift.events import EventLog
 from chervilshift.gateway.connections import ConnectionPool, LateReply
@@ -208,6 +209,12 @@
             controls_digest=self._controls_digest,
             clock=self._clock,
             events=self._events,
+            spill=SpillGate(
+                enabled=settings.zone_spill,
+                domain=settings.failure_domain,
+                regions=settings.regions,
+                rng=rng,
+            ),
         )
 
     def _register_gauges(self, metrics: Metrics) -> None:
@@ -219,6 +226,10 @@
         metrics.gauge(
             "requests_under_way", lambda: self.ingress.active_requests
         )
+        metrics.gauge_family(
+            "spill_sent_share",
+            lambda: state.spill.shares_sent(self._clock.monotonic()),
+        )
         metrics.gauge("endpoints_known", lambda: len(placement.endpoints()))
         metrics.gauge(
             "endpoints_resting",
--- a/chervilshift/gateway/state.py
+++ b/chervilshift/gateway/state.py
@@ -24,7 +24,7 @@
 from chervilshift.core.fleet.news import NEWS_EXPIRY_S, NewsCopy, Observed
 from chervilshift.core.fleet.origins import OpenStreams, Origin
 from chervilshift.core.fleet.otherload import OtherLoads
-from chervilshift.core.fleet.placement import Placement
+from chervilshift.core.fleet.placement import Choice, Placement, Work
 from chervilshift.core.fleet.retries import RetryBudget, RetryPolicy
 from chervilshift.core.fleet.rollouts import VersionGate
 from chervilshift.core.fleet.room import RoomGate
@@ -34,7 +34,7 @@
 from chervilshift.core.fleet.tables import forget_unnamed
 from chervilshift.core.fleet.usage import UsageCounter
 from chervilshift.core.fleet.walltime import WallTime
-from chervilshift.core.fleet.zones import SpillGate
+from chervilshift.core.fleet.zones import SpillGate, Zone
 from chervilshift.core.rates import DecayingRate
 from chervilshift.errors import Failure
 from chervilshift.events import EventLog
@@ -84,6 +84,7 @@
         rng: Random,
         clock: Clock,
         events: EventLog,
+        spill: SpillGate | None = None,
     ):
         self._controls_digest = controls_digest
         self._info = info
@@ -110,7 +111,7 @@
         self.room = RoomGate()
         self.speeds = SpeedBook()
         self.versions = VersionGate()
-        self.spill = SpillGate()
+        self.spill = spill or SpillGate()
         self._mixed_now: frozenset[str] = frozenset()
         self._lately_mixed: tuple[str, ...] = ()
         self.report_interval_s = DIRECT_INTERVAL_S
@@ -241,6 +242,26 @@
                 hold_s=round(hold_s, 3),
             )
 
+    def observe(self, choice: Choice, actual_s: float, now: float) -> None:
+        """Learn from the time until a reply began."""
+        record = choice.endpoint.record
+        self.spill.observe(
+            record.service,
+            record.failure_domain,
+            choice.baseline_s,
+            actual_s,
+            now,
+        )
+        self.placement.observe(choice, actual_s, now)
+
+    def zone(self, service: str, work: Work) -> Zone | None:
+        """Return the zone that a request should go to, None for any."""
+        key = work.affinity_key if len(work.parts) > 1 else ""
+        now = self._clock.monotonic()
+        return self.spill.zone(
+            service, key, now, follows_leader=self.follows_leader(now)
+        )
+
     def held_endpoints(self, service: str) -> frozenset[str]:
         """Return a service's endpoints that asked for no requests now."""
         if self.holds.is_empty:
@@ -391,4 +412,5 @@
         self.placement.set_services(cfg.services)
         forget_unnamed(self._retry_budgets, cfg.services)
         forget_unnamed(self._prefill_rates, cfg.services)
+        self.spill.forget_unnamed(cfg.services)
         self._events.emit("config", version=cfg.version)
--- a/chervilshift/metrics.py
+++ b/chervilshift/metrics.py
@@ -1,7 +1,7 @@
 """Counters, gauges and latency histograms of one process."""
 
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from hdrh.histogram import HdrHistogram
 
@@ -17,11 +17,12 @@
 class Metrics:
     """Counters, gauges and histograms by name; an ASGI application."""
 
-    __slots__ = ("_counters", "_gauges", "_histograms")
+    __slots__ = ("_counters", "_families", "_gauges", "_histograms")
 
     def __init__(self):
         self._counters: Counter[str] = Counter()
         self._gauges: dict[str, Callable[[], float]] = {}
+        self._families: dict[str, Callable[[], Mapping[str, float]]] = {}
         self._histograms: dict[str, HdrHistogram] = {}
 
     def count(self, name: str, amount: int = 1) -> None:
@@ -36,6 +37,12 @@
         """Register the gauge `name`; `read` returns its current value."""
         self._gauges[name] = read
 
+    def gauge_family(
+        self, name: str, read: Callable[[], Mapping[str, float]]
+    ) -> None:
+        """Register gauges of one name; `read` returns values by labels."""
+        self._families[name] = read
+
     def observe(self, name: str, seconds: float) -> None:
         """Record a duration in seconds in the histogram `name`."""
         histogram = self._histograms.get(name)
@@ -56,6 +63,11 @@
             f"chervilshift_{name} {read():g}"
             for name, read in sorted(self._gauges.items())
         ]
+        lines += [
+            f"chervilshift_{name}{{{labels}}} {value:g}"
+            for name, read in sorted(self._families.items())
+            for labels, value in sorted(read().items())
+        ]
         for name, histogram in sorted(self._histograms.items()):
             lines += [
                 f'chervilshift_{name}_seconds{{quantile="{pct / 100:g}"}} '
--- a/chervilshift/settings.py
+++ b/chervilshift/settings.py
@@ -12,6 +12,7 @@
 from returns.result import Result
 
 from chervilshift.core.fleet.limits import LimitPolicy
+from chervilshift.core.fleet.zones import SpillPlanner
 from chervilshift.errors import SettingsRefused
 from chervilshift.keys import HASH_PATTERN
 from chervilshift.structs import convert
@@ -113,7 +114,9 @@
     other processes these listen on the same port as this process. `regions`
     maps failure domains to regions. `limit_window_s`, `limit_tolerance` and
     `limit_slack` are the fields of `LimitPolicy`; usage is reported per
-    window of `usage_window_s`.
+    window of `usage_window_s`. With `zone_spill` work stays in its failure
+    domain or region as far as that has room; `region_link_mbit_s` is the
+    capacity of the link between two regions in each direction.
     """
 
     seeds: list[Address]
@@ -123,6 +126,8 @@
     limit_slack: NonNegativeFloat
     usage_window_s: PositiveFloat
     metrics_listen: Address | None = None
+    zone_spill: bool = False
+    region_link_mbit_s: PositiveFloat = 30.0
 
     def limit_policy(self) -> LimitPolicy:
         """Return the policy for how far customers' limits may be exceeded."""
@@ -132,6 +137,15 @@
             slack=self.limit_slack,
         )
 
+    def spill_planner(self) -> SpillPlanner | None:
+        """Return a new planner of work that leaves its failure domain."""
+        if not self.zone_spill:
+            return None
+        return SpillPlanner(
+            regions=self.regions,
+            link_bytes_per_s=self.region_link_mbit_s * 1e6 / 8,
+        )
+
     @property
     def control(self) -> list[str]:
         """Addresses on which the seeds accept calls of other processes."""
--- a/tests/core/fleet/test_candidates.py
+++ b/tests/core/fleet/test_candidates.py
@@ -22,7 +22,8 @@
     ServiceSpec,
     with_state,
 )
-from chervilshift.core.fleet.placement import Placed, Placement, Work
+from chervilshift.core.fleet.placement import OUTSIDE, Placed, Placement, Work
+from chervilshift.core.fleet.zones import BY_REGION, Zone
 from tests.core.fleet.records import ready_endpoint
 
 ENGINES = ServiceSpec(
@@ -83,6 +84,19 @@
         assert sum(e.startswith("f") for e in considered) <= 1
 
 
+@SPECS
+@pytest.mark.parametrize("count", [20, 300])
+def test_few_are_considered_with_a_zone(spec, count, considered):
+    placement = make_placement(make_records(count, far=count))
+    zone = Zone(by=BY_REGION, name="there", extra_cost_s=0.1)
+    for number in range(50):
+        considered.clear()
+        placement.choose(spec, prompt(f"t{number}"), 0.0, zone=zone)
+        assert len(considered) == len(set(considered))
+        assert len(considered) <= MAX_ALL + 1 + OUTSIDE
+        assert sum(e.startswith("e") for e in considered) <= OUTSIDE
+
+
 def test_prompts_without_shared_parts_spread_over_the_endpoints(considered):
     placement = make_placement(make_records(45))
     chosen = set()
