--- a/chervilshift/control/fleet.py
+++ b/chervilshift/control/fleet.py
@@ -55,6 +55,7 @@
 )
 from chervilshift.core.fleet.versions import RolloutPolicy
 from chervilshift.core.fleet.walltime import WallTime
+from chervilshift.core.fleet.zones import SpillPlanner, SpillShares
 from chervilshift.core.message import Message
 from chervilshift.errors import Failure, NotLeader, NotReady, Unserved
 from chervilshift.events import EventLog
@@ -112,6 +113,7 @@
         clock: Clock,
         events: EventLog,
         rollout_policy: RolloutPolicy | None = None,
+        make_spill: Callable[[], SpillPlanner | None] = lambda: None,
     ):
         self._node = node
         self._clients = clients
@@ -176,7 +178,9 @@
         self._unforwarded_heartbeats: dict[str, Heartbeat] = {}
         self._last_heartbeats: dict[str, tuple[int, float]] = {}
         self._leading_since: float | None = None
+        self._make_spill = make_spill
         self._planner = self._new_planner()
+        self.spill: dict[str, SpillShares] = {}
         self._cfg: ServingConfig | None = None
 
     # Used by the HTTP interfaces for operators, endpoints and clients
@@ -488,9 +492,12 @@
                 elif not self._node.raft.is_leader:
                     self._leading_since = None
                     self._planner = self._new_planner()
+                    self.spill = {}
 
     def _new_planner(self) -> FleetPlanner:
-        return FleetPlanner(rollout_policy=self.rollouts.policy)
+        return FleetPlanner(
+            rollout_policy=self.rollouts.policy, spill=self._make_spill()
+        )
 
     async def _plan(self) -> None:
         """Decide for all gateways; called as leader."""
@@ -511,6 +518,7 @@
                 wall_s=self.wall_s(),
             )
         )
+        self._note_spill(news.spill)
         self._distributor.set_news(news, now)
         await self.rollouts.step(self._planner.rollouts, news.versions)
 
@@ -524,6 +532,19 @@
                 samples=speed.samples,
             )
 
+    def _note_spill(self, spill: dict[str, SpillShares]) -> None:
+        """Log changed shares of work that leave."""
+        for service, shares in spill.items():
+            if shares != self.spill.get(service, SpillShares(by=shares.by)):
+                self._events.emit(
+                    "spill",
+                    service=service,
+                    by=shares.by,
+                    shares=shares.shares,
+                    reasons=shares.reasons,
+                )
+        self.spill = spill
+
     def _leader_to_relay_to(self) -> str:
         """Return the leader's address, empty if this process leads."""
         return "" if self._node.raft.is_leader else self._node.leader_address()
--- a/chervilshift/gateway/dispatch.py
+++ b/chervilshift/gateway/dispatch.py
@@ -320,6 +320,15 @@
             and self._state.measures_speed(exchange.work, choice)
         )
         now = self._clock.monotonic()
+        self._state.spill.record_sent(
+            exchange.service,
+            choice.endpoint.record.failure_domain,
+            choice.zone,
+            now,
+            tokens=choice.uncached_tokens,
+            shared_tokens=exchange.work.tokens - exchange.work.own_tokens,
+            size_bytes=len(exchange.body),
+        )
         with Placed(choice=choice, now=now) as placed:
             await self._send(exchange, placed, downstream)
 
@@ -573,7 +582,7 @@
             placed.endpoint.health.record_failure(now)
         else:
             placed.endpoint.health.record_success(now)
-            self._state.placement.observe(placed.choice, now - sent_at, now)
+            self._state.observe(placed.choice, now - sent_at, now)
             self._record_answer(exchange)
         exchange.drop_failure()
         exchange.whole_reply = whole_reply
@@ -650,9 +659,7 @@
                 endpoint.health.record_success(now)
                 if exchange.rollout_attempt is not None:
                     exchange.rollout_attempt.record_reply(now)
-                self._state.placement.observe(
-                    placed.choice, now - sent_at, now
-                )
+                self._state.observe(placed.choice, now - sent_at, now)
                 if exchange.measures_speed:
                     self._state.record_first_event(
                         placed.choice, now - sent_at, now
--- a/chervilshift/gateway/state.py
+++ b/chervilshift/gateway/state.py
@@ -36,7 +36,7 @@
 from chervilshift.core.fleet.versiongate import VersionGate
 from chervilshift.core.fleet.versions import RolloutPolicy
 from chervilshift.core.fleet.walltime import WallTime
-from chervilshift.core.fleet.zones import SpillGate
+from chervilshift.core.fleet.zones import SpillGate, Zone
 from chervilshift.core.rates import DecayingRate
 from chervilshift.errors import Failure
 from chervilshift.events import EventLog
@@ -87,6 +87,7 @@
         clock: Clock,
         events: EventLog,
         rollout_policy: RolloutPolicy | None = None,
+        spill: SpillGate | None = None,
     ):
         self._controls_digest = controls_digest
         self._info = info
@@ -114,7 +115,7 @@
         self.room = RoomGate()
         self.speeds = SpeedBook()
         self.versions = VersionGate(rng=rng, policy=rollout_policy)
-        self.spill = SpillGate()
+        self.spill = spill or SpillGate()
         self._mixed_now: frozenset[str] = frozenset()
         self._lately_mixed: tuple[str, ...] = ()
         self.report_interval_s = DIRECT_INTERVAL_S
@@ -271,6 +272,26 @@
                 hold_s=round(hold_s, 3),
             )
 
+    def observe(self, choice: Choice, actual_s: float, now: float) -> None:
+        """Learn from the time until a reply began."""
+        record = choice.endpoint.record
+        self.spill.observe(
+            record.service,
+            record.failure_domain,
+            choice.baseline_s,
+            actual_s,
+            now,
+        )
+        self.placement.observe(choice, actual_s, now)
+
+    def zone(self, service: str, work: Work) -> Zone | None:
+        """Return the zone that a request should go to, None for any."""
+        key = work.affinity_key if len(work.parts) > 1 else ""
+        now = self._clock.monotonic()
+        return self.spill.zone(
+            service, key, now, follows_leader=self.follows_leader(now)
+        )
+
     def held_endpoints(self, service: str) -> frozenset[str]:
         """Return a service's endpoints that asked for no requests now."""
         if self.holds.is_empty:
@@ -431,4 +452,5 @@
         self.speeds.set_services(cfg.services)
         forget_unnamed(self._retry_budgets, cfg.services)
         forget_unnamed(self._prefill_rates, cfg.services)
+        self.spill.forget_unnamed(cfg.services)
         self._events.emit("config", version=cfg.version)
--- a/chervilshift/metrics.py
+++ b/chervilshift/metrics.py
@@ -1,7 +1,7 @@
 """Counters, gauges and latency histograms of one process."""
 
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from hdrh.histogram import HdrHistogram
 
@@ -19,9 +19,9 @@
 
     __slots__ = (
         "_counters",
+        "_families",
         "_gauges",
         "_histograms",
-        "_labelled",
         "_read_counters",
     )
 
@@ -29,9 +29,7 @@
         self._read_counters: dict[str, Callable[[], int]] = {}
         self._counters: Counter[str] = Counter()
         self._gauges: dict[str, Callable[[], float]] = {}
-        self._labelled: dict[
-            tuple[str, str], Callable[[], dict[str, float]]
-        ] = {}
+        self._families: dict[str, Callable[[], Mapping[str, float]]] = {}
         self._histograms: dict[str, HdrHistogram] = {}
 
     def count(self, name: str, amount: int = 1) -> None:
@@ -50,7 +48,19 @@
         self, name: str, label: str, read: Callable[[], dict[str, float]]
     ) -> None:
         """Register a gauge with values by one label, which `read` returns."""
-        self._labelled[name, label] = read
+        self.gauge_family(
+            name,
+            lambda: {
+                f'{label}="{_escaped(key)}"': value
+                for key, value in read().items()
+            },
+        )
+
+    def gauge_family(
+        self, name: str, read: Callable[[], Mapping[str, float]]
+    ) -> None:
+        """Register gauges of one name; `read` returns values by labels."""
+        self._families[name] = read
 
     def counter(self, name: str, read: Callable[[], int]) -> None:
         """Register the counter `name`, kept elsewhere; `read` returns it."""
@@ -82,9 +92,9 @@
             for name, read in sorted(self._gauges.items())
         ]
         lines += [
-            f'chervilshift_{name}{{{label}="{_escaped(key)}"}} {value:g}'
-            for (name, label), read in sorted(self._labelled.items())
-            for key, value in sorted(read().items())
+            f"chervilshift_{name}{{{labels}}} {value:g}"
+            for name, read in sorted(self._families.items())
+            for labels, value in sorted(read().items())
         ]
         for name, histogram in sorted(self._histograms.items()):
             lines += [
--- a/chervilshift/settings.py
+++ b/chervilshift/settings.py
@@ -14,6 +14,7 @@
 from chervilshift.connguard import ClientLimits
 from chervilshift.core.fleet.limits import LimitPolicy
 from chervilshift.core.fleet.versions import RolloutPolicy
+from chervilshift.core.fleet.zones import SpillPlanner
 from chervilshift.errors import SettingsRefused
 from chervilshift.keys import HASH_PATTERN
 from chervilshift.structs import convert
@@ -120,7 +121,9 @@
     `limit_slack` are the fields of `LimitPolicy`; usage is reported per
     window of `usage_window_s`. `rollout_share`, `rollout_slack` and
     `rollback_ms` are the fields of `RolloutPolicy`; without `rollout_share`
-    there are no rollouts.
+    there are no rollouts. With `zone_spill` work stays in its failure
+    domain or region as far as that has room; `region_link_mbit_s` is the
+    capacity of the link between two regions in each direction.
     """
 
     seeds: list[Address]
@@ -133,6 +136,8 @@
     rollout_share: Share | None = None
     rollout_slack: NonNegativeFloat = 0.0
     rollback_ms: PositiveFloat = 5000.0
+    zone_spill: bool = False
+    region_link_mbit_s: PositiveFloat = 30.0
 
     def limit_policy(self) -> LimitPolicy:
         """Return the policy for how far customers' limits may be exceeded."""
@@ -152,6 +157,15 @@
             rollback_s=self.rollback_ms / 1000,
         )
 
+    def spill_planner(self) -> SpillPlanner | None:
+        """Return a new planner of work that leaves its failure domain."""
+        if not self.zone_spill:
+            return None
+        return SpillPlanner(
+            regions=self.regions,
+            link_bytes_per_s=self.region_link_mbit_s * 1e6 / 8,
+        )
+
     @property
     def control(self) -> list[str]:
         """Addresses on which the seeds accept calls of other processes."""
