Rollouts: evidence is compared step by step with what the old version does then

Routes get the exposure share in equal parts, retries and requests after a failed connection prefer the safe version, and outcomes of single endpoints that fail or are slow by themselves count little.

--- a/chervilshift/core/fleet/rollouts.py
+++ b/chervilshift/core/fleet/rollouts.py
@@ -30,13 +30,17 @@
 # the third all requests go to the new version.
 TEST_MIN_PART = 0.25
 TEST_MAX_PART = 0.45
-# A version that is suspected then is tested for longer.
+# A version that is in doubt then is tested for longer.
 SUSPECT_MAX_PART = 0.6
 RAMP_END_PART = 0.75
+# Time before the deadline in which the last requests end and all gateways
+# report that they don't use the old version, and the earliest end of a ramp.
+FINISH_S, MIN_RAMP_END_PART = 4.5, 0.6
 # A ramp that is not done by then is given up.
 GIVE_UP_PART = 1.5
 # Outcomes without which no version is accepted, unless there are few requests:
-# then this part of those that it may get.
+# then this part of those that it may get. Twice as many are awaited for a
+# while.
 MIN_OUTCOMES, MIN_OUTCOMES_PART = 20, 0.2
 # Shares of the ramp, the first one modest: not all faults show in the test.
 RAMP_SHARES = (0.2, 0.35, 0.55, 0.8, 1.0)
@@ -44,9 +48,10 @@
 # Part of the slack that gateways may use before they have sent enough
 # requests for their share. The rest covers gateways that restart.
 SLACK_USE = 0.5
-# During the test, routes without evidence get this multiple of the share, and
-# those with evidence this part.
-UNPROVEN_BOOST, PROVEN_PART = 3.0, 0.5
+# During the test, routes with evidence get this part of the share. The others
+# have equal parts of the rest, so that the smallest is tested too, but at most
+# this share of their requests.
+PROVEN_PART, MAX_TESTED_SHARE = 0.3, 0.5
 # Part of a ramp's share that routes without evidence get.
 UNPROVEN_RAMP_PART = 0.5
 # Endpoints of the new version that get requests in the test, at least.
@@ -121,7 +126,7 @@
     def __init__(self, *, rollout: Rollout, now: float):
         self.order = rollout.order
         self.evidence = Evidence(to=rollout.to)
-        self.finding = Finding(log_ratio=0.0)
+        self.finding = Finding()
         self.unproven: frozenset[str] = frozenset()
         self.is_bad = self.is_logged = False
         self.extra: float | None = None
@@ -171,13 +176,12 @@
                 o.order == rollout.order for o in outcomes.values()
             ):
                 gateway = report.gateway
-                run.evidence.add(
-                    (gateway.id, gateway.incarnation), outcomes, given.now
-                )
+                run.evidence.add((gateway.id, gateway.incarnation), outcomes)
         width = self._width(rollout, fleet)
         used = min(width or fleet.new_count, fleet.new_count)
+        run.evidence.test(fleet.old_count, given.now)
         run.finding = run.evidence.finding(used, given.now)
-        run.unproven = run.evidence.unproven_routes(used, given.now)
+        run.unproven = run.evidence.unproven_routes(used)
         run.is_bad = run.is_bad or run.finding.is_bad
         command = self._next_command(rollout, run, fleet, given)
         if command is not None:
@@ -198,23 +202,21 @@
         share = self._policy.share if rollout.stage == TEST else rollout.share
         part = _part(rollout, given.wall_s)
         share = min(share, fleet.largest_share(part))
-        routes = {}
-        known = run.evidence.routes()
-        for route in known:
-            is_proven = route not in run.unproven
-            if rollout.stage == TEST:
-                factor = PROVEN_PART if is_proven else UNPROVEN_BOOST
-                if not run.unproven or len(run.unproven) == len(known):
-                    factor = 1.0
-            else:
-                factor = 1.0 if is_proven else UNPROVEN_RAMP_PART
-                if part >= SUSPECT_MAX_PART:
-                    factor = 1.0
-            routes[route] = round(min(1.0, factor * share), 3)
+        parts = run.evidence.parts()
+        if rollout.stage == TEST:
+            routes = _tested_shares(share, parts, run.unproven)
+        else:
+            has_time = part < SUSPECT_MAX_PART
+            routes = {
+                route: share * UNPROVEN_RAMP_PART
+                for route in parts
+                if has_time and route in run.unproven
+            }
         return VersionShares(
             order=rollout.order,
             share=round(share, 3),
-            routes={r: s for r, s in routes.items() if s != round(share, 3)},
+            # Rounded, so that news don't change with every request.
+            routes={route: float(f"{s:.2g}") for route, s in routes.items()},
             width=width,
             extra=round(run.extra, 3),
             closed=run.is_bad,
@@ -246,13 +248,7 @@
         is_suspect = finding.is_suspect and part >= SUSPECT_MAX_PART
         if run.is_bad or (rollout.stage == TEST and is_suspect):
             run.is_bad = True
-            return self._end(
-                rollout,
-                ROLLED_BACK,
-                f"{finding.kind} on {finding.route}, log likelihood ratio "
-                f"{finding.log_ratio:.1f}",
-                given,
-            )
+            return self._end(rollout, ROLLED_BACK, str(finding), given)
         if rollout.stage == TEST:
             if fleet.is_seen and self._is_accepted(run, fleet, part):
                 return self._advance(rollout, RAMP, RAMP_SHARES[0])
@@ -265,6 +261,9 @@
                 reason = "too few endpoints to take all requests"
                 return self._end(rollout, ROLLED_BACK, reason, given)
             return self._next_step(rollout, run, fleet, given)
+        if fleet.old_count and not fleet.new_count:
+            reason = "no endpoint is ready any more"
+            return self._end(rollout, ROLLED_BACK, reason, given)
         if self._is_finished(rollout, run, fleet, given):
             reason = "no sign of a fault"
             return self._end(rollout, COMPLETED, reason, given)
@@ -276,13 +275,13 @@
         if not fleet.new_count or part < TEST_MIN_PART:
             return False
         if part < TEST_MAX_PART:
-            return bool(run.evidence.routes()) and not run.unproven
-        if run.finding.is_suspect:
-            return False
+            return bool(run.evidence.parts()) and not run.unproven
         expected = self._policy.share * run.evidence.requests
-        return run.evidence.ended() >= min(
-            MIN_OUTCOMES, MIN_OUTCOMES_PART * expected
-        )
+        least = min(MIN_OUTCOMES, MIN_OUTCOMES_PART * expected)
+        if part < SUSPECT_MAX_PART:
+            is_doubtful = run.finding.is_doubtful
+            return not is_doubtful and run.evidence.ended() >= 2 * least
+        return not run.finding.is_suspect and run.evidence.ended() >= least
 
     def _next_step(
         self,
@@ -293,7 +292,9 @@
     ) -> AdvanceRollout | None:
         left = [s for s in RAMP_SHARES if s > rollout.share]
         part = _part(rollout, given.wall_s)
-        time_left_s = (RAMP_END_PART - part) * rollout.ramp_s
+        time_left_s = _ramp_end_s(rollout) - part * rollout.ramp_s
+        # Steps are left out if there is no time for all.
+        left = left[-max(1, int(time_left_s / MIN_STEP_S)) :]
         step_s = max(MIN_STEP_S, time_left_s / (len(left) + 1))
         if given.now - run.step_at < step_s or run.finding.is_suspect:
             return None
@@ -370,6 +371,7 @@
         "is_seen",
         "new_count",
         "new_slots",
+        "old_count",
         "old_ids",
         "old_slots",
     )
@@ -382,9 +384,9 @@
         new = [e.slots for e in ready if e.version == rollout.to]
         self.new_count = len(new)
         self.new_slots = sum(new)
-        self.old_slots = sum(
-            e.slots for e in ready if not _is_excluded_old(rollout, e)
-        )
+        old = [e.slots for e in ready if _is_safe(rollout, e)]
+        self.old_count = len(old)
+        self.old_slots = sum(old)
         self.old_ids = frozenset(
             e.id for e in endpoints if e.version != rollout.to
         )
@@ -417,8 +419,30 @@
         return min(1.0, max(by_slots, by_load))
 
 
-def _is_excluded_old(rollout: Rollout, record: EndpointRecord) -> bool:
-    return record.version == rollout.to or record.version in rollout.barred
+def _is_safe(rollout: Rollout, record: EndpointRecord) -> bool:
+    version = record.version
+    return version != rollout.to and version not in rollout.barred
+
+
+def _tested_shares(
+    share: float, parts: dict[str, float], unproven: frozenset[str]
+) -> dict[str, float]:
+    """Return the shares by route that add up to a share of all requests."""
+    proven_part = sum(p for route, p in parts.items() if route not in unproven)
+    left = share * (1 - PROVEN_PART * proven_part)
+    return {
+        route: min(MAX_TESTED_SHARE, left / len(unproven) / max(part, 0.01))
+        if route in unproven
+        else share * PROVEN_PART
+        for route, part in parts.items()
+    }
+
+
+def _ramp_end_s(rollout: Rollout) -> float:
+    """Return when all requests go to the new version, since the order."""
+    ramp_s = rollout.ramp_s
+    latest_s = min(RAMP_END_PART * ramp_s, ramp_s - FINISH_S)
+    return max(MIN_RAMP_END_PART * ramp_s, latest_s)
 
 
 def _part(rollout: Rollout, wall_s: float) -> float:
--- a/chervilshift/core/fleet/versiongate.py
+++ b/chervilshift/core/fleet/versiongate.py
@@ -73,6 +73,7 @@
     """Totals of one route at one version."""
 
     __slots__ = (
+        "cached_ratios",
         "ended",
         "failed",
         "failed_at",
@@ -85,6 +86,7 @@
     def __init__(self):
         self.ended = self.failed = self.judged = self.slow = 0
         self.ratios: Counter[int] = Counter()
+        self.cached_ratios: Counter[int] = Counter()
         self.failed_at: Counter[str] = Counter()
         self.slow_at: Counter[str] = Counter()
 
@@ -96,6 +98,7 @@
             judged=self.judged,
             slow=self.slow,
             ratios=dict(self.ratios),
+            cached_ratios=dict(self.cached_ratios),
             failed_at=dict(self.failed_at.most_common(MAX_ENDPOINTS_NAMED)),
             slow_at=dict(self.slow_at.most_common(MAX_ENDPOINTS_NAMED)),
         )
@@ -142,15 +145,18 @@
 
 
 class Attempt:
-    """One attempt during a rollout, until its outcome is counted."""
+    """One attempt during a rollout, until its outcome is counted.
+
+    `uncached_s` is its predicted time if nothing is cached but what this
+    gateway knows to be, `cached_s`, for engines, that with all that may be.
+    """
 
     __slots__ = (
+        "_cached_s",
         "_ended",
         "_failed",
-        "_optimistic_s",
-        "_pessimistic_s",
         "_started_at",
-        "_trial",
+        "_uncached_s",
         "_usual",
         "endpoint_id",
         "totals",
@@ -159,20 +165,18 @@
     def __init__(
         self,
         *,
-        trial: _Trial,
         totals: _Totals,
         endpoint_id: str,
         usual: float | None,
-        optimistic_s: float,
-        pessimistic_s: float,
+        uncached_s: float,
+        cached_s: float | None,
         now: float,
     ):
-        self._trial = trial
         self.totals = totals
         self.endpoint_id = endpoint_id
         self._usual = usual
-        self._optimistic_s = optimistic_s
-        self._pessimistic_s = pessimistic_s
+        self._uncached_s = uncached_s
+        self._cached_s = cached_s
         self._started_at = now
         self._ended = self._failed = False
 
@@ -183,35 +187,59 @@
         took_s = now - self._started_at
         self._judge(took_s)
         if ok:
-            self.totals.ratios[ratio_bucket(took_s / self._optimistic_s)] += 1
+            self._count_ratios(took_s)
             self._end()
         else:
-            self.record_failure()
+            self._fail()
 
-    def record_failure(self) -> None:
-        """Count a failure, also of a stream that has begun."""
-        self._end()
-        if not self._failed:
-            self._failed = True
-            self.totals.failed += 1
-            self.totals.failed_at[self.endpoint_id] += 1
+    def record_failure(self, now: float, *, broken: bool) -> None:
+        """Count a failure, also of a stream that has begun.
+
+        An attempt that was given up by the gateway after a long time was
+        slow. Under a high load that happens with any version, so it is
+        compared with what the old one does at the same time.
+        """
+        took_s = now - self._started_at
+        if not broken and not self._ended and self._is_slow(took_s):
+            self._judge(took_s)
+            self._end()
+        else:
+            self._fail()
 
     def record_timeout(self, now: float) -> None:
         """Count an attempt that had not replied by its deadline."""
         if not self._ended:
             self._judge(now - self._started_at)
-            self.record_failure()
+            self._end()
+
+    def _count_ratios(self, took_s: float) -> None:
+        self.totals.ratios[ratio_bucket(took_s / self._uncached_s)] += 1
+        if self._cached_s is not None:
+            bucket = ratio_bucket(took_s / self._cached_s)
+            self.totals.cached_ratios[bucket] += 1
 
     def _end(self) -> None:
         if not self._ended:
             self._ended = True
             self.totals.ended += 1
 
+    def _fail(self) -> None:
+        self._end()
+        if not self._failed:
+            self._failed = True
+            self.totals.failed += 1
+            self.totals.failed_at[self.endpoint_id] += 1
+
+    def _is_slow(self, took_s: float) -> bool:
+        return self._usual is not None and (
+            took_s > SLOW_MULTIPLE * self._usual * self._uncached_s
+        )
+
     def _judge(self, took_s: float) -> None:
         if self._usual is None:
             return
         self.totals.judged += 1
-        if took_s > SLOW_MULTIPLE * self._usual * self._pessimistic_s:
+        if self._is_slow(took_s):
             self.totals.slow += 1
             self.totals.slow_at[self.endpoint_id] += 1
 
@@ -391,20 +419,21 @@
         if is_first:
             version.requests += 1
             trial.requests += 1
-        optimistic_s = max(MIN_PREDICTED_S, choice.baseline_s)
-        pessimistic_s = optimistic_s
+        uncached_s = max(MIN_PREDICTED_S, choice.baseline_s)
+        cached_s = None
         if is_engine:
-            # Endpoints of a new version begin with cold caches.
+            # Endpoints of a new version begin with cold caches, and are not
+            # slow for that.
+            cached_s = uncached_s
             uncached = choice.endpoint.uncached_tokens(work, home=False)
             more = max(0, uncached - choice.uncached_tokens)
-            pessimistic_s += more / PREFILL_TOKENS_PER_S
+            uncached_s += more / PREFILL_TOKENS_PER_S
         return Attempt(
-            trial=trial,
             totals=version.route(route),
             endpoint_id=choice.endpoint.id,
             usual=trial.shares.usual.get(route) if trial.shares else None,
-            optimistic_s=optimistic_s,
-            pessimistic_s=pessimistic_s,
+            uncached_s=uncached_s,
+            cached_s=cached_s,
             now=now,
         )
 
--- a/chervilshift/core/fleet/versions.py
+++ b/chervilshift/core/fleet/versions.py
@@ -123,8 +123,11 @@
 
     Of the `ended` ones `failed` failed. Of the `judged` ones, for which the
     usual time is known, `slow` took several times as long. `ratios` are the
-    numbers by ratio of actual to predicted time, see `ratio_bucket`.
-    `failed_at` and `slow_at` are the numbers by endpoint, without zeros.
+    numbers by ratio of actual to predicted time, see `ratio_bucket`, where
+    nothing is taken as cached but what this gateway knows to be;
+    `cached_ratios` are those to the time with all that may be cached, of
+    engines only. `failed_at` and `slow_at` are the numbers by endpoint,
+    without zeros.
     """
 
     ended: int = 0
@@ -132,6 +135,7 @@
     judged: int = 0
     slow: int = 0
     ratios: dict[int, int] = {}
+    cached_ratios: dict[int, int] = {}
     failed_at: dict[str, int] = {}
     slow_at: dict[str, int] = {}
 
@@ -156,8 +160,8 @@
     requests, or that of its route in `routes`, at `width` of its endpoints, 0
     for all of them; in the stage `TEST` no more than the exposure limit, to
     which each gateway may add `extra` requests. With `closed` it gets none.
-    `usual` is the usual ratio of actual to predicted time by route, as
-    measured at the old version.
+    `usual` is the usual ratio of actual to predicted time by route, without
+    caches, as measured at the old version.
     """
 
     order: int
--- a/chervilshift/gateway/chooser.py
+++ b/chervilshift/gateway/chooser.py
@@ -118,7 +118,7 @@
             self._state.placement.endpoints_of(exchange.service),
             now,
             self._state.wall_s(),
-            wants_new=exchange.wants_new and not exchange.attempts_sent,
+            wants_new=exchange.wants_new and not exchange.failed_ids,
             is_fresh=self._state.follows_rollouts(now),
             version=exchange.version,
         )
--- a/chervilshift/gateway/dispatch.py
+++ b/chervilshift/gateway/dispatch.py
@@ -364,7 +364,9 @@
                     refused = True
                     exchange.maybe_ran = maybe_ran_before
                 elif exchange.rollout_attempt is not None:
-                    exchange.rollout_attempt.record_failure()
+                    exchange.rollout_attempt.record_failure(
+                        now, broken=exc.broken
+                    )
                 raise
             finally:
                 if upstream.head is not None:
@@ -385,7 +387,9 @@
                 )
             except EndpointFailed as exc:
                 if exchange.rollout_attempt is not None:
-                    exchange.rollout_attempt.record_failure()
+                    exchange.rollout_attempt.record_failure(
+                        self._clock.monotonic(), broken=exc.broken
+                    )
                 # A crash breaks off all streams that have begun.
                 if not (exc.broken and downstream.started):
                     endpoint.health.record_failure(self._clock.monotonic())
