Placement: reading shared parts again costs more than before

Callers: in a burst with the loss of a quarter of the engines, short urgent prompts waited behind shared parts that were read again.

Cause: a next home was assumed to have the parts by the first one's time in prefill, which is high for all engines under load, so prompts left their homes too early.

Change: a next home counts as having the parts only as far as the first one was in prefill for over half of the time; reading again costs 4 times its time, 3 before.

--- a/chervilshift/core/fleet/placement.py
+++ b/chervilshift/core/fleet/placement.py
@@ -90,14 +90,15 @@
 QUEUE_SAMPLE_WEIGHT = 0.1
 # Age of the load of other gateways when it is used: 0.25 to 1 s.
 LOAD_NEWS_AGE_S = 0.5
-# Weight of a home's time in prefill in the likelihood that prompts of its
-# keys have also been read at their next home.
-NEXT_HOME_WEIGHT = 0.5
+# Prompts of a home's keys have also been read at their next home if the home
+# was in prefill for more than this share of the time lately; the likelihood
+# grows with the excess by this weight.
+NEXT_HOME_FROM, NEXT_HOME_WEIGHT = 0.5, 1.0
 # Cost of a second of reading shared parts again, in seconds of wait. It delays
 # what is queued behind it, which then leaves its own homes: with a weight of 0
 # or 1, bursts that the engines could read once were read several times (see
 # tests/core/fleet/test_shared_parts.py).
-READ_AGAIN_WEIGHT = 3.0
+READ_AGAIN_WEIGHT = 4.0
 # Candidates outside of the zone that is preferred.
 OUTSIDE = 2
 # With at most this many endpoints that may be open, all are looked at to find
@@ -777,7 +778,8 @@
         for home in self.homes:
             if home is endpoint:
                 return likelihood
-            likelihood *= NEXT_HOME_WEIGHT * home.prefill_fraction
+            excess = max(0.0, home.prefill_fraction - NEXT_HOME_FROM)
+            likelihood *= NEXT_HOME_WEIGHT * excess
         return 0.0
 
 
