Usage: counts of cut-off and killed gateways reach the reports

Usage reports lacked the requests of gateways that were cut off at the end of a window, and of killed gateways whose counts only a lost leader or a cut-off control process had. The leader committed a window 1.5 s after its end, whoever had reported, and committed counts never change.

Reports name the window that had not ended, and the leader waits for all known gateways, at most 7 s after the window's end. Control processes keep the counts of each incarnation, relay them apart from the reports, all of them to a new leader, and get those of silent gateways from the leader. The event usage_reported names missing gateways.

--- a/chervilshift/control/duties.py
+++ b/chervilshift/control/duties.py
@@ -38,8 +38,13 @@
 # Interval at which each duty is checked.
 DUTY_INTERVAL_S = 0.25
 # The last counts of a usage window arrive with the one or two gateway syncs
-# after its end.
+# after its end. Gateways that have not reported since then, for example those
+# that are cut off or new to this leader, are waited for up to the second time;
+# the commit and the call to the cloud, once repeated, end within 10 s.
 USAGE_SETTLE_S = 1.5
+USAGE_WAIT_S = 7.0
+# Gateways named in one event.
+MAX_NAMED_GATEWAYS = 8
 # Time from the end of the predecessor's lease to the first call of a new
 # leader. It is the time limit of a call, so that none is still in progress.
 CLOUD_CALL_TIMEOUT_S = 1.0
@@ -236,8 +241,17 @@
 
     async def _report_window(self, window: int) -> bool:
         counts = self._node.machine.fleet.committed_usage(window)
+        missing = ()
         if counts is None:
-            counts = self._presence.usage(window)
+            missing = self._presence.without_usage(
+                window,
+                self._node.machine.fleet.gateways,
+                self._clock.monotonic(),
+            )
+            waited_s = self._wall_s() - (window + 1) * self._window_s
+            if missing and waited_s < USAGE_WAIT_S:
+                return False
+            counts = self._presence.usage.total(window)
         term = self._node.raft.term
         committed = await self._node.submit(
             CommitUsage(window=window, counts=counts)
@@ -255,6 +269,7 @@
             "usage_reported",
             window=window,
             counts=counts,
+            missing=missing[:MAX_NAMED_GATEWAYS],
             term=term,
             taken=not isinstance(sent, Bad),
         )
--- a/chervilshift/core/fleet/distribution.py
+++ b/chervilshift/core/fleet/distribution.py
@@ -109,6 +109,8 @@
         "heard_at",
         "loads_cursor",
         "source",
+        "usage_cursor",
+        "usage_revision",
         "waits_until",
     )
 
@@ -117,6 +119,9 @@
         self.heard_at = float("-inf")
         self.loads_cursor = 0
         self.gateways_cursor = 0
+        # Counts that it sent, by its revisions, and that it was sent.
+        self.usage_cursor = 0
+        self.usage_revision = 0
         self.granting = False
         self.waits_until: dict[str, float] = {}
         self.controls: tuple[ControlInfo, ...] = ()
@@ -327,12 +332,20 @@
                 )
             else:
                 reports.append(sync)
+        usage, usage_revision = self.presence.usage.changes_since(
+            self._leader.usage_revision
+        )
         return Relay(
             sender=self._info,
             reports=tuple(
-                msgspec.structs.replace(sync, needed={}, prefetch={})
+                msgspec.structs.replace(
+                    sync, needed={}, prefetch={}, usage={}, usage_window=0
+                )
                 for sync in reports[:MAX_RELAYED_REPORTS]
             ),
+            usage=usage,
+            usage_revision=usage_revision,
+            usage_cursor=self._leader.usage_cursor,
             unchanged=tuple(unchanged),
             needed=self._pool.ask(),
             prefetch=self._pool.prefetch(),
@@ -364,6 +377,13 @@
             # Another leader: it gets all reports with the next relay.
             self._relayed = {}
             leader.source = reply.loads.source
+            leader.usage_revision = 0
+            leader.usage_cursor = 0
+        else:
+            leader.usage_revision = relay.usage_revision
+            leader.usage_cursor = reply.usage_cursor
+        for entry in reply.usage:
+            self.presence.usage.record(entry, now)
         for sync in relay.reports:
             self._relayed[sync.gateway.id] = sync
         for same in relay.unchanged:
@@ -415,6 +435,8 @@
             grants, waits = self._grant(relay.needed, {}, now)
             return RelayReply(grants=grants, waits=waits)
         self._controls[relay.sender.address] = (relay.sender, now)
+        for entry in relay.usage:
+            self.presence.usage.record(entry, now)
         for sync in relay.reports:
             self.presence.observe(sync, now)
         unknown = tuple(
@@ -424,6 +446,9 @@
         )
         grants, waits = self._grant(relay.needed, relay.prefetch, now)
         is_known = relay.loads_source == self._source
+        usage, usage_cursor = self.presence.usage.ended_since(
+            relay.usage_cursor if is_known else 0
+        )
         gateways = self.presence.listing.since(
             relay.gateways_cursor if is_known else 0
         )
@@ -439,6 +464,8 @@
             ),
             controls=self.controls(voters),
             unknown=unknown,
+            usage=usage,
+            usage_cursor=usage_cursor,
             granting=self._allocator.is_granting(now),
             grants=grants,
             waits=waits,
@@ -526,5 +553,4 @@
         and old.stated_limits == new.stated_limits
         and old.leaving == new.leaving
         and old.observed == new.observed
-        and not new.usage
     )
--- a/chervilshift/core/fleet/presence.py
+++ b/chervilshift/core/fleet/presence.py
@@ -23,15 +23,16 @@
     GatewaySync,
     Unchanged,
 )
+from chervilshift.core.fleet.usage import UsageEntry, UsageTable
 
 __all__ = ["Presence"]
 
 # A silent gateway may still be spending its fallback share; after this long it
 # is assumed to have ended.
 GATEWAY_EXPIRY_S = 30.0
-# Newest windows for which usage is kept, enough to cover those not yet
-# reported.
-MAX_USAGE_WINDOWS = 8
+# Counts of usage of a gateway that is silent this long, or for two of its
+# intervals, are passed on to other control processes.
+USAGE_SILENT_S = 0.75
 # Ended incarnations are remembered for this long, far longer than a report
 # should be under way.
 ENDED_INCARNATION_MEMORY_S = 30.0
@@ -43,13 +44,12 @@
 class _Report:
     """The newest report of one gateway, and what it adds to the sums."""
 
-    __slots__ = ("counted", "heard_at", "sync", "usage")
+    __slots__ = ("counted", "heard_at", "sync")
 
     def __init__(self):
         self.sync: GatewaySync | None = None
         self.heard_at = 0.0
         self.counted: dict[str, EndpointLoad] = {}
-        self.usage: dict[int, dict[str, int]] = {}
 
 
 class Presence:
@@ -62,24 +62,24 @@
     __slots__ = (
         "_active",
         "_ended",
-        "_ended_usage",
         "_prefill",
         "_reports",
         "listing",
         "load_sums",
         "refused_reports",
+        "usage",
     )
 
     def __init__(self):
         self._reports: dict[str, _Report] = {}
         # When incarnations ended, by gateway id and incarnation.
         self._ended: dict[tuple[str, str], float] = {}
-        self._ended_usage: dict[int, Counter[str]] = {}
         self._active: Counter[str] = Counter()
         self._prefill: Counter[str] = Counter()
         self.load_sums: ChangeTable[str, EndpointLoad] = ChangeTable()
         self.listing: ChangeTable[str, GatewayInfo] = ChangeTable()
         self.refused_reports = 0
+        self.usage = UsageTable()
 
     def observe(self, sync: GatewaySync, now: float) -> bool:
         """Record a report; return False if a newer one is known.
@@ -102,13 +102,22 @@
                 self._ended.pop(returned, None)
                 ended = (gateway.id, previous.gateway.incarnation)
                 self._ended[ended] = now
-                self._retain_usage(report.usage)
-                report.usage = {}
+                self.usage.record_end(*ended)
             elif sync.seq < previous.seq:
                 return False
         report.sync = sync
         report.heard_at = now
-        report.usage = _newest_windows(report.usage | sync.usage)
+        if sync.usage_window or sync.usage:
+            self.usage.record(
+                UsageEntry(
+                    gateway=gateway.id,
+                    incarnation=gateway.incarnation,
+                    window=sync.usage_window,
+                    counts=sync.usage,
+                ),
+                now,
+            )
+        self.usage.record_alive(gateway.id, gateway.incarnation)
         self._count(report, self._plausible(sync.loads))
         self.listing.set(gateway.id, gateway if gateway.ready else None)
         return True
@@ -127,6 +136,7 @@
             return False
         report.sync = msgspec.structs.replace(report.sync, seq=same.seq)
         report.heard_at = now
+        self.usage.record_alive(same.gateway, same.incarnation)
         self._count(report, self._plausible(report.sync.loads))
         return True
 
@@ -137,9 +147,14 @@
             for ended, at in self._ended.items()
             if now - at < ENDED_INCARNATION_MEMORY_S
         }
+        self.usage.sweep(self._incarnation, now)
         for gateway_id, report in tuple(self._reports.items()):
             silent_s = now - report.heard_at
             interval_s = report.sync.interval_s
+            if silent_s > max(USAGE_SILENT_S, 2 * interval_s):
+                self.usage.record_end(
+                    gateway_id, report.sync.gateway.incarnation
+                )
             if silent_s > load_expiry_s(interval_s):
                 self._count(report, {})
             if silent_s > listing_timeout_s(interval_s):
@@ -147,7 +162,6 @@
             elif report.sync.gateway.ready:
                 self.listing.set(gateway_id, report.sync.gateway)
             if silent_s > GATEWAY_EXPIRY_S:
-                self._retain_usage(report.usage)
                 del self._reports[gateway_id]
 
     def report(self, gateway_id: str) -> GatewaySync | None:
@@ -226,12 +240,36 @@
             if now - report.heard_at <= load_expiry_s(report.sync.interval_s)
         )
 
-    def usage(self, window: int) -> dict[str, int]:
-        """Return the requests started in a window, by customer."""
-        total = Counter(self._ended_usage.get(window, {}))
-        for report in self._reports.values():
-            total.update(report.usage.get(window, {}))
-        return dict(total)
+    def without_usage(
+        self, window: int, recorded: Iterable[str], now: float
+    ) -> tuple[str, ...]:
+        """Return the gateways whose counts of a window may yet change.
+
+        They may be running, and have not reported since the window's end. A
+        gateway that stopped as planned sent its last counts before.
+        """
+        return tuple(
+            gateway_id
+            for gateway_id in self.known_gateways(recorded)
+            if not self._has_usage(gateway_id, window, now)
+        )
+
+    def _incarnation(self, gateway_id: str) -> str | None:
+        sync = self.report(gateway_id)
+        return sync.gateway.incarnation if sync else None
+
+    def _has_usage(self, gateway_id: str, window: int, now: float) -> bool:
+        report = self._reports.get(gateway_id)
+        if report is None:
+            return False
+        gateway = report.sync.gateway
+        silent_s = now - report.heard_at
+        has_left = not gateway.ready and silent_s > load_expiry_s(
+            report.sync.interval_s
+        )
+        return has_left or self.usage.has_all(
+            gateway_id, gateway.incarnation, window
+        )
 
     def _count(self, report: _Report, loads: dict[str, EndpointLoad]) -> None:
         """Replace what a report adds to the sums by `loads`."""
@@ -272,15 +310,3 @@
         }
         self.refused_reports += len(plausible) < len(loads)
         return plausible
-
-    def _retain_usage(self, usage: dict[int, dict[str, int]]) -> None:
-        for window, counts in usage.items():
-            self._ended_usage.setdefault(window, Counter()).update(counts)
-        self._ended_usage = _newest_windows(self._ended_usage)
-
-
-def _newest_windows(usage: dict) -> dict:
-    if len(usage) <= MAX_USAGE_WINDOWS:
-        return usage
-    newest = sorted(usage)[-MAX_USAGE_WINDOWS:]
-    return {window: usage[window] for window in newest}
--- a/chervilshift/core/fleet/sync.py
+++ b/chervilshift/core/fleet/sync.py
@@ -5,6 +5,7 @@
 from chervilshift.core.fleet.model import EndpointRecord
 from chervilshift.core.fleet.news import FleetNews, Observed
 from chervilshift.core.fleet.origins import Origin, OriginBatch
+from chervilshift.core.fleet.usage import UsageEntry
 from chervilshift.core.message import Message
 
 __all__ = [
@@ -93,8 +94,9 @@
     last `LoadsDelta` that it received, and `controls` the digest of the
     control processes that it knows. `loads`, by endpoint id, and `usage`, the
     requests started per window and customer since the process started, are
-    totals, not increments, of this gateway only. `usage` is empty in most
-    reports. `reading` is the uncached prompt tokens per second sent to
+    totals, not increments, of this gateway only. `usage` always has the newest
+    windows and the others from time to time; `usage_window` is the one that
+    had not ended. `reading` is the uncached prompt tokens per second sent to
     engines, by service. `needed` is the amount of each customer's limit that
     requests wait for, also of endpoints' limits, `prefetch` the amount that
     may be granted in advance. `stated_limits` are limits of endpoints, by id,
@@ -118,6 +120,7 @@
     controls: int = 0
     loads: dict[str, EndpointLoad] = {}
     usage: dict[int, dict[str, int]] = {}
+    usage_window: int = 0
     reading: dict[str, float] = {}
     wall_s: float = 0.0
     needed: dict[str, float] = {}
@@ -204,8 +207,10 @@
     `reports` are the gateways' reports that differ from those relayed
     before, `unchanged` names the others. `needed` and `prefetch` are the sums
     that the follower asks for on behalf of its gateways. The cursors are those
-    of the last reply. `beats` are the heartbeats of endpoints. With
-    `grants_only` the rest is empty, and the reply has nothing but grants.
+    of the last reply. `usage` are the gateways' counts that changed after the
+    last relay, up to this process's `usage_revision`; the reports are without
+    them. `beats` are the heartbeats of endpoints. With `grants_only` the rest
+    is empty, and the reply has nothing but grants.
     """
 
     sender: ControlInfo
@@ -217,6 +222,9 @@
     loads_source: str = ""
     loads_cursor: int = 0
     gateways_cursor: int = 0
+    usage: tuple[UsageEntry, ...] = ()
+    usage_revision: int = 0
+    usage_cursor: int = 0
     beats: tuple[Heartbeat, ...] = ()
     wall_s: float = 0.0
     news_id: str = ""
@@ -226,12 +234,16 @@
     """The leader's reply to a `Relay`.
 
     `unknown` are the ids of unchanged reports that the leader does not have.
+    `usage` are counts of gateways that ended or are silent, up to
+    `usage_cursor`, so that a new leader has them.
     """
 
     loads: LoadsDelta = LoadsDelta(source="", cursor=0)
     gateways: GatewaysDelta = GatewaysDelta(source="", cursor=0)
     controls: tuple[ControlInfo, ...] = ()
     unknown: tuple[str, ...] = ()
+    usage: tuple[UsageEntry, ...] = ()
+    usage_cursor: int = 0
     granting: bool = False
     grants: dict[str, float] = {}
     waits: dict[str, float] = {}
--- a/chervilshift/gateway/state.py
+++ b/chervilshift/gateway/state.py
@@ -51,8 +51,6 @@
 MAX_LEADER_AGE_S = 1.0
 # Without news of the leader for this long, the gateway uses its own diagnosis.
 ALONE_AFTER_S = 1.0
-# Usage is reported in this interval only; it is needed once per window.
-USAGE_REPORT_INTERVAL_S = 0.5
 
 
 class GatewayState:
@@ -99,7 +97,6 @@
         )
         self._wall_time = WallTime(counts_own=False)
         self._other_loads = OtherLoads()
-        self._usage_reported_at = float("-inf")
         self._leader_heard_at = float("-inf")
         self.crashes = CrashReports(gateway_id=gateway_id)
         self._rng = rng
@@ -201,11 +198,7 @@
         self.crashes.expire(now)
         info = self._info()
         loads = self.placement.loads()
-        usage = {}
-        usage_age_s = now - self._usage_reported_at
-        if usage_age_s >= USAGE_REPORT_INTERVAL_S or not info.ready:
-            self._usage_reported_at = now
-            usage = self.usage.counts()
+        usage_window, usage = self.usage.report(self.wall_s(), now)
         return GatewaySync(
             gateway=info,
             version=self.version,
@@ -217,6 +210,7 @@
             controls=self._controls_digest(),
             loads=loads,
             usage=usage,
+            usage_window=usage_window,
             wall_s=self._clock.utcnow().timestamp(),
             reading={
                 service: rate.value(now)
@@ -315,6 +309,7 @@
         """
         wall_s = self._clock.utcnow().timestamp()
         now = self._clock.monotonic()
+        self.usage.record_reply()
         self._wall_time.observe(reply.leader, reply.wall_s, wall_s, now)
         if reply.document is not None and reply.version > self.version:
             self._apply_document(reply.document)
--- a/tests/control/test_duties.py
+++ b/tests/control/test_duties.py
@@ -5,13 +5,18 @@
 """
 
 import anyio
+import msgspec
 from returns.result import Failure as Bad
 from returns.result import Success
 
 from chervilshift.clock import ManualClock
 from chervilshift.control import duties
 from chervilshift.control.duties import CLOUD_CALL_TIMEOUT_S, DutyTask
-from chervilshift.core.commands import AnnounceEndpoint, CommitUsage
+from chervilshift.core.commands import (
+    AnnounceEndpoint,
+    CommitUsage,
+    NoteGateways,
+)
 from chervilshift.core.fleet.model import (
     EndpointRecord,
     EngineSpec,
@@ -176,6 +181,97 @@
     )
 
 
+def gateway_sync(name: str, now: float, amount: int = 0) -> GatewaySync:
+    """Return the report of a gateway at a time, as it sees it."""
+    window = int((START_UNIX_S + now) // WINDOW_S)
+    return GatewaySync(
+        gateway=GatewayInfo(
+            id=name,
+            incarnation="1",
+            address=f"{name}:1",
+            failure_domain="a",
+            region="r",
+            ready=True,
+        ),
+        version=1,
+        revision=1,
+        usage={window - 1: {"acme": amount}},
+        usage_window=window,
+    )
+
+
+def world_with_a_cut_gateway() -> World:
+    """Return a world 1.6 s after a window's end, without news of one."""
+    world = World()
+    world.run(3 * WINDOW_S)
+    for name, heard_at in (("g1", 15.2), ("cut", 14.0)):
+        world.presence.observe(
+            gateway_sync(name, heard_at, amount=3), heard_at
+        )
+    world.node.fleet.apply(NoteGateways(ids=("cut", "g1")), 99)
+    return world
+
+
+def committed(world: World) -> dict | None:
+    return world.node.fleet.committed_usage(int(START_UNIX_S // WINDOW_S) + 2)
+
+
+def test_gateway_that_is_cut_off_is_waited_for():
+    """Its requests were missing for ever, as counts stay as committed."""
+    world = world_with_a_cut_gateway()
+    world.run(4.0)
+    assert committed(world) is None
+    now = world.clock.monotonic()
+    late = gateway_sync("cut", now)
+    window = late.usage_window - 1
+    usage = {window: {"acme": 8}}
+    world.presence.observe(
+        msgspec.structs.replace(late, seq=9, usage=usage), now
+    )
+    world.run(0.5)
+    assert committed(world) == {"acme": 11}
+
+
+def test_gateway_that_stays_away_is_waited_for_in_bounds():
+    world = world_with_a_cut_gateway()
+    world.run(duties.USAGE_WAIT_S + 0.5)
+    first = committed(world)
+    assert first == {"acme": 3}
+    assert duties.USAGE_WAIT_S + 2 * CLOUD_CALL_TIMEOUT_S < 10.0
+    now = world.clock.monotonic()
+    window = int(START_UNIX_S // WINDOW_S) + 2
+    late = msgspec.structs.replace(
+        gateway_sync("cut", now), seq=9, usage={window: {"acme": 8}}
+    )
+    world.presence.observe(late, now)
+    world.run(3.0)
+    reports = [c for w, c, _ in world.cloud.usage if w == window]
+    assert committed(world) == first
+    assert reports == [first]
+
+
+def test_recorded_gateway_that_is_new_to_the_leader_is_waited_for():
+    world = World()
+    world.node.fleet.apply(NoteGateways(ids=("unheard",)), 99)
+    world.run(3 * WINDOW_S + 3.0)
+    assert committed(world) is None
+    world.run(5.0)
+    assert committed(world) == {}
+
+
+def test_gateway_that_stopped_as_planned_is_not_waited_for():
+    """It had reported all, and each stop would delay reports by seconds."""
+    world = world_with_a_cut_gateway()
+    now = world.clock.monotonic()
+    report = gateway_sync("cut", 14.0)
+    left = msgspec.structs.replace(report.gateway, ready=False)
+    world.presence.observe(
+        msgspec.structs.replace(report, gateway=left, seq=9), now
+    )
+    world.run(3.0)
+    assert committed(world) is not None
+
+
 def test_successor_repeats_the_committed_counts():
     """A new leader reports the committed counts, not its own later ones."""
     fleet = FleetState()
--- a/tests/core/fleet/test_presence.py
+++ b/tests/core/fleet/test_presence.py
@@ -57,7 +57,7 @@
     presence.observe(
         sync("g1", gateway_changes=restarted, usage={7: {"acme": 2}}), 1.2
     )
-    assert presence.usage(7) == {"acme": 7}
+    assert presence.usage.total(7) == {"acme": 7}
 
 
 def test_report_of_an_ended_incarnation_that_is_seconds_late_is_refused():
