--- a/chervilshift/core/fleet/rollouts.py
+++ b/chervilshift/core/fleet/rollouts.py
@@ -26,13 +26,13 @@
 __all__ = ["RolloutInput", "RolloutPlanner", "RolloutRun"]
 
 # Parts of the ramp time. The test takes at least the first, so that a fault
-# that begins later shows at the exposure share, and at most the second, by
-# the third all requests go to the new version.
-TEST_MIN_PART = 0.25
-TEST_MAX_PART = 0.45
+# that begins later shows at the exposure share, and usually at most the
+# second.
+TEST_MIN_PART = 0.4
+TEST_MAX_PART = 0.5
 # A version that is in doubt then is tested for longer.
 SUSPECT_MAX_PART = 0.6
-RAMP_END_PART = 0.75
+RAMP_END_PART = 0.8
 # Time before the deadline in which the last requests end and all gateways
 # report that they don't use the old version, and the earliest end of a ramp.
 FINISH_S, MIN_RAMP_END_PART = 4.5, 0.6
@@ -42,8 +42,10 @@
 # then this part of those that it may get. Twice as many are awaited for a
 # while.
 MIN_OUTCOMES, MIN_OUTCOMES_PART = 20, 0.2
-# Shares of the ramp, the first one modest: not all faults show in the test.
-RAMP_SHARES = (0.2, 0.35, 0.55, 0.8, 1.0)
+# Shares of the ramp. Not all faults show in the test; one that does in the
+# first half of the ramp still leaves the version within the exposure share of
+# all requests up to the deadline.
+RAMP_SHARES = (0.15, 0.25, 0.4, 0.65, 1.0)
 MIN_STEP_S = 0.5
 # Part of the slack that gateways may use before they have sent enough
 # requests for their share. The rest covers gateways that restart.
--- a/chervilshift/core/fleet/rollouttest.py
+++ b/chervilshift/core/fleet/rollouttest.py
@@ -53,8 +53,12 @@
 # The old version's outcomes in these times are compared with, so many at
 # least: a burst shows in the first one at once. Failures that both versions
 # have just now are of something else.
-OLD_WINDOWS_S = (1.0, 3.0)
-MIN_OLD_OUTCOMES, MIN_OLD_FAILURES = 20, 2
+OLD_WINDOWS_S = (1.0, 3.0, 8.0)
+MIN_OLD_OUTCOMES, MIN_OLD_FAILURES = 10, 2
+# In a burst at the end of a ramp nearly all of the old version's outcomes may
+# be from before it; with a smaller number of them for each of the new version
+# slowness is not judged.
+MIN_OLD_PER_NEW = 0.3
 # Requests of the old version from which its usual times are known. A route's
 # usual time is one that this part of them takes at most, or, with caches, the
 # other. Half of their weight is lost after the half life.
@@ -147,22 +151,28 @@
     def usual_share(
         self,
         whole: "_Count",
-        recent: Iterable["_Count"],
+        recent: Iterable[tuple["_Count", "_Count"]],
         counted: dict[str, float],
     ) -> float | None:
         """Return the largest share of bad ones that is as good as the old.
 
-        `whole` are all outcomes of the old version, `recent` those of some
-        windows, and `counted` the part that counts of outliers. Returns None
-        if there is too little to compare with.
+        `whole` are all outcomes of the old version, `recent` those of the old
+        and the new one in windows, the shortest first, and `counted` the part
+        that counts of outliers. Returns None if there is too little to
+        compare with.
         """
         shares = []
         if not self.depends_on_load:
             shares.append(self._bound(whole, counted))
-        for count in recent:
-            is_due = self.depends_on_load or count.bad >= MIN_OLD_FAILURES
-            if is_due and count.total >= MIN_OLD_OUTCOMES:
-                shares.append(self._bound(count, counted))
+        for old, new in recent:
+            if old.total < MIN_OLD_OUTCOMES:
+                continue
+            if self.depends_on_load:
+                if not shares and old.total < MIN_OLD_PER_NEW * new.total:
+                    return None
+            elif old.bad < MIN_OLD_FAILURES:
+                continue
+            shares.append(self._bound(old, counted))
         return max(shares, default=None)
 
     def _bound(self, count: "_Count", counted: dict[str, float]) -> float:
@@ -265,6 +275,12 @@
         copied.base_ratios = self.base_ratios.copy()
         return copied
 
+    def since(self, earlier: "_Cell | None") -> tuple[_Count, _Count]:
+        """Return the old and new version's outcomes since an earlier copy."""
+        if earlier is None:
+            return self.old, self.new
+        return self.old.since(earlier.old), self.new.since(earlier.new)
+
     def test(self, kind: _Kind, usual: float | None) -> None:
         """Add the evidence of what is new, with the usual share.
 
@@ -352,12 +368,7 @@
         earlier = [self._mark_before(now - w) for w in OLD_WINDOWS_S]
         for place, cell in self._cells.items():
             kind = _KINDS[place[1]]
-            recent = [
-                cell.old.since(cells[place].old)
-                if place in cells
-                else cell.old
-                for cells in earlier
-            ]
+            recent = [cell.since(cells.get(place)) for cells in earlier]
             usual = kind.usual_share(cell.old, recent, outliers[place[1]])
             cell.test(kind, usual)
         self._mark(now)
@@ -524,9 +535,7 @@
         evidence is.
         """
         counts = {
-            place: cell.new.since(earlier[place].new)
-            if place in earlier
-            else cell.new
+            place: cell.since(earlier.get(place))[1]
             for place, cell in self._cells.items()
         }
         outliers = _outliers_by_kind(counts, new_endpoints)
