--- a/chervilshift/core/fleet/versiongate.py
+++ b/chervilshift/core/fleet/versiongate.py
@@ -43,9 +43,9 @@
     "ratio_of",
 ]
 
-# Part of the exposure share that is used; the rest covers requests that other
-# counts than this gateway's own do not include.
-EXPOSURE_USE = 0.95
+# Part of the exposure share that new requests use. The rest is for streams
+# that have begun at the new version and have to go on there.
+EXPOSURE_USE = 0.9
 # A request is slow if it takes this multiple of its route's usual time.
 SLOW_MULTIPLE = 2.0
 # Predicted times below are taken as this, as in `Placement.observe`.
@@ -135,13 +135,12 @@
         self.versions: defaultdict[str, _Version] = defaultdict(_Version)
 
     def has_room(self, limit_share: float) -> bool:
-        """Whether the exposure share leaves room for one more request.
+        """Whether a share leaves room for one more request.
 
         Each attempt at the new version counts, each request once.
         """
-        share = min(limit_share, 1.0) * EXPOSURE_USE
         extra = self.shares.extra if self.shares else 0.0
-        return self.sent + 1 <= share * self.requests + extra
+        return self.sent + 1 <= limit_share * self.requests + extra
 
 
 class Attempt:
@@ -378,17 +377,22 @@
             if rollout.stage == TEST:
                 return ()
             return (self._all_but_new(rollout, endpoints),)
-        shares = trial.shares
+        goes_on = version == rollout.to
         may_use_new = (
-            shares is not None
-            and not shares.closed
-            and (rollout.stage == RAMP or trial.has_room(self._limit_share))
+            trial.shares is not None
+            and not trial.shares.closed
+            and (
+                rollout.stage == RAMP
+                or trial.has_room(
+                    self._limit_share * (1.0 if goes_on else EXPOSURE_USE)
+                )
+            )
         )
         if not may_use_new:
             return (safe,)
         new = self._all_but_new(rollout, endpoints)
         if version is not None:
-            return (new,) if version == rollout.to else (safe,)
+            return (new,) if goes_on else (safe,)
         chosen = self._all_but_chosen(trial, endpoints, now)
         return (chosen, safe, new) if wants_new else (safe, new)
 
--- a/chervilshift/gateway/chooser.py
+++ b/chervilshift/gateway/chooser.py
@@ -78,6 +78,8 @@
         reason = "no usable endpoint"
         if exchange.version is not None:
             reason += f" of version {exchange.version or 'unstated'}"
+        if self._state.versions.has_rule(exchange.service):
+            reason += ", as far as the rollout allows"
         if self._exhausted_ids(exchange):
             self._metrics.count("endpoint_limits_spent")
             reason = "rate limits of the endpoints are spent"
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -30,6 +30,8 @@
 KEY = "customer-key"
 EVENTUALLY_TIMEOUT_S = 20.0
 IDLE_TIMEOUT_S = 10.0
+# What a slow endpoint takes more than others.
+SLOW_S = 0.15
 ANNOUNCE_INTERVAL_MS = 400
 # Settings that all processes share.
 COMMON = {
@@ -61,8 +63,8 @@
 class Endpoint:
     """One endpoint; `behave(number)` names its behaviour for the n-th request.
 
-    Behaviours: `ok`, `full` (not run), `error`, `cut` (the reply is cut
-    off), `other` (a reply to another request), `unsigned`, `hang`.
+    Behaviours: `ok`, `slow`, `full` (not run), `error`, `cut` (the reply is
+    cut off), `other` (a reply to another request), `unsigned`, `hang`.
     `events` is the number of events of a whole stream. `limit_per_s` is the
     rate that its replies state, None for none, `retry_after` what its
     refusals state, and `leaving` whether its replies say that it leaves.
@@ -166,6 +168,9 @@
             await _respond(send, 200, reply_headers[:1])
         elif behaviour == "error":
             await _respond(send, 500, reply_headers)
+        elif behaviour == "slow":
+            await anyio.sleep(SLOW_S)
+            await _respond(send, 200, reply_headers)
         else:
             await self._run(
                 headers, reply_headers, send, cut=behaviour == "cut"
--- a/tests/platform/test_rollouts.py
+++ b/tests/platform/test_rollouts.py
@@ -89,10 +89,10 @@
                 )
                 self.statuses[reply.status] += 1
 
-    async def ends(self, timeout_s: float) -> str:
+    async def ends(self, timeout_s: float, number: int = 0) -> str:
         """Return the state in which the rollout ends."""
         with anyio.fail_after(timeout_s):
-            while (state := await self.state()) in ("running", 503):
+            while (state := await self.state(number)) in ("running", 503):
                 await anyio.sleep(0.05)
         return state
 
@@ -141,6 +141,44 @@
     run(tmp_path, play)
 
 
+def test_good_version_completes_though_the_leader_stops(tmp_path):
+    ramp_s = 14
+
+    async def play(scenario: Scenario) -> None:
+        assert await scenario.order(ramp_s=ramp_s) == 200
+        began_at = anyio.current_time()
+        await scenario.add_new()
+        await anyio.sleep(2.0)
+        stopped = scenario.platform.leader()
+        await scenario.platform.stop_control(stopped)
+        other = (stopped + 1) % 3
+        assert await scenario.ends(ramp_s, number=other) == "completed"
+        assert anyio.current_time() - began_at < ramp_s
+        before = scenario.old_runs()
+        await anyio.sleep(1.0)
+        assert scenario.old_runs() == before
+        assert set(scenario.statuses) == {200}
+
+    run(tmp_path, play)
+
+
+def test_slow_version_is_rolled_back_within_its_share(tmp_path):
+    async def play(scenario: Scenario) -> None:
+        sent_before = scenario.sent
+        assert await scenario.order() == 200
+        await scenario.add_new("slow")
+        assert await scenario.ends(ORDER["ramp_s"]) == "rolled_back"
+        await anyio.sleep(0.5)
+        got = scenario.new_runs()
+        await anyio.sleep(1.0)
+        assert scenario.new_runs() == got
+        sent = scenario.sent - sent_before
+        assert 0 < got <= SETTINGS["rollout_share"] * sent + 25
+        assert set(scenario.statuses) == {200}
+
+    run(tmp_path, play)
+
+
 def test_failing_version_is_rolled_back_within_its_share(tmp_path):
     async def play(scenario: Scenario) -> None:
         sent_before = scenario.sent
