--- a/chervilshift/core/fleet/rollouttest.py
+++ b/chervilshift/core/fleet/rollouttest.py
@@ -331,7 +331,8 @@
         # The old version's requests by route and bucket, decaying.
         self._ratios: dict[str, Counter[int]] = defaultdict(Counter)
         self._cached_ratios: dict[str, Counter[int]] = defaultdict(Counter)
-        self._ratios_at = float("-inf")
+        # When they decayed last.
+        self._ratios_at: float | None = None
         self.attempts = 0
         self.requests = 0
 
@@ -505,7 +506,8 @@
         oldest = now - WINDOWS_S[-1] - 2 * MARK_INTERVAL_S
         while self._marks[0][0] < oldest:
             self._marks.popleft()
-        factor = 0.5 ** ((now - self._ratios_at) / USUAL_HALF_LIFE_S)
+        past_s = 0.0 if self._ratios_at is None else now - self._ratios_at
+        factor = 0.5 ** (past_s / USUAL_HALF_LIFE_S)
         self._ratios_at = now
         tables = (self._ratios, self._cached_ratios)
         for ratios in chain.from_iterable(t.values() for t in tables):
--- a/tests/core/fleet/test_versiongate.py
+++ b/tests/core/fleet/test_versiongate.py
@@ -108,6 +108,11 @@
             is_engine=False,
         )
 
+    def share_usual(self, usual: dict[str, float]) -> None:
+        """Apply shares with the usual ratios by route."""
+        shares = msgspec.structs.replace(SHARES, usual=usual)
+        self.gate.apply({SERVICE: shares}, 0.0)
+
     def totals(self, version: str):
         report = self.gate.report(0.0)[SERVICE][version]
         return report.routes["route"]
--- a/tests/platform/test_rollouts.py
+++ b/tests/platform/test_rollouts.py
@@ -23,13 +23,18 @@
 REQUEST_INTERVAL_S = 0.012
 
 
-def worker(number: int, version: str, behaviour: str = "ok") -> Endpoint:
+PATHS = {"app": "/read/x", "llm": "/stream/x"}
+
+
+def worker(
+    number: int, version: str, service: str, behaviour: str = "ok"
+) -> Endpoint:
     return Endpoint(
         name=f"{version}-{number}",
-        service="app",
+        service=service,
         address=free_address(),
         version=version,
-        events=1,
+        events=4 if service == "llm" else 1,
         behave=lambda run: behaviour,
     )
 
@@ -37,12 +42,13 @@
 class Scenario:
     """A platform with three endpoints of v1, and requests to them."""
 
-    def __init__(self, platform: Platform, tg):
+    def __init__(self, platform: Platform, service: str):
         self.platform = platform
-        self._tg = tg
-        self.old = [worker(n, "v1") for n in range(3)]
+        self.service = service
+        self.old = [worker(n, "v1", service) for n in range(3)]
         self.new: list[Endpoint] = []
         self.statuses: Counter[int] = Counter()
+        self.cut_off = 0
         self.sent = 0
 
     async def start(self) -> None:
@@ -54,21 +60,22 @@
 
     async def order(self, number: int = 0, **changes) -> int:
         """Order a rollout at a control process; return the status."""
+        changes = {"service": self.service} | changes
         body = msgspec.json.encode(ORDER | changes)
         address = self.platform.api_addresses[number]
         status, _ = await call("POST", address, "/api/rollouts", body)
         return status
 
-    async def state(self, number: int = 0, service: str = "app") -> str:
+    async def state(self, number: int = 0) -> str:
         """Return the state that a control process tells, or its status."""
         address = self.platform.api_addresses[number]
-        path = f"/api/rollouts/{service}"
+        path = f"/api/rollouts/{self.service}"
         status, body = await call("GET", address, path)
         return msgspec.json.decode(body)["state"] if status == 200 else status
 
     async def add_new(self, behaviour: str = "ok") -> None:
         for number in range(3):
-            endpoint = worker(number, "v2", behaviour)
+            endpoint = worker(number, "v2", self.service, behaviour)
             self.new.append(endpoint)
             await self.platform.add_endpoint(endpoint)
 
@@ -85,9 +92,10 @@
         with suppress(httpcore.NetworkError, httpcore.ProtocolError):
             if gateway < len(self.platform.gateways):
                 reply = await self.platform.send_request(
-                    "/read/x", gateway=gateway
+                    PATHS[self.service], gateway=gateway
                 )
                 self.statuses[reply.status] += 1
+                self.cut_off += not reply.whole
 
     async def ends(self, timeout_s: float, number: int = 0) -> str:
         """Return the state in which the rollout ends."""
@@ -107,12 +115,13 @@
     tmp_path,
     play: Callable[[Scenario], Awaitable[None]],
     settings: dict = SETTINGS,
+    service: str = "app",
 ) -> None:
     async def main() -> None:
         async with anyio.create_task_group() as tg:
             platform = Platform(tmp_path, tg, GATEWAYS, **settings)
             await platform.start()
-            scenario = Scenario(platform, tg)
+            scenario = Scenario(platform, service)
             await scenario.start()
             async with anyio.create_task_group() as requests:
                 requests.start_soon(scenario.send)
@@ -123,7 +132,8 @@
     anyio.run(main)
 
 
-def test_good_version_takes_everything_before_the_deadline(tmp_path):
+@pytest.mark.parametrize("service", PATHS)
+def test_good_version_takes_everything_before_the_deadline(tmp_path, service):
     async def play(scenario: Scenario) -> None:
         assert await scenario.order() == 200
         began_at = anyio.current_time()
@@ -134,11 +144,30 @@
         before = scenario.old_runs()
         await anyio.sleep(1.0)
         assert scenario.old_runs() == before
-        assert set(scenario.statuses) == {200}
+        assert set(scenario.statuses) == {200} and not scenario.cut_off
         events = scenario.platform.logged("rollout_stage")
         assert events[-1]["stage"] == FINISH
 
-    run(tmp_path, play)
+    run(tmp_path, play, service=service)
+
+
+def test_version_that_cuts_streams_off_is_rolled_back(tmp_path):
+    """They go on at the same version, and are cut off there again."""
+
+    async def play(scenario: Scenario) -> None:
+        sent_before = scenario.sent
+        assert await scenario.order() == 200
+        await scenario.add_new("cut")
+        assert await scenario.ends(ORDER["ramp_s"]) == "rolled_back"
+        await anyio.sleep(0.5)
+        got = scenario.new_runs()
+        await anyio.sleep(1.0)
+        assert scenario.new_runs() == got
+        sent = scenario.sent - sent_before
+        assert 0 < got <= SETTINGS["rollout_share"] * sent + 25
+        assert scenario.cut_off <= got
+
+    run(tmp_path, play, service="llm")
 
 
 def test_good_version_completes_though_the_leader_stops(tmp_path):
