--- a/chervilshift/core/fleet/rollouttest.py
+++ b/chervilshift/core/fleet/rollouttest.py
@@ -56,8 +56,8 @@
 OLD_WINDOWS_S = (1.0, 3.0, 8.0)
 MIN_OLD_OUTCOMES, MIN_OLD_FAILURES = 10, 2
 # In a burst at the end of a ramp nearly all of the old version's outcomes may
-# be from before it; with a smaller number of them for each of the new version
-# slowness is not judged.
+# be from before it. Slowness is not judged at a step in which the old version
+# has a smaller number of outcomes for each of the new one.
 MIN_OLD_PER_NEW = 0.3
 # Requests of the old version from which its usual times are known. A route's
 # usual time is one that this part of them takes at most, or, with caches, the
@@ -151,28 +151,23 @@
     def usual_share(
         self,
         whole: "_Count",
-        recent: Iterable[tuple["_Count", "_Count"]],
+        recent: Iterable["_Count"],
         counted: dict[str, float],
     ) -> float | None:
         """Return the largest share of bad ones that is as good as the old.
 
-        `whole` are all outcomes of the old version, `recent` those of the old
-        and the new one in windows, the shortest first, and `counted` the part
-        that counts of outliers. Returns None if there is too little to
-        compare with.
+        `whole` are all outcomes of the old version, `recent` those in
+        windows, and `counted` the part that counts of outliers. Returns None
+        if there is too little to compare with.
         """
         shares = []
         if not self.depends_on_load:
             shares.append(self._bound(whole, counted))
-        for old, new in recent:
+        for old in recent:
             if old.total < MIN_OLD_OUTCOMES:
                 continue
-            if self.depends_on_load:
-                if not shares and old.total < MIN_OLD_PER_NEW * new.total:
-                    return None
-            elif old.bad < MIN_OLD_FAILURES:
-                continue
-            shares.append(self._bound(old, counted))
+            if self.depends_on_load or old.bad >= MIN_OLD_FAILURES:
+                shares.append(self._bound(old, counted))
         return max(shares, default=None)
 
     def _bound(self, count: "_Count", counted: dict[str, float]) -> float:
@@ -261,8 +256,9 @@
 
     def __init__(self, shares: int):
         self.old, self.new = _Count(), _Count()
-        # The new version's total and bad ones that are in the ratios.
-        self.tested = (0, 0)
+        # The old version's total, and the new version's total and bad ones,
+        # that are in the ratios.
+        self.tested = (0, 0, 0)
         self.bad_ratios = [0.0] * shares
         self.base_ratios = [0.0] * shares
 
@@ -286,12 +282,16 @@
 
         Without one it is left out.
         """
-        total = self.new.total - self.tested[0]
-        bad = self.new.bad - self.tested[1]
-        self.tested = (self.new.total, self.new.bad)
+        old_total, new_total, new_bad = self.tested
+        old = self.old.total - old_total
+        total = self.new.total - new_total
+        bad = self.new.bad - new_bad
+        self.tested = (self.old.total, self.new.total, self.new.bad)
         least = 1.0 if usual is None else usual * kind.factor
         if least >= 1 or not total:
             return
+        if kind.depends_on_load and old < MIN_OLD_PER_NEW * total:
+            return
         for place, tested_share in enumerate(kind.shares):
             share = max(tested_share, least)
             good_ratio = math.log((1 - share) / (1 - usual))
@@ -369,7 +369,7 @@
         earlier = [self._mark_before(now - w) for w in OLD_WINDOWS_S]
         for place, cell in self._cells.items():
             kind = _KINDS[place[1]]
-            recent = [cell.since(cells.get(place)) for cells in earlier]
+            recent = [cell.since(cells.get(place))[0] for cells in earlier]
             usual = kind.usual_share(cell.old, recent, outliers[place[1]])
             cell.test(kind, usual)
         self._mark(now)
