--- a/chervilshift/core/fleet/rollouts.py
+++ b/chervilshift/core/fleet/rollouts.py
@@ -5,6 +5,7 @@
 from the gateways' totals, which go on while leaders change.
 """
 
+import math
 from collections.abc import Iterable
 
 from chervilshift.core.fleet.commands import AdvanceRollout, EndRollout
@@ -131,7 +132,8 @@
         self.finding = Finding()
         self.unproven: frozenset[str] = frozenset()
         self.is_bad = self.is_logged = False
-        self.extra: float | None = None
+        # Never more than before: what gateways got is spent.
+        self.extra = math.inf
         # The stage and share that the log has, and since when.
         self.step = (rollout.stage, rollout.share)
         self.step_at = now
@@ -198,9 +200,8 @@
         given: RolloutInput,
         width: int,
     ) -> VersionShares:
-        if run.extra is None:
-            count = max(1, len(given.gateways))
-            run.extra = SLACK_USE * self._policy.slack / count
+        count = max(1, len(given.gateways))
+        run.extra = min(run.extra, SLACK_USE * self._policy.slack / count)
         share = self._policy.share if rollout.stage == TEST else rollout.share
         part = _part(rollout, given.wall_s)
         share = min(share, fleet.largest_share(part))
--- a/chervilshift/core/fleet/versions.py
+++ b/chervilshift/core/fleet/versions.py
@@ -37,9 +37,9 @@
 FINISH = "finish"
 
 # A gateway without news uses the old version up to this part of the ramp time,
-# so that the rollout can be completed without its confirmation before the
-# deadline.
-OLD_LEASE_PART = 0.85
+# or this long before the deadline, but at least up to the second part: the
+# rollout can then be completed in time without its confirmation.
+OLD_LEASE_PART, AFTER_LEASE_S, MIN_LEASE_PART = 0.85, 3.0, 0.6
 
 
 class Rollout(Message):
@@ -100,7 +100,9 @@
     Afterwards a gateway that is not told may not use it, as the old endpoints
     may have stopped.
     """
-    return rollout.ordered_s + OLD_LEASE_PART * rollout.ramp_s
+    ramp_s = rollout.ramp_s
+    latest_s = min(OLD_LEASE_PART * ramp_s, ramp_s - AFTER_LEASE_S)
+    return rollout.ordered_s + max(MIN_LEASE_PART * ramp_s, latest_s)
 
 
 class RolloutPolicy:
