--- a/chervilshift/core/fleet/rollouttest.py
+++ b/chervilshift/core/fleet/rollouttest.py
@@ -53,8 +53,12 @@
 # The old version's outcomes in these times are compared with, so many at
 # least: a burst shows in the first one at once. Failures that both versions
 # have just now are of something else.
-OLD_WINDOWS_S = (1.0, 3.0)
-MIN_OLD_OUTCOMES, MIN_OLD_FAILURES = 20, 2
+OLD_WINDOWS_S = (1.0, 3.0, 8.0)
+MIN_OLD_OUTCOMES, MIN_OLD_FAILURES = 10, 2
+# In a burst at the end of a ramp nearly all of the old version's outcomes may
+# be from before it. Slowness is not judged at a step in which the old version
+# has a smaller number of outcomes for each of the new one.
+MIN_OLD_PER_NEW = 0.3
 # Requests of the old version from which its usual times are known. A route's
 # usual time is one that this part of them takes at most, or, with caches, the
 # other. Half of their weight is lost after the half life.
@@ -152,17 +156,18 @@
     ) -> float | None:
         """Return the largest share of bad ones that is as good as the old.
 
-        `whole` are all outcomes of the old version, `recent` those of some
+        `whole` are all outcomes of the old version, `recent` those in
         windows, and `counted` the part that counts of outliers. Returns None
         if there is too little to compare with.
         """
         shares = []
         if not self.depends_on_load:
             shares.append(self._bound(whole, counted))
-        for count in recent:
-            is_due = self.depends_on_load or count.bad >= MIN_OLD_FAILURES
-            if is_due and count.total >= MIN_OLD_OUTCOMES:
-                shares.append(self._bound(count, counted))
+        for old in recent:
+            if old.total < MIN_OLD_OUTCOMES:
+                continue
+            if self.depends_on_load or old.bad >= MIN_OLD_FAILURES:
+                shares.append(self._bound(old, counted))
         return max(shares, default=None)
 
     def _bound(self, count: "_Count", counted: dict[str, float]) -> float:
@@ -251,8 +256,9 @@
 
     def __init__(self, shares: int):
         self.old, self.new = _Count(), _Count()
-        # The new version's total and bad ones that are in the ratios.
-        self.tested = (0, 0)
+        # The old version's total, and the new version's total and bad ones,
+        # that are in the ratios.
+        self.tested = (0, 0, 0)
         self.bad_ratios = [0.0] * shares
         self.base_ratios = [0.0] * shares
 
@@ -265,17 +271,27 @@
         copied.base_ratios = self.base_ratios.copy()
         return copied
 
+    def since(self, earlier: "_Cell | None") -> tuple[_Count, _Count]:
+        """Return the old and new version's outcomes since an earlier copy."""
+        if earlier is None:
+            return self.old, self.new
+        return self.old.since(earlier.old), self.new.since(earlier.new)
+
     def test(self, kind: _Kind, usual: float | None) -> None:
         """Add the evidence of what is new, with the usual share.
 
         Without one it is left out.
         """
-        total = self.new.total - self.tested[0]
-        bad = self.new.bad - self.tested[1]
-        self.tested = (self.new.total, self.new.bad)
+        old_total, new_total, new_bad = self.tested
+        old = self.old.total - old_total
+        total = self.new.total - new_total
+        bad = self.new.bad - new_bad
+        self.tested = (self.old.total, self.new.total, self.new.bad)
         least = 1.0 if usual is None else usual * kind.factor
         if least >= 1 or not total:
             return
+        if kind.depends_on_load and old < MIN_OLD_PER_NEW * total:
+            return
         for place, tested_share in enumerate(kind.shares):
             share = max(tested_share, least)
             good_ratio = math.log((1 - share) / (1 - usual))
@@ -315,7 +331,8 @@
         # The old version's requests by route and bucket, decaying.
         self._ratios: dict[str, Counter[int]] = defaultdict(Counter)
         self._cached_ratios: dict[str, Counter[int]] = defaultdict(Counter)
-        self._ratios_at = float("-inf")
+        # When they decayed last.
+        self._ratios_at: float | None = None
         self.attempts = 0
         self.requests = 0
 
@@ -352,12 +369,7 @@
         earlier = [self._mark_before(now - w) for w in OLD_WINDOWS_S]
         for place, cell in self._cells.items():
             kind = _KINDS[place[1]]
-            recent = [
-                cell.old.since(cells[place].old)
-                if place in cells
-                else cell.old
-                for cells in earlier
-            ]
+            recent = [cell.since(cells.get(place))[0] for cells in earlier]
             usual = kind.usual_share(cell.old, recent, outliers[place[1]])
             cell.test(kind, usual)
         self._mark(now)
@@ -494,7 +506,8 @@
         oldest = now - WINDOWS_S[-1] - 2 * MARK_INTERVAL_S
         while self._marks[0][0] < oldest:
             self._marks.popleft()
-        factor = 0.5 ** ((now - self._ratios_at) / USUAL_HALF_LIFE_S)
+        past_s = 0.0 if self._ratios_at is None else now - self._ratios_at
+        factor = 0.5 ** (past_s / USUAL_HALF_LIFE_S)
         self._ratios_at = now
         tables = (self._ratios, self._cached_ratios)
         for ratios in chain.from_iterable(t.values() for t in tables):
@@ -524,9 +537,7 @@
         evidence is.
         """
         counts = {
-            place: cell.new.since(earlier[place].new)
-            if place in earlier
-            else cell.new
+            place: cell.since(earlier.get(place))[1]
             for place, cell in self._cells.items()
         }
         outliers = _outliers_by_kind(counts, new_endpoints)
