--- a/chervilshift/core/fleet/versiongate.py
+++ b/chervilshift/core/fleet/versiongate.py
@@ -429,7 +429,7 @@
             # Endpoints of a new version begin with cold caches, and are not
             # slow for that.
             cached_s = uncached_s
-            uncached = choice.endpoint.uncached_tokens(work, home=False)
+            uncached = choice.endpoint.uncached_tokens(work, likelihood=0.0)
             more = max(0, uncached - choice.uncached_tokens)
             uncached_s += more / PREFILL_TOKENS_PER_S
         return Attempt(
