HTTP servers: a client that reads nothing does not hold up a stop

Seen in a test whose clients did not read: the process never ended.

Cause: the task of a request that is cancelled sends a 500 and waits until its client has taken the answers before; the end of the event loop waits for the task.

Connections whose clients hold up their answers are closed when the server is cancelled. A stop of a gateway has waited for them before, as long as it may.

--- a/chervilshift/httpserver.py
+++ b/chervilshift/httpserver.py
@@ -86,6 +86,16 @@
             for conn in self.server_state.connections
         )
 
+    def abort_blocked(self) -> None:
+        """Close connections whose clients hold up their answers.
+
+        The task of a request waits for its client also when it is cancelled,
+        and the end of the process for the task.
+        """
+        for conn in tuple(self.server_state.connections):
+            if conn.flow.write_paused:
+                conn.transport.abort()
+
 
 class _Reader(asyncio.BufferedProtocol):
     """Reads for a `_SlicedProtocol` no more than it may hold.
@@ -448,5 +458,6 @@
                 task_status.started(server)
         finally:
             # uvicorn does not close its listeners when it is cancelled.
-            for listener in getattr(server, "servers", ()):
-                listener.close()
+            for open_listener in getattr(server, "servers", ()):
+                open_listener.close()
+            server.abort_blocked()
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -3,6 +3,7 @@
 One such client must not hold up the others, and its connection is closed.
 """
 
+import multiprocessing
 import socket
 from pathlib import Path
 
@@ -18,6 +19,7 @@
 
 MAX_LAG_S = 0.05
 MAX_BODY_BYTES = 1 << 20
+STOP_TIMEOUT_S = 10.0
 POST = b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
 # What is sent first, and then without end.
 REQUESTS = {
@@ -113,6 +115,41 @@
         return
 
 
+async def _large_answers(scope, receive, send) -> None:
+    start = {"type": "http.response.start", "status": 200, "headers": []}
+    await send(start)
+    await send({"type": "http.response.body", "body": b"x" * (4 << 20)})
+
+
+def _serve_client_that_reads_nothing() -> None:
+    with socket.socket() as client:
+
+        async def run() -> None:
+            address = free_address()
+            host, port = address.split(":")
+            async with anyio.create_task_group() as tg:
+                await tg.start(serve_app, _large_answers, address, 5.0)
+                client.connect((host, int(port)))
+                client.sendall(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n" * 9)
+                await anyio.sleep(0.3)
+                tg.cancel_scope.cancel()
+
+        anyio.run(run, backend_options={"use_uvloop": True})
+
+
+def test_client_that_reads_nothing_does_not_hold_up_the_end():
+    """Its request waited for it even after the server was cancelled."""
+    process = multiprocessing.get_context("fork").Process(
+        target=_serve_client_that_reads_nothing
+    )
+    process.start()
+    process.join(STOP_TIMEOUT_S)
+    try:
+        assert process.exitcode == 0
+    finally:
+        process.kill()
+
+
 def test_no_other_module_configures_a_server():
     """The entry's own server held a head of 2.5 GB."""
     package = Path(chervilshift.__file__).parent
