Calls between processes: frames without the key are bounded

Seen: 60 connections that send pings of HTTP/2 and read nothing kept a control process's loop busy, 60 us for each ping and up to 256 KB at once; connections were accepted one in 0.2 s. Answers that were not read were held without bound.

Frames are processed in slices, and not while the peer holds up the answers. A connection that sends more than 8 KB before a call has shown the key is closed; the key comes within the first few hundred bytes of the first call. Connections are counted with the others of the process; those without the key are closed first for new ones.

--- a/chervilshift/control/replica.py
+++ b/chervilshift/control/replica.py
@@ -75,6 +75,7 @@
             serve=self._server().serve,
             hlc=self._events.hlc,
             credentials=self._settings.credentials(),
+            listener=self._guard.listener(),
         )
         host, port = split_address(self._settings.rpc_listen)
         async with anyio.create_task_group() as tg:
--- a/chervilshift/entry/process.py
+++ b/chervilshift/entry/process.py
@@ -133,6 +133,7 @@
             ).serve,
             hlc=self._events.hlc,
             credentials=self._settings.credentials(),
+            listener=self._guard.listener(),
         )
         http = HttpServer(self._uvicorn_config(app))
         async with anyio.create_task_group() as tg:
--- a/chervilshift/wire/rpc.py
+++ b/chervilshift/wire/rpc.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import ssl
+import time
 from collections.abc import Awaitable, Callable
 
 import anyio
@@ -23,9 +24,11 @@
 from returns.result import Result, Success
 
 from chervilshift import errors
+from chervilshift.connguard import ClientLimits, ConnectionGuard, Listener
 from chervilshift.core.message import Message
 from chervilshift.events import HybridClock
 from chervilshift.outgoing import socket_options
+from chervilshift.wire.callreader import READ_BYTES, CallReader
 from chervilshift.wire.messages import (
     DECODER,
     ENCODER,
@@ -76,11 +79,28 @@
         self.client_tls = client_tls
 
 
+class _Server(Server):
+    """A server whose connections a listener bounds."""
+
+    def __init__(self, handlers: list, *, codec: _Codec, listener: Listener):
+        super().__init__(handlers, codec=codec)
+        self._listener = listener
+        self._buffer = memoryview(bytearray(READ_BYTES))
+
+    def _protocol_factory(self) -> CallReader:
+        return CallReader(
+            inner=super()._protocol_factory(),
+            listener=self._listener,
+            buffer=self._buffer,
+        )
+
+
 class RpcServer:
     """Serves calls of other processes.
 
     `serve` returns the reply to a message. A Failure that it raises is sent
-    as the reply; any other exception fails the call.
+    as the reply; any other exception fails the call. `listener` bounds the
+    connections, by default with the default limits.
     """
 
     __slots__ = ("_credentials", "_hlc", "_serve", "_server")
@@ -91,11 +111,16 @@
         serve: MessageHandler,
         hlc: HybridClock,
         credentials: Credentials,
+        listener: Listener | None = None,
     ):
         self._serve = serve
         self._hlc = hlc
         self._credentials = credentials
-        self._server = Server([self], codec=_Codec())
+        if listener is None:
+            listener = ConnectionGuard(
+                limits=ClientLimits(), now=time.monotonic
+            ).listener()
+        self._server = _Server([self], codec=_Codec(), listener=listener)
 
     def __mapping__(self) -> dict[str, Handler]:
         """Return the methods of this service, as grpclib requires."""
@@ -123,6 +148,7 @@
     async def _handle_call(self, stream: Stream) -> None:
         if stream.metadata.get(CLUSTER_KEY_HEADER) != self._credentials.key:
             raise GRPCError(Status.UNAUTHENTICATED)
+        stream._stream._transport.get_protocol().trust()
         _limit_message(stream)
         envelope = await stream.recv_message()
         if envelope is None:
--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -9,7 +9,7 @@
 import time
 from contextlib import suppress
 
-__all__ = ["Crowd", "open_files", "peak_bytes"]
+__all__ = ["H2_PING", "H2_PREFACE", "Crowd", "open_files", "peak_bytes"]
 
 # Small buffers of the kernel, so that little is held outside of the processes
 # under test.
@@ -17,6 +17,11 @@
 RECONNECT_INTERVAL_S = 0.05
 WATCH_INTERVAL_S = 0.1
 SELECT_TIMEOUT_S = 0.02
+# Connection preface with empty SETTINGS, and PING of HTTP/2 (RFC 9113).
+H2_PREFACE = (
+    b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + bytes((0, 0, 0, 4)) + bytes(5)
+)
+H2_PING = bytes((0, 0, 8, 6, 0, 0, 0, 0, 0)) + b"12345678"
 
 
 def peak_bytes(pid: int) -> int:
--- a/tests/proofs/test_untrusted_clients.py
+++ b/tests/proofs/test_untrusted_clients.py
@@ -25,7 +25,13 @@
 
 from chervilshift.httpserver import serve_app
 from tests.cluster import CALLER_KEY, eventually, free_address
-from tests.crowd import Crowd, open_files, peak_bytes
+from tests.crowd import (
+    H2_PING,
+    H2_PREFACE,
+    Crowd,
+    open_files,
+    peak_bytes,
+)
 from tests.platform.standin import COMMON, HOST, KEY, Cloud, Endpoint, config
 
 CLIENTS = 60
@@ -248,12 +254,6 @@
 ANNOUNCEMENT = Endpoint(
     name="x0", service="app", address="127.0.0.1:9"
 ).announcement()
-# Connection preface, empty SETTINGS and PING of HTTP/2 (RFC 9113).
-H2_PREFACE = (
-    b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + bytes((0, 0, 0, 4)) + b"\0" * 5
-)
-H2_PING = bytes((0, 0, 8, 6, 0, 0, 0, 0, 0)) + b"12345678"
-
 # Listener, what is sent first, and then without end.
 AT_THE_GATEWAY = {
     "bare GET": ("listen", b"", b"GET /read/x HTTP/1.1\r\nHost: h\r\n\r\n"),
--- a/tests/wire/test_endless_peers.py
+++ b/tests/wire/test_endless_peers.py
@@ -1,24 +1,32 @@
 """Peers that send bytes without end, to every reader but the gateway's own.
 
 Each call has to end in time, and may neither hold all of the bytes nor keep
-other tasks from running.
+other tasks from running. The same holds for what clients send to a listener
+without reading the answers.
 """
 
 import contextlib
 import multiprocessing
 import resource
 import socket
+import time
 
 import anyio
 import pytest
 
+from chervilshift.clock import SystemClock
 from chervilshift.core.orders import Order
 from chervilshift.endpoints import service
 from chervilshift.endpoints.engine import EngineClient, Generate
 from chervilshift.endpoints.orders import OrderClient
 from chervilshift.endpoints.service import ServiceCall, ServiceClient
 from chervilshift.errors import EndpointFailed
+from chervilshift.events import HybridClock
+from chervilshift.httpserver import serve_app
 from chervilshift.platform.cloud import CloudClient
+from chervilshift.wire.rpc import Credentials, RpcServer
+from tests.cluster import free_address
+from tests.crowd import H2_PING, H2_PREFACE
 from tests.gateway.test_endless_replies import measure_lag
 
 CALL_S = 0.4
@@ -118,3 +126,88 @@
         peer.join()
     assert after - before < MAX_GROWTH_KB
     assert max(lags, default=0.0) < MAX_LAG_S
+
+
+PLAY_S = 1.5
+PEERS = 2
+RECONNECT_INTERVAL_S = 0.05
+LARGE_ANSWER = b"x" * (64 << 10)
+GET = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+POST = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 65536\r\n\r\n"
+# What is sent first, and then without end.
+REQUESTS = {
+    "requests": (b"", GET * 1000),
+    "requests with bodies": (b"", POST + LARGE_ANSWER),
+    "frames": (H2_PREFACE, H2_PING * 1000),
+}
+
+
+async def _large_answers(scope, receive, send) -> None:
+    """Read the body, wait a little, answer with 64 KB."""
+    while (await receive()).get("more_body"):
+        continue
+    async with anyio.create_task_group() as tg:
+        # As a gateway does, which cancels what nobody waits for.
+        tg.start_soon(receive)
+        await anyio.sleep(0.001)
+        tg.cancel_scope.cancel()
+    start = {"type": "http.response.start", "status": 200, "headers": []}
+    await send(start)
+    await send({"type": "http.response.body", "body": LARGE_ANSWER})
+
+
+def _send_to(address: tuple[str, int], first: bytes, then: bytes) -> None:
+    """Connect, send without end and read nothing, for a few seconds."""
+    ends_at = time.monotonic() + 4 * PLAY_S
+    while time.monotonic() < ends_at:
+        with (
+            contextlib.suppress(OSError),
+            socket.create_connection(address, 4 * PLAY_S) as conn,
+        ):
+            conn.sendall(first)
+            while time.monotonic() < ends_at:
+                conn.sendall(then)
+        time.sleep(RECONNECT_INTERVAL_S)
+
+
+@pytest.mark.parametrize("kind", sorted(REQUESTS))
+def test_endless_client_that_reads_nothing_holds_up_nothing(kind):
+    """Each answered request let the listener read 250 KB more."""
+    lags = []
+    address = free_address()
+    host, port = address.split(":")
+
+    async def run() -> None:
+        hlc = HybridClock(clock=SystemClock())
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(measure_lag, lags)
+            if kind == "frames":
+                rpc = RpcServer(
+                    serve=None, hlc=hlc, credentials=Credentials(key="key")
+                )
+                await rpc.start(host, int(port))
+            else:
+                await tg.start(serve_app, _large_answers, address, 5.0)
+            await anyio.sleep(PLAY_S)
+            tg.cancel_scope.cancel()
+
+    peers = [
+        multiprocessing.get_context("fork").Process(
+            target=_send_to,
+            args=((host, int(port)), *REQUESTS[kind]),
+            daemon=True,
+        )
+        for _ in range(PEERS)
+    ]
+    for peer in peers:
+        peer.start()
+    before = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+    try:
+        anyio.run(run, backend_options={"use_uvloop": True})
+    finally:
+        for peer in peers:
+            peer.kill()
+            peer.join()
+    after = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+    assert after - before < MAX_GROWTH_KB
+    assert max(lags, default=0.0) < MAX_LAG_S
--- a/tests/wire/test_rpc.py
+++ b/tests/wire/test_rpc.py
@@ -1,13 +1,16 @@
 """RPC between processes: cluster keys, TLS, timeouts and failures."""
 
 import ssl
+from contextlib import suppress
 
 import anyio
 import pytest
 import trustme
 from returns.result import Failure as Bad
+from returns.result import Success
 
 from chervilshift.clock import SystemClock
+from chervilshift.core.fleet.sync import ServingDocument
 from chervilshift.errors import NotLeader, PeerUnreachable
 from chervilshift.events import HybridClock
 from chervilshift.settings import EntrySettings, Tls
@@ -15,6 +18,7 @@
 from chervilshift.wire.messages import Ack, ReadVersion, Version
 from chervilshift.wire.rpc import Client, Credentials, RpcServer
 from tests.cluster import free_address
+from tests.crowd import H2_PING, H2_PREFACE
 
 CLUSTER_KEY = "a-key-between-processes"
 
@@ -55,6 +59,41 @@
     assert "UNAUTHENTICATED" in str(reply.failure())
 
 
+def test_first_message_may_be_large():
+    """Only what comes without the key is bounded."""
+    message = ServingDocument(version=1, document=b"x" * (4 << 20))
+    assert not isinstance(call(without_tls(), without_tls(), message), Bad)
+
+
+def test_frames_without_the_key_end_their_connection_only():
+    """They took all of a control process's time: 60 us for each ping."""
+    address = free_address()
+    host, _, port = address.rpartition(":")
+
+    async def flood() -> None:
+        async with await anyio.connect_tcp(host, int(port)) as stream:
+            with suppress(anyio.BrokenResourceError, anyio.EndOfStream):
+                await stream.send(H2_PREFACE + H2_PING * 1000)
+                while True:
+                    await stream.receive()
+
+    async def run():
+        hlc = HybridClock(clock=SystemClock())
+        rpc = RpcServer(serve=serve, hlc=hlc, credentials=without_tls())
+        await rpc.start(host, int(port))
+        caller = Client(address=address, hlc=hlc, credentials=without_tls())
+        with anyio.fail_after(5):
+            async with anyio.create_task_group() as tg:
+                tg.start_soon(flood)
+                result = await caller.call(Ack(), 5.0)
+        caller.close()
+        await rpc.close()
+        return result
+
+    result = anyio.run(run, backend_options={"use_uvloop": True})
+    assert result == Success(Version(version=7))
+
+
 @pytest.mark.parametrize("limit", [5, 20])
 def test_message_over_the_limit_is_not_held(monkeypatch, limit):
     monkeypatch.setattr(wire_rpc, "MAX_MESSAGE_BYTES", limit)
