Control: readers of the configuration share one unpacked document

Each read unpacked the document anew, and held it until its client had taken the answer: 60 clients that read nothing held 60 copies of 500 KB. The last document is kept unpacked and its bytes are shared. tests/control/test_fleet.py passes.

--- a/chervilshift/control/fleet.py
+++ b/chervilshift/control/fleet.py
@@ -158,6 +158,9 @@
         self._leading_since: float | None = None
         self._planner = FleetPlanner()
         self._cfg: ServingConfig | None = None
+        # The document that was read last.
+        self._packed = b""
+        self._unpacked = b""
 
     # Used by the HTTP interfaces for operators, endpoints and clients
 
@@ -199,7 +202,21 @@
             serving = await self._leader.call(
                 ReadServing(), CONFIG_READ_TIMEOUT_S
             )
-        return serving.bind(_unpacked)
+        return serving.bind(self._unpack)
+
+    def _unpack(
+        self, serving: ServingDocument
+    ) -> Result[ServingDocument, Failure]:
+        """Unpack the document; readers of the same one share its bytes."""
+        if self._packed != serving.document:
+            document = unpack(serving.document)
+            if isinstance(document, Bad):
+                return document
+            self._packed = serving.document
+            self._unpacked = document.unwrap()
+        return Success(
+            ServingDocument(version=serving.version, document=self._unpacked)
+        )
 
     async def announce(self, record: EndpointRecord) -> Result[None, Failure]:
         """Process an announcement of an endpoint.
@@ -578,14 +595,6 @@
     return Success(known)
 
 
-def _unpacked(serving: ServingDocument) -> Result[ServingDocument, Failure]:
-    return unpack(serving.document).map(
-        lambda document: ServingDocument(
-            version=serving.version, document=document
-        )
-    )
-
-
 def _needs_commit(held: EndpointRecord, record: EndpointRecord) -> bool:
     """Return whether an announcement is more than a heartbeat.
 
