Bodies that stop halfway give way to others while memory is short

A few clients whose bodies stopped halfway filled the memory for bodies until their timeouts, and all others got 503 meanwhile.

--- a/chervilshift/gateway/downstream.py
+++ b/chervilshift/gateway/downstream.py
@@ -5,7 +5,12 @@
 import msgspec
 
 from chervilshift.bytebudget import HeldBody
-from chervilshift.errors import BodyTooLarge, Failure, Unserved
+from chervilshift.errors import (
+    BodyTimeout,
+    BodyTooLarge,
+    Failure,
+    Unserved,
+)
 from chervilshift.gateway.protocol import Headers
 
 __all__ = ["ClientDisconnected", "Downstream"]
@@ -53,11 +58,11 @@
     async def read_body(self, limit_bytes: int) -> bytes:
         """Return the whole request body.
 
-        Raises ClientDisconnected, BodyTooLarge, or Unserved without room.
+        Raises ClientDisconnected and what `HeldBody.read` raises.
         """
         try:
             data = await self.body.read(self._receive, limit_bytes)
-        except (BodyTooLarge, Unserved):
+        except (BodyTimeout, BodyTooLarge, Unserved):
             self.close_connection = True
             raise
         if data is None:
--- a/tests/gateway/test_large_bodies.py
+++ b/tests/gateway/test_large_bodies.py
@@ -3,8 +3,9 @@
 import anyio
 import pytest
 
+from chervilshift import bytebudget
 from chervilshift.bytebudget import ByteBudget, HeldBody
-from chervilshift.errors import BodyTooLarge, Unserved
+from chervilshift.errors import BodyTimeout, BodyTooLarge, Unserved
 from chervilshift.gateway.downstream import ClientDisconnected, Downstream
 
 LIMIT_BYTES = 4 << 20
@@ -69,6 +70,48 @@
     assert budget.take(BUDGET_BYTES)
 
 
+def test_bodies_that_stop_give_way_to_one_that_comes(monkeypatch):
+    """Some bodies that stopped halfway kept all others out for seconds."""
+    monkeypatch.setattr(bytebudget, "STALL_S", 0.05)
+    budget = ByteBudget(limit_bytes=BUDGET_BYTES)
+    outcomes = {}
+
+    async def read_halted(size_parts: int) -> None:
+        messages = [
+            {"type": "http.request", "body": PART, "more_body": True}
+        ] * size_parts
+
+        async def receive() -> dict:
+            if messages:
+                return messages.pop()
+            return await anyio.sleep_forever()
+
+        body = HeldBody(budget=budget)
+        try:
+            await body.read(receive, LIMIT_BYTES)
+        except BodyTimeout:
+            outcomes[size_parts] = "ended"
+        finally:
+            body.give_back()
+
+    async def play() -> None:
+        async with anyio.create_task_group() as tg:
+            for size_parts in (2, 4, 3, 4, 3):
+                tg.start_soon(read_halted, size_parts)
+            await anyio.sleep(0.1)
+            assert budget.held_bytes == BUDGET_BYTES
+            client = downstream(budget, *[PART] * 3)
+            assert len(await client.read_body(LIMIT_BYTES)) == 3 << 20
+            await anyio.sleep(0.01)
+            # One of four parts was enough.
+            assert outcomes == {4: "ended"}
+            assert budget.held_bytes == 15 << 20
+            tg.cancel_scope.cancel()
+
+    anyio.run(play)
+    assert budget.held_bytes == 3 << 20
+
+
 def test_who_waits_longest_for_memory_is_first_and_may_give_up():
     budget = ByteBudget(limit_bytes=10)
     granted = []
