--- a/chervilshift/control/fleet.py
+++ b/chervilshift/control/fleet.py
@@ -182,6 +182,9 @@
         self._planner = self._new_planner()
         self.spill: dict[str, SpillShares] = {}
         self._cfg: ServingConfig | None = None
+        # The document that was read last.
+        self._packed = b""
+        self._unpacked = b""
 
     # Used by the HTTP interfaces for operators, endpoints and clients
 
@@ -223,7 +226,21 @@
             serving = await self._leader.call(
                 ReadServing(), CONFIG_READ_TIMEOUT_S
             )
-        return serving.bind(_unpacked)
+        return serving.bind(self._unpack)
+
+    def _unpack(
+        self, serving: ServingDocument
+    ) -> Result[ServingDocument, Failure]:
+        """Unpack the document; readers of the same one share its bytes."""
+        if self._packed != serving.document:
+            document = unpack(serving.document)
+            if isinstance(document, Bad):
+                return document
+            self._packed = serving.document
+            self._unpacked = document.unwrap()
+        return Success(
+            ServingDocument(version=serving.version, document=self._unpacked)
+        )
 
     async def announce(self, record: EndpointRecord) -> Result[None, Failure]:
         """Process an announcement of an endpoint.
@@ -649,14 +666,6 @@
     return Success(known)
 
 
-def _unpacked(serving: ServingDocument) -> Result[ServingDocument, Failure]:
-    return unpack(serving.document).map(
-        lambda document: ServingDocument(
-            version=serving.version, document=document
-        )
-    )
-
-
 def _needs_commit(held: EndpointRecord, record: EndpointRecord) -> bool:
     """Return whether an announcement is more than a heartbeat.
 
