Overload: the leader cuts the least urgent work while urgent work is late

In a burst, or after the loss of engines, everything within the customers' limits was sent to the engines, which queue it: the most urgent requests were late as often as the others.

Gateways report by service and priority what arrives, is in time, late, done and waiting. While the wait (waiting work by work done per second) would make the more urgent requests late, the leader lowers the admitted share of the least urgent priority, to a quarter at the least, then that of the next. The gateways refuse the rest at once with 503 and a Retry-After by the level's recovery. A gateway also refuses what could not begin before its deadline, and holds a less urgent request for up to an eighth of its objective rather than add it to a queue that makes the most urgent ones late. Nothing is refused while less than half of the slots are taken and hardly anything is queued, or by a level where a service has one priority only.

--- a/chervilshift/core/fleet/planner.py
+++ b/chervilshift/core/fleet/planner.py
@@ -52,7 +52,7 @@
         speeds = self.speeds.plan(o.speeds for o in observed)
         return FleetNews(
             speeds=speeds,
-            levels=self.room.plan((o.room for o in observed), given.cfg),
+            levels=self.room.plan((o.room for o in observed), given.now),
             versions=self.rollouts.plan(o.outcomes for o in observed),
             spill=self.spill.plan(o.flows for o in observed),
         )
--- a/chervilshift/gateway/dispatch.py
+++ b/chervilshift/gateway/dispatch.py
@@ -52,6 +52,7 @@
     Reply,
     Upstream,
 )
+from chervilshift.gateway.waiting import NoRoom, RoomAdmission
 from chervilshift.metrics import Metrics
 
 __all__ = ["Dispatcher"]
@@ -105,6 +106,9 @@
         self._chooser = EndpointChooser(
             state=state, limiter=self._limiter, clock=clock, metrics=metrics
         )
+        self._room = RoomAdmission(
+            state=state, chooser=self._chooser, clock=clock, metrics=metrics
+        )
         self._pool = pool
         self._crash_probe = crash_probe
         self._origins = origins
@@ -155,7 +159,13 @@
         remaining_s = exchange.deadline_at - self._clock.monotonic()
         try:
             with self._cancellable(max(0.0, remaining_s)) as scope:
-                await self._serve(exchange, downstream)
+                try:
+                    await self._serve(exchange, downstream)
+                except NoRoom as exc:
+                    failure = Unserved(reason=str(exc))
+                    await self._refuse(
+                        exchange, downstream, failure, exc.retry_after_s
+                    )
             if exchange.whole_reply is None and scope.cancelled_caught:
                 await self._fail_timed_out(exchange, downstream)
             if exchange.whole_reply is not None:
@@ -164,6 +174,8 @@
                     await self._deliver(exchange.whole_reply, downstream)
         finally:
             self._limiter.refund_if_not_run(exchange)
+            if exchange.room is not None:
+                exchange.room.ended()
             exchange.drop_failure()
             if exchange.whole_reply is not None:
                 exchange.whole_reply.held.give_back()
@@ -212,11 +224,14 @@
                 "the version that began the stream is not known",
             )
             return
+        self._room.arrive(exchange)
         self._state.retry_budget(exchange.service).deposit(
             self._clock.monotonic()
         )
+        choose = self._room.choose
         while True:
-            choice = await self._chooser.choose(exchange)
+            choice = await choose(exchange)
+            choose = self._chooser.choose
             if not exchange.attempts_sent and not self._may_begin(exchange):
                 await self._fail(
                     exchange,
@@ -521,6 +536,8 @@
         )
         now = self._clock.monotonic()
         failed = reply.status >= 500
+        if not failed:
+            exchange.room.answered(now)
         placed.endpoint.health.record_activity(now)
         retry = (
             failed
@@ -615,6 +632,7 @@
             if first:
                 first = False
                 placed.prefill_done()
+                exchange.room.answered(now)
                 endpoint.add_cached(exchange.work)
                 endpoint.health.record_success(now)
                 self._state.placement.observe(
--- a/chervilshift/gateway/exchange.py
+++ b/chervilshift/gateway/exchange.py
@@ -11,6 +11,7 @@
 from chervilshift.core.fleet.model import STREAM, Customer, Route
 from chervilshift.core.fleet.origins import stream_key
 from chervilshift.core.fleet.placement import Work
+from chervilshift.core.fleet.room import RoomTicket
 from chervilshift.gateway.protocol import ClientRequest, Headers
 from chervilshift.gateway.relay import Relay
 
@@ -64,7 +65,8 @@
 
     Times are monotonic, in seconds. `limit_cost` is what it is charged to its
     customer's limit, and `charged` whether it was. `retry_after_s` is when a
-    client that was refused may return. `maybe_ran` is true once
+    client that was refused may return, and `room` counts it in the load of
+    its service once it is admitted to the limit. `maybe_ran` is true once
     an endpoint may have run it, and `usage_counted` once it is counted as
     begun. `attempts_sent` counts the attempts whose request was sent,
     `retry_paid` tells whether the budget was charged for the next one, and
@@ -104,6 +106,7 @@
         "request",
         "retry_after_s",
         "retry_paid",
+        "room",
         "route",
         "service",
         "stream_key",
@@ -159,6 +162,7 @@
         self.limit_cost = _limit_cost(request, customer)
         self.charged = False
         self.retry_after_s = 0.0
+        self.room: RoomTicket | None = None
         self.usage_counted = False
         self.maybe_ran = False
         self.attempts_sent = 0
