Overload: deeper cuts at the start, levels are logged, gauges

With the most urgent class cut to a half at the least, two seconds of its own work stayed queued for the rest of a burst of B with a quarter of the engines lost, and all of it was late. It is cut to 0.35 at the least, within half a second.

The leader logs room_level when a level starts or has changed by a quarter, and room_level_ended. Tests play a new leader, restarted gateways, lateness without waiting work, lateness at few gateways, and a single priority.

--- a/chervilshift/control/fleet.py
+++ b/chervilshift/control/fleet.py
@@ -460,6 +460,11 @@
                     self._leading_since = None
                     self._planner = FleetPlanner()
 
+    @property
+    def level_count(self) -> int:
+        """The number of services whose work this leader limits."""
+        return len(self._planner.room.levels)
+
     def _plan(self) -> None:
         """Decide for all gateways; called as leader."""
         cfg = self.serving_config()
@@ -475,6 +480,14 @@
             )
         )
         self._distributor.set_news(news, now)
+        for service, level in self._planner.room.changes().items():
+            self._events.emit(
+                "room_level" if level else "room_level_ended",
+                service=service,
+                priority=level.priority if level else None,
+                share=level.share if level else None,
+                recovers_s=level.recovers_s if level else None,
+            )
 
     def _leader_to_relay_to(self) -> str:
         """Return the leader's address, empty if this process leads."""
--- a/chervilshift/control/routed.py
+++ b/chervilshift/control/routed.py
@@ -135,6 +135,7 @@
             "gateways_listed",
             lambda: len(self.fleet.listed_gateways()),
         )
+        metrics.gauge("room_levels", lambda: self.fleet.level_count)
         metrics.gauge("gateways_served", lambda: self.fleet.served_count)
         metrics.gauge("leader_age_seconds", lambda: self.fleet.leader_age_s)
         metrics.gauge(
--- a/chervilshift/core/fleet/room.py
+++ b/chervilshift/core/fleet/room.py
@@ -60,15 +60,17 @@
 GROWING_SHARE = 1.1
 # Least admitted shares: of all classes, and of the most urgent one.
 FLOOR_SHARE = 0.25
-URGENT_FLOOR_SHARE = 0.5
+URGENT_FLOOR_SHARE = 0.35
 # Classes per second by which a level falls, and by which it rises in general
 # and while what arrives fits what the fleet can do.
-DOWN_PER_S = 2.0
+DOWN_PER_S = 4.0
 UP_PER_S = 0.2
 UP_FITTING_PER_S = 0.5
 FITTING_SHARE = 0.9
 # A level closer to full admission than this lapses.
 MIN_CUT = 0.03
+# A level is logged when its share has changed by this.
+LOGGED_CHANGE = 0.25
 # Bounds of the time after which a refused client may return.
 MIN_RETRY_AFTER_S, MAX_RETRY_AFTER_S = 0.5, 3.0
 RETRY_SPREAD = 0.5
@@ -242,12 +244,17 @@
 
 
 class RoomPlanner:
-    """The leader's part: levels by service."""
+    """The leader's part: levels by service.
 
-    __slots__ = ("_services",)
+    `levels` are those in force.
+    """
+
+    __slots__ = ("_logged", "_services", "levels")
 
     def __init__(self):
         self._services: dict[str, _ServiceRoom] = {}
+        self._logged: dict[str, RoomLevel] = {}
+        self.levels: dict[str, RoomLevel] = {}
 
     def plan(
         self, reports: Iterable[dict[str, RoomReport]], now: float
@@ -279,8 +286,35 @@
             )
             if level is not None:
                 levels[service] = level
+        self.levels = levels
         return levels
 
+    def changes(self) -> dict[str, RoomLevel | None]:
+        """Return levels that changed by much since they were returned.
+
+        None is a level that has ended.
+        """
+        changed: dict[str, RoomLevel | None] = {
+            service: level
+            for service, level in self.levels.items()
+            if _differs(level, self._logged.get(service))
+        }
+        changed |= dict.fromkeys(self._logged.keys() - self.levels.keys())
+        for service, level in changed.items():
+            if level is None:
+                del self._logged[service]
+            else:
+                self._logged[service] = level
+        return changed
+
+
+def _differs(level: RoomLevel, logged: RoomLevel | None) -> bool:
+    return (
+        logged is None
+        or logged.priority != level.priority
+        or abs(logged.share - level.share) >= LOGGED_CHANGE
+    )
+
 
 def _sum(reports: Iterable[dict[int, ClassRoom]]) -> dict[int, ClassRoom]:
     """Return the sums over gateways, of classes that matter."""
@@ -481,6 +515,11 @@
         """Take over the leader's levels; services without one have room."""
         self._levels = levels
 
+    @property
+    def level_count(self) -> int:
+        """The number of services with a level."""
+        return len(self._levels)
+
     def level(self, service: str) -> RoomLevel | None:
         """Return the level of a service, None if all is admitted."""
         return self._levels.get(service)
--- a/chervilshift/gateway/process.py
+++ b/chervilshift/gateway/process.py
@@ -219,6 +219,7 @@
         metrics.gauge(
             "requests_under_way", lambda: self.ingress.active_requests
         )
+        metrics.gauge("room_levels", lambda: state.room.level_count)
         metrics.gauge("endpoints_known", lambda: len(placement.endpoints()))
         metrics.gauge(
             "endpoints_resting",
--- a/tests/core/fleet/test_room.py
+++ b/tests/core/fleet/test_room.py
@@ -8,10 +8,17 @@
 from heapq import heappop, heappush
 from itertools import count, pairwise
 from random import Random
+from time import process_time
 
 import pytest
 
-from chervilshift.core.fleet.room import RoomGate, RoomPlanner
+from chervilshift.core.fleet.room import (
+    ClassRoom,
+    RoomGate,
+    RoomLevel,
+    RoomPlanner,
+    RoomReport,
+)
 
 STEP_S = 0.01
 INTERVAL_S = 0.25
@@ -198,3 +205,118 @@
     found = played(fleet, factor, loss, 0.5)
     assert all(found.share(p, "refused") == 0 for p in found.ends)
     assert all(level is None for _, level in found.history)
+
+
+def short_fleet() -> Fleet:
+    """Return a fleet in the middle of a burst, with a level in force."""
+    fleet = Fleet(FLEET_A, delay_s=0.1, seed=1, levels=True)
+    fleet.run(BURST_S[0], burst(2.3))
+    fleet.lose(0.25)
+    fleet.run(7.5, burst(2.3))
+    assert fleet.news
+    return fleet
+
+
+def test_new_leader_goes_on_with_the_level_that_gateways_follow():
+    """It started with none, and everything was sent again for a second."""
+    fleet = short_fleet()
+    before = fleet.news[SERVICE]
+    fleet.planner, fleet.reports = RoomPlanner(), {}
+    fleet.run(fleet.now + 0.5, burst(2.3))
+    after = fleet.news[SERVICE]
+    assert after.priority <= before.priority
+    assert after.share < before.share + 0.15
+
+
+def test_gateway_that_restarts_follows_the_level_and_disturbs_nothing():
+    fleet = short_fleet()
+    for number in range(5):
+        fleet.gates[number] = RoomGate(rng=Random(number))
+    fleet.run(fleet.now + 0.6, burst(2.3))
+    assert all(gate.level(SERVICE) for gate in fleet.gates)
+    fleet.run(18.0, burst(2.3))
+    assert fleet.share(0) > 0.8
+
+
+def test_planner_ignores_lateness_that_less_work_would_not_mend():
+    """Faulty endpoints answer late while hardly anything waits."""
+    planner = RoomPlanner()
+    slow = ClassRoom(
+        arrived=50.0,
+        in_time=20.0,
+        late=30.0,
+        done=50_000.0,
+        work=1_000.0,
+        waiting=2_000.0,
+        objective_s=0.5,
+    )
+    report = {SERVICE: RoomReport(classes={0: slow, 1: slow})}
+    for step in range(20):
+        assert planner.plan([report] * 3, step * INTERVAL_S) == {}
+
+
+def test_service_with_one_priority_has_no_level():
+    planner = RoomPlanner()
+    short = ClassRoom(
+        arrived=50.0,
+        late=40.0,
+        done=40_000.0,
+        work=1_000.0,
+        waiting=80_000.0,
+        objective_s=0.5,
+    )
+    one = {SERVICE: RoomReport(classes={3: short})}
+    two = {SERVICE: RoomReport(classes={3: short, 4: short})}
+    for step in range(8):
+        now = step * INTERVAL_S
+        assert planner.plan([one], now) == {}
+    assert planner.plan([two], 2.25)
+
+
+def test_lateness_at_few_gateways_starts_no_level():
+    """The others had nothing late; one gateway's links were slow."""
+    planner = RoomPlanner()
+    short = ClassRoom(
+        arrived=50.0,
+        late=40.0,
+        done=40_000.0,
+        work=1_000.0,
+        waiting=80_000.0,
+        objective_s=0.5,
+    )
+    report = {SERVICE: RoomReport(classes={0: short, 1: short})}
+    for step in range(8):
+        now = step * INTERVAL_S
+        assert planner.plan([report, {}, {}, {}], now) == {}
+    assert planner.plan([report, report, {}, {}], 2.25)
+
+
+def test_shares_are_admitted_evenly_and_logged_once_per_change():
+    gate = RoomGate(rng=Random(1))
+    gate.apply({SERVICE: RoomLevel(priority=1, share=0.5)}, 0.0)
+    drawn = [gate.admits(SERVICE, 1) for _ in range(20)]
+    assert sum(drawn) == 10
+    assert all(gate.admits(SERVICE, 0) for _ in range(20))
+    assert sum(gate.admits(SERVICE, 2) for _ in range(40)) == 10
+    planner = RoomPlanner()
+    planner.levels = {SERVICE: RoomLevel(priority=1, share=0.5)}
+    assert planner.changes() == planner.levels
+    planner.levels = {SERVICE: RoomLevel(priority=1, share=0.4)}
+    assert planner.changes() == {}
+    planner.levels = {}
+    assert planner.changes() == {SERVICE: None}
+    assert planner.changes() == {}
+
+
+def test_a_request_costs_microseconds():
+    gate = RoomGate(rng=Random(1))
+    began = process_time()
+    for number in range(5_000):
+        ticket = gate.arrive(SERVICE, number % 3, 0.5, number + 0.5)
+        assert gate.admits(SERVICE, number % 3)
+        ticket.sent(1_000.0)
+        ticket.answered(number + 0.1)
+        ticket.ended()
+        if number % 50 == 0:
+            gate.report(float(number))
+    assert (process_time() - began) / 5_000 < 50e-6
