Overload: a gateway takes the most urgent objective for what counts as room

With the objective of a less urgent request, up to three times as long, a gateway admitted what the level refused until the queue used up the objective of the most urgent requests.

--- a/chervilshift/gateway/waiting.py
+++ b/chervilshift/gateway/waiting.py
@@ -22,8 +22,8 @@
 MAX_HOLD_SHARE = 1 / 8
 HOLD_STEP_S = 0.04
 # With fewer of the slots taken and less queued, a service has room. What is
-# queued is in seconds of reading, as a part of the least objective: a prompt
-# that is just being read is not queued.
+# queued is in seconds of reading, as a part of the most urgent objective: a
+# prompt that is just being read is not queued.
 ROOMY_SLOTS_SHARE = 0.5
 ROOMY_QUEUE_SHARE = 0.1
 
@@ -70,7 +70,7 @@
             or exchange.is_taken_up
             or not self._state.follows_leader(now)
             or gate.admits(service, exchange.priority)
-            or self._is_roomy(service, objective_s, now)
+            or self._is_roomy(exchange, now)
         ):
             return
         self._refuse(
@@ -129,17 +129,19 @@
             now + choice.wait_s >= exchange.deadline_at
             and _is_queued(choice.endpoint)
             and not choice.endpoint.health.stalled_s(now)
-            and not self._is_roomy(
-                exchange.service, exchange.route.objective_s, now
-            )
+            and not self._is_roomy(exchange, now)
         )
 
     def _work(self, exchange: Exchange, choice: Choice) -> float:
         spec = self._state.table.cfg.services[exchange.service]
         return 1.0 if spec.engine is None else float(choice.uncached_tokens)
 
-    def _is_roomy(self, service: str, objective_s: float, now: float) -> bool:
+    def _is_roomy(self, exchange: Exchange, now: float) -> bool:
         """Return whether few slots are taken and hardly anything is queued."""
+        service, objective_s = exchange.service, exchange.route.objective_s
+        urgent_s = self._state.room.urgent_objective_s(
+            service, exchange.priority
+        )
         endpoints = [
             e
             for e in self._state.placement.endpoints_of(service)
@@ -148,7 +150,7 @@
         slots = sum(e.record.slots for e in endpoints)
         active = sum(e.total_active() for e in endpoints)
         queued = sum(map(_queued_tokens, endpoints))
-        queue_s = ROOMY_QUEUE_SHARE * objective_s
+        queue_s = ROOMY_QUEUE_SHARE * min(urgent_s or objective_s, objective_s)
         return (
             active < ROOMY_SLOTS_SHARE * slots
             and queued < queue_s * PREFILL_TOKENS_PER_S * len(endpoints)
