--- a/chervilshift/control/fleet.py
+++ b/chervilshift/control/fleet.py
@@ -511,6 +511,11 @@
                     self._planner = self._new_planner()
                     self.spill = {}
 
+    @property
+    def level_count(self) -> int:
+        """The number of services whose work this leader limits."""
+        return len(self._planner.room.levels)
+
     def _new_planner(self) -> FleetPlanner:
         return FleetPlanner(
             rollout_policy=self.rollouts.policy, spill=self._make_spill()
@@ -537,8 +542,11 @@
         )
         self._note_spill(news.spill)
         self._distributor.set_news(news, now)
+        self._log_decisions()
         await self.rollouts.step(self._planner.rollouts, news.versions)
 
+    def _log_decisions(self) -> None:
+        """Log what has changed by much since the last decisions."""
         for service, former, speed in self._planner.speeds.take_changes():
             self._events.emit(
                 "prefill_speed",
@@ -548,6 +556,14 @@
                 base_s=speed.base_s,
                 samples=speed.samples,
             )
+        for service, level in self._planner.room.changes().items():
+            self._events.emit(
+                "room_level" if level else "room_level_ended",
+                service=service,
+                priority=level.priority if level else None,
+                share=level.share if level else None,
+                recovers_s=level.recovers_s if level else None,
+            )
 
     def _note_spill(self, spill: dict[str, SpillShares]) -> None:
         """Log changed shares of work that leave."""
--- a/chervilshift/core/fleet/planner.py
+++ b/chervilshift/core/fleet/planner.py
@@ -79,7 +79,7 @@
         )
         return FleetNews(
             speeds=speeds,
-            levels=self.room.plan((o.room for o in observed), given.cfg),
+            levels=self.room.plan((o.room for o in observed), given.now),
             versions=self.rollouts.plan(_rollout_input(given)),
             spill=self._plan_spill(given),
         )
--- a/chervilshift/gateway/process.py
+++ b/chervilshift/gateway/process.py
@@ -241,6 +241,7 @@
             "spill_sent_share",
             lambda: state.spill.shares_sent(self._clock.monotonic()),
         )
+        metrics.gauge("room_levels", lambda: state.room.level_count)
         metrics.gauge("endpoints_known", lambda: len(placement.endpoints()))
         metrics.gauge(
             "endpoints_resting",
