--- a/chervilshift/gateway/waiting.py
+++ b/chervilshift/gateway/waiting.py
@@ -3,11 +3,7 @@
 import anyio
 
 from chervilshift.clock import Clock
-from chervilshift.core.fleet.placement import (
-    PREFILL_TOKENS_PER_S,
-    Choice,
-    Endpoint,
-)
+from chervilshift.core.fleet.placement import Choice, Endpoint
 from chervilshift.gateway.chooser import EndpointChooser
 from chervilshift.gateway.exchange import Exchange
 from chervilshift.gateway.state import GatewayState
@@ -150,10 +146,11 @@
         slots = sum(e.record.slots for e in endpoints)
         active = sum(e.total_active() for e in endpoints)
         queued = sum(map(_queued_tokens, endpoints))
+        tokens_per_s = self._state.placement.prefill_speed(service)
         queue_s = ROOMY_QUEUE_SHARE * min(urgent_s or objective_s, objective_s)
         return (
             active < ROOMY_SLOTS_SHARE * slots
-            and queued < queue_s * PREFILL_TOKENS_PER_S * len(endpoints)
+            and queued < queue_s * tokens_per_s * len(endpoints)
         )
 
 
