Overload: a level starts by the gateways that serve the service

It needed lateness at a third of all gateways, also where clients use only a few of them. Gateways now report every service that they have requests for, without counts while nothing is late.

--- a/chervilshift/core/fleet/room.py
+++ b/chervilshift/core/fleet/room.py
@@ -10,8 +10,8 @@
 Work is the prompt tokens to be read by engines, or the number of requests of
 plain services. The work that waits divided by the work done per second is the
 time that new work waits; the leader compares this with the objectives. Only
-ratios of sums over gateways matter, so gateways that saw nothing late need not
-report.
+ratios of sums over gateways matter, so gateways that saw nothing late only
+report that they serve requests.
 """
 
 from collections import deque
@@ -39,10 +39,10 @@
 # Classes with fewer requests per second over the fleet don't count.
 MIN_RATE_PER_S = 0.5
 # A level starts when this part of the more urgent requests is late, of at
-# least so many per second, at this part of the gateways.
+# least so many per second, at this part of the gateways that serve some.
 MAX_LATE_SHARE = 0.1
 MIN_URGENT_RATE_PER_S = 4.0
-MIN_REPORTING_SHARE = 1 / 3
+MIN_SHORT_SHARE = 1 / 3
 # The wait that is aimed at, as a part of the objective of the more urgent: the
 # waits of single endpoints differ from the mean by about its size.
 TARGET_WAIT_SHARE = 0.35
@@ -115,7 +115,10 @@
 
 
 class RoomReport(Message):
-    """What one gateway saw of a service's load, and the level it follows."""
+    """What one gateway saw of a service's load, and the level it follows.
+
+    `classes`, by priority, is empty while nothing is late.
+    """
 
     classes: dict[int, ClassRoom] = {}
     level: RoomLevel | None = None
@@ -260,16 +263,15 @@
         self, reports: Iterable[dict[str, RoomReport]], now: float
     ) -> dict[str, RoomLevel]:
         """Return the levels of services that are short of room."""
-        gateways = 0
         reported: dict[str, list[RoomReport]] = {}
         for services in reports:
-            gateways += 1
             for service, report in services.items():
                 reported.setdefault(service, []).append(report)
         self._services = {s: self._services.get(s) for s in reported}
         levels = {}
         for service, found in reported.items():
-            classes = _sum(report.classes for report in found)
+            short = [report for report in found if report.classes]
+            classes = _sum(report.classes for report in short)
             state = self._services[service]
             if state is None:
                 state = self._services[service] = _ServiceRoom(now=now)
@@ -282,7 +284,7 @@
             level = state.plan(
                 classes,
                 now,
-                may_start=len(found) >= MIN_REPORTING_SHARE * gateways,
+                may_start=len(short) >= MIN_SHORT_SHARE * len(found),
             )
             if level is not None:
                 levels[service] = level
@@ -560,15 +562,17 @@
         return classes[most_urgent].objective_s
 
     def report(self, now: float) -> dict[str, RoomReport]:
-        """Return what this gateway saw of services with late answers."""
+        """Return what this gateway saw, by service with requests."""
         self._update(now)
         return {
             service: RoomReport(
                 classes={p: counts.room() for p, counts in classes.items()},
                 level=self._levels.get(service),
             )
-            for service, classes in self._classes.items()
             if service in self._levels or service in self._late_at
+            else RoomReport()
+            for service, classes in self._classes.items()
+            if classes
         }
 
     def _update(self, now: float) -> None:
--- a/tests/core/fleet/test_room.py
+++ b/tests/core/fleet/test_room.py
@@ -285,10 +285,12 @@
         objective_s=0.5,
     )
     report = {SERVICE: RoomReport(classes={0: short, 1: short})}
+    calm, unused = {SERVICE: RoomReport()}, {}
     for step in range(8):
         now = step * INTERVAL_S
-        assert planner.plan([report, {}, {}, {}], now) == {}
-    assert planner.plan([report, report, {}, {}], 2.25)
+        reports = [report, calm, calm, calm, unused, unused]
+        assert planner.plan(reports, now) == {}
+    assert planner.plan([report, report, calm, calm, unused], 2.25)
 
 
 def test_shares_are_admitted_evenly_and_logged_once_per_change():
