Overload: the capacity of engines goes by their measured speed

The leader took what is done for what can be done, which a level lowers. The measured speed of the ready engines is the lower bound now, and a level that is no longer needed ends within a second.

--- a/chervilshift/core/fleet/planner.py
+++ b/chervilshift/core/fleet/planner.py
@@ -1,12 +1,18 @@
 """The leader's decisions for all gateways, made from their reports."""
 
+from collections import Counter
 from collections.abc import Iterable
 
-from chervilshift.core.fleet.model import EndpointRecord, ServingConfig
+from chervilshift.core.fleet.model import (
+    READY,
+    EndpointRecord,
+    ServingConfig,
+)
 from chervilshift.core.fleet.news import FleetNews
+from chervilshift.core.fleet.placement import PREFILL_TOKENS_PER_S
 from chervilshift.core.fleet.rollouts import RolloutInput, RolloutPlanner
 from chervilshift.core.fleet.room import RoomPlanner
-from chervilshift.core.fleet.speeds import SpeedPlanner
+from chervilshift.core.fleet.speeds import ServiceSpeed, SpeedPlanner
 from chervilshift.core.fleet.sync import GatewaySync
 from chervilshift.core.fleet.versions import Rollout, RolloutPolicy
 from chervilshift.core.fleet.zones import SpillPlanner, SpillShares
@@ -79,7 +85,11 @@
         )
         return FleetNews(
             speeds=speeds,
-            levels=self.room.plan((o.room for o in observed), given.now),
+            levels=self.room.plan(
+                (o.room for o in observed),
+                given.now,
+                _total_speeds(given, speeds),
+            ),
             versions=self.rollouts.plan(_rollout_input(given)),
             spill=self._plan_spill(given),
         )
@@ -94,6 +104,19 @@
         return self.spill.plan(flows, given.endpoints, given.cfg)
 
 
+def _total_speeds(
+    given: PlanInput, speeds: dict[str, ServiceSpeed]
+) -> dict[str, float]:
+    """Return the prompt tokens per second of all ready engines by service."""
+    ready = Counter(e.service for e in given.endpoints if e.state == READY)
+    measured = {name: speed.tokens_per_s for name, speed in speeds.items()}
+    return {
+        name: ready[name] * measured.get(name, PREFILL_TOKENS_PER_S)
+        for name, spec in given.cfg.services.items()
+        if spec.engine is not None
+    }
+
+
 def _rollout_input(given: PlanInput) -> RolloutInput:
     return RolloutInput(
         rollouts=given.rollouts,
--- a/chervilshift/core/fleet/room.py
+++ b/chervilshift/core/fleet/room.py
@@ -61,11 +61,14 @@
 # Least admitted shares: of all classes, and of the most urgent one.
 FLOOR_SHARE = 0.25
 URGENT_FLOOR_SHARE = 0.35
+# Part of their measured speed that engines reach beside other work.
+USABLE_SPEED_SHARE = 0.75
 # Classes per second by which a level falls, and by which it rises in general
 # and while what arrives fits what the fleet can do.
 DOWN_PER_S = 4.0
 UP_PER_S = 0.2
 UP_FITTING_PER_S = 0.5
+UP_UNNEEDED_PER_S = 2.0
 FITTING_SHARE = 0.9
 # A level closer to full admission than this lapses.
 MIN_CUT = 0.03
@@ -139,9 +142,18 @@
         self.planned_at = now
 
     def plan(
-        self, classes: dict[int, ClassRoom], now: float, *, may_start: bool
+        self,
+        classes: dict[int, ClassRoom],
+        now: float,
+        *,
+        may_start: bool,
+        nominal: float = 0.0,
     ) -> RoomLevel | None:
-        """Return the level from now on."""
+        """Return the level from now on.
+
+        `nominal` is the work per second that the endpoints can do by their
+        measured speed, 0 if that is not known.
+        """
         elapsed_s = max(0.0, now - self.planned_at)
         self.planned_at = now
         if len(classes) < 2:
@@ -156,7 +168,9 @@
         is_full = waiting > target_s * done
         memory_s = FULL_MEMORY_S if is_full else CAPACITY_MEMORY_S
         faded = self.capacity * exp(-elapsed_s / memory_s)
-        self.capacity = max(done, faded, MIN_RATE_PER_S)
+        # What is done falls with what is admitted, so that by it alone a level
+        # would last after the load that it was for.
+        self.capacity = max(done, faded, nominal, MIN_RATE_PER_S)
         wait_s = waiting / self.capacity
         offered = [classes[p].arrived * classes[p].work for p in priorities]
         fresh = sum(_fresh(offered, self.cut))
@@ -177,6 +191,8 @@
         up_per_s = UP_PER_S
         if wait_s < target_s and fresh < FITTING_SHARE * self.capacity:
             up_per_s = UP_FITTING_PER_S
+            if not wanted:
+                up_per_s = UP_UNNEEDED_PER_S
         self.cut = max(
             min(wanted, self.cut + DOWN_PER_S * elapsed_s),
             self.cut - up_per_s * elapsed_s,
@@ -260,9 +276,16 @@
         self.levels: dict[str, RoomLevel] = {}
 
     def plan(
-        self, reports: Iterable[dict[str, RoomReport]], now: float
+        self,
+        reports: Iterable[dict[str, RoomReport]],
+        now: float,
+        speeds: dict[str, float] | None = None,
     ) -> dict[str, RoomLevel]:
-        """Return the levels of services that are short of room."""
+        """Return the levels of services that are short of room.
+
+        `speeds` is the work per second of all ready endpoints together, by
+        service, as far as it is known.
+        """
         reported: dict[str, list[RoomReport]] = {}
         for services in reports:
             for service, report in services.items():
@@ -285,6 +308,10 @@
                 classes,
                 now,
                 may_start=len(short) >= MIN_SHORT_SHARE * len(found),
+                nominal=USABLE_SPEED_SHARE
+                * (speeds or {}).get(service, 0.0)
+                * len(short)
+                / len(found),
             )
             if level is not None:
                 levels[service] = level
--- a/tests/core/fleet/test_room.py
+++ b/tests/core/fleet/test_room.py
@@ -322,3 +322,36 @@
         if number % 50 == 0:
             gate.report(float(number))
     assert (process_time() - began) / 5_000 < 50e-6
+
+
+def test_level_ends_with_the_load_it_was_for():
+    """Capacity was taken from what is done, which the level itself lowers.
+
+    Levels then lasted for ten seconds after a burst, with most refused.
+    """
+    planner = RoomPlanner()
+    done, capacity = 200_000.0, 4_000_000.0
+
+    def report(late: float, waiting: float) -> dict[str, RoomReport]:
+        urgent = ClassRoom(
+            arrived=60.0,
+            in_time=60.0 - late,
+            late=late,
+            done=done,
+            work=2_000.0,
+            waiting=waiting,
+            objective_s=0.5,
+        )
+        other = ClassRoom(
+            arrived=100.0, done=done, work=9_000.0, objective_s=1.5
+        )
+        return {"llm": RoomReport(classes={0: urgent, 2: other})}
+
+    burst = report(late=30.0, waiting=1_500_000.0)
+    calm = report(late=8.0, waiting=90_000.0)
+    for n in range(8):
+        planner.plan([burst], 0.25 * n, {"llm": capacity / 4})
+    assert planner.levels
+    for n in range(8, 14):
+        planner.plan([calm], 0.25 * n, {"llm": capacity})
+    assert not planner.levels
