--- a/chervilshift/httpserver.py
+++ b/chervilshift/httpserver.py
@@ -41,12 +41,14 @@
 # A connection that may hold more reads at least this much.
 MIN_READ_BYTES = 1 << 10
 # Nothing of a request is left to come.
-COMPLETE_STATES = (
-    h11.DONE,
-    h11.MUST_CLOSE,
-    h11.CLOSED,
-    h11.MIGHT_SWITCH_PROTOCOL,
-    h11.SWITCHED_PROTOCOL,
+COMPLETE_STATES = frozenset(
+    (
+        h11.DONE,
+        h11.MUST_CLOSE,
+        h11.CLOSED,
+        h11.MIGHT_SWITCH_PROTOCOL,
+        h11.SWITCHED_PROTOCOL,
+    )
 )
 # A process that was paused reads what has come meanwhile in this time.
 PAUSE_MARGIN_S = 0.25
@@ -156,6 +158,8 @@
         self._buffer: memoryview = self.config.buffer
         self._unparsed = memoryview(b"")
         self._is_parsing = False
+        # Whether it is among the listener's unused or idle connections.
+        self._is_listed = True
         self._reading_paused = False
         self._held_bytes = 0
         self._slice_bytes = MIN_SLICE_BYTES
@@ -172,9 +176,10 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return where the next bytes are read to."""
-        if not self._held_bytes:
+        if not self._held_bytes and not self._unparsed:
             return self._buffer
-        rest_bytes = self._guard.read_ahead_bytes - self._held_bytes
+        held_bytes = max(self._held_bytes, len(self._unparsed))
+        rest_bytes = self._guard.read_ahead_bytes - held_bytes
         return self._buffer[: max(MIN_READ_BYTES, rest_bytes)]
 
     def data_received(self, data: bytes) -> None:
@@ -214,7 +219,18 @@
             return
         if self._unparsed and not self._must_wait():
             self._continue_parsing()
-        self._count_unprocessed()
+            if not self._held_bytes:
+                # It is counted once more is read or it has to wait.
+                return
+        # Nothing is left of a request that was parsed whole, apart from a
+        # small body, which its application takes next.
+        if (
+            self._unparsed
+            or self._held_bytes
+            or self.flow.read_paused
+            or self.conn.their_state is not h11.DONE
+        ):
+            self._count_unprocessed()
 
     def _parse_slice(self) -> None:
         part = bytes(self._unparsed[: self._slice_bytes])
@@ -226,7 +242,8 @@
         else:
             self._slice_bytes = min(MAX_SLICE_BYTES, 2 * self._slice_bytes)
         self._watch_head()
-        if self.conn.their_state is not h11.IDLE:
+        if self._is_listed and self.conn.their_state is not h11.IDLE:
+            self._is_listed = False
             self._listener.note_request(self)
 
     def on_response_complete(self) -> None:
@@ -242,6 +259,7 @@
             self._continue_parsing()
             self._count_unprocessed()
         if self.conn.their_state is h11.IDLE:
+            self._is_listed = True
             self._listener.note_idle(self)
 
     def resume_writing(self) -> None:
@@ -251,15 +269,20 @@
 
     def count_read(self) -> int:
         """Count what was read and not processed; return its size."""
-        if self._held_bytes:
-            self._count_unprocessed()
+        body = self.cycle.body if self.cycle is not None else b""
+        if self._held_bytes or body:
+            self._count_unprocessed(len(body))
         return self._held_bytes
 
-    def _count_unprocessed(self) -> None:
-        """Count what was read and not processed; pause or resume reading."""
-        held_bytes = len(self._unparsed) + len(self.conn.trailing_data[0])
-        if self.cycle is not None:
-            held_bytes += len(self.cycle.body)
+    def _count_unprocessed(self, body_bytes: int = 0) -> None:
+        """Count what was read and not processed; pause or resume reading.
+
+        Applications take bodies at once, so that the part of one that waits
+        for its application is counted by sweeps only.
+        """
+        held_bytes = (
+            len(self._unparsed) + len(self.conn.trailing_data[0]) + body_bytes
+        )
         if held_bytes != self._held_bytes:
             self._guard.read_bytes += held_bytes - self._held_bytes
             self._held_bytes = held_bytes
