Soak: clients that send without end and read nothing

A fault lets 20 connections send requests without end to a gateway for 0.5 to 2 s; its peak memory has to stay below 160 MB.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -5,9 +5,11 @@
 
 import signal
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 
 import anyio
 
+from tests.crowd import Crowd, peak_bytes
 from tests.soak.processes import STOP_TIMEOUT_S, Process
 from tests.soak.world import World
 
@@ -15,6 +17,12 @@
 
 RESTART_DELAY_S = 0.3
 POLL_INTERVAL_S = 0.05
+CROWD_CLIENTS = 20
+CROWD_REQUEST = (
+    b"GET /nowhere HTTP/1.1\r\nHost: h\r\nRequest-Id: crowd\r\n\r\n"
+)
+# The memory of the smallest hosts of gateways.
+MAX_GATEWAY_BYTES = 160_000_000
 
 
 async def _kill(world: World, process: Process) -> None:
@@ -140,6 +148,32 @@
     link.heal()
 
 
+async def crowd_gateway(world: World) -> None:
+    """Let clients send requests without end to a gateway and read nothing.
+
+    Their route does not exist, so that endpoints see nothing of it.
+    """
+    gateway = world.rng.choice(world.fleet.gateways)
+    duration_s = world.rng.uniform(0.5, 2.0)
+    pid = gateway.pid
+    if pid is None:
+        return
+    crowd = Crowd(
+        address=gateway.settings["listen"],
+        count=CROWD_CLIENTS,
+        first=b"",
+        then=CROWD_REQUEST * 200,
+    )
+    # The process may be ended by another fault meanwhile.
+    with suppress(OSError), crowd:
+        await anyio.to_thread.run_sync(
+            crowd.play, pid, duration_s, MAX_GATEWAY_BYTES
+        )
+        if peak_bytes(pid) > MAX_GATEWAY_BYTES:
+            failure = f"{gateway.name} exceeded the memory of its host"
+            world.history.failures[failure] += 1
+
+
 async def replace_endpoint(world: World) -> None:
     """Drain an endpoint after adding a new one of the same service."""
     await world.remove_endpoint()
@@ -193,6 +227,7 @@
     reset_links,
     silence_links,
     cut_link,
+    crowd_gateway,
     replace_endpoint,
     change_config,
     race_configs,
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -75,6 +75,11 @@
         """The exit code, negative for a signal; None while running."""
         return self._popen.poll()
 
+    @property
+    def pid(self) -> int | None:
+        """The id of the running process, None if it does not run."""
+        return self._popen.pid if self.running else None
+
     def has_started(self) -> bool:
         """Whether the current incarnation has logged its `started` event."""
         with self.log.open("rb") as log:
