API: the answer to an order has the rollout's state

The adapter to the platform only decodes orders and maps failures to statuses; what becomes of an order is told by the control process's service.

--- a/chervilshift/control/rollouts.py
+++ b/chervilshift/control/rollouts.py
@@ -15,6 +15,7 @@
     EndRollout,
     StartRollout,
 )
+from chervilshift.core.fleet.commands import CONFLICT, UNKNOWN_SERVICE
 from chervilshift.core.fleet.rollouts import RolloutPlanner, RolloutRun
 from chervilshift.core.fleet.sync import ReadRollout, RolloutFound
 from chervilshift.core.fleet.versions import (
@@ -24,11 +25,20 @@
     VersionShares,
 )
 from chervilshift.core.message import Message
-from chervilshift.errors import Failure, NotLeader
+from chervilshift.errors import (
+    BadRequest,
+    Failure,
+    NotFound,
+    NotLeader,
+    RolloutRunning,
+)
 from chervilshift.events import EventLog
 
 __all__ = ["RolloutService"]
 
+# Of names that callers send, in answers.
+MAX_SHOWN_CHARS = 64
+
 Submit = Callable[[Command], Awaitable[Result[CommandReply, Failure]]]
 AskLeader = Callable[[Message], Awaitable[Result[Message, Failure]]]
 
@@ -91,39 +101,52 @@
 
     async def start(
         self, service: str, to: str, ramp_s: float
-    ) -> Result[str, Failure]:
-        """Commit an order; return what became of it.
+    ) -> Result[Rollout, Failure]:
+        """Commit an order; return the service's rollout.
 
-        That is one of the outcomes of `RolloutStarted`. Fails with the reason
-        for which it was not committed.
+        Fails with BadRequest if the service is not known, with RolloutRunning
+        if another one is running, or with the reason for which it was not
+        committed.
         """
         reply = await self._submit(
             StartRollout(
                 service=service, to=to, ramp_s=ramp_s, now_s=self._wall_s()
             )
         )
-        outcome = reply.map(lambda started: started.outcome)
+        outcome = reply.map(lambda started: started.outcome).value_or("")
         self._events.emit(
             "rollout_ordered",
             service=service,
             to=to,
             ramp_s=ramp_s,
-            outcome=outcome.value_or(""),
+            outcome=outcome,
             reason=str(reply.failure()) if isinstance(reply, Bad) else "",
         )
-        return outcome
-
-    async def read(self, service: str) -> Result[Rollout | None, Failure]:
-        """Return a service's newest rollout, None if there was none.
-
-        It is confirmed under the leader's lease; fails if that can't be had.
+        if outcome == UNKNOWN_SERVICE:
+            reason = f"unknown service {service[:MAX_SHOWN_CHARS]!r}"
+            return Bad(BadRequest(reason=reason))
+        if outcome == CONFLICT:
+            return Bad(RolloutRunning(service=service))
+        return reply.map(lambda started: started.rollout)
+
+    async def read(self, service: str) -> Result[Rollout, Failure]:
+        """Return a service's newest rollout.
+
+        It is confirmed under the leader's lease. Fails with NotFound if there
+        was none, or with the reason for which that can't be confirmed.
         """
         message = ReadRollout(service=service)
         if self._node.raft.is_leader:
-            found = await self._read_under_lease(message)
+            reply = await self._read_under_lease(message)
         else:
-            found = await self._ask_leader(message)
-        return found.map(lambda found: found.rollout)
+            reply = await self._ask_leader(message)
+        if isinstance(reply, Bad):
+            return reply
+        rollout = reply.unwrap().rollout
+        if rollout is None:
+            name = service[:MAX_SHOWN_CHARS]
+            return Bad(NotFound(kind="rollout of service", name=name))
+        return Success(rollout)
 
     async def answer_read(self, message: ReadRollout) -> RolloutFound:
         """Answer for another replica; raises NotLeader."""
--- a/chervilshift/core/fleet/commands.py
+++ b/chervilshift/core/fleet/commands.py
@@ -4,6 +4,7 @@
 from chervilshift.core.fleet.endpointlimits import StatedLimit
 from chervilshift.core.fleet.model import EndpointRecord
 from chervilshift.core.fleet.origins import OriginBatch
+from chervilshift.core.fleet.versions import Rollout
 from chervilshift.core.message import Message
 
 __all__ = [
@@ -201,9 +202,13 @@
 
 
 class RolloutStarted(Message):
-    """What became of an order, one of the constants of this module."""
+    """What became of an order, one of the constants of this module.
+
+    `rollout` is the service's, if the order is in force.
+    """
 
     outcome: str
+    rollout: Rollout | None = None
 
 
 class RolloutChanged(Message):
--- a/chervilshift/core/fleet/rolloutlog.py
+++ b/chervilshift/core/fleet/rolloutlog.py
@@ -56,8 +56,10 @@
         last = self.rollouts.get(command.service)
         if last is not None:
             same = (last.to, last.ramp_s) == (command.to, command.ramp_s)
-            if same or last.is_running:
-                return RolloutStarted(outcome=SAME if same else CONFLICT)
+            if same:
+                return RolloutStarted(outcome=SAME, rollout=last)
+            if last.is_running:
+                return RolloutStarted(outcome=CONFLICT)
         if command.service not in services:
             return RolloutStarted(outcome=UNKNOWN_SERVICE)
         barred = _excluded_by(last) - {command.to}
@@ -84,7 +86,7 @@
                 ended_s=command.now_s,
             )
         self._set(started, index)
-        return RolloutStarted(outcome=ACCEPTED)
+        return RolloutStarted(outcome=ACCEPTED, rollout=started)
 
     def advance(self, command: AdvanceRollout, index: int) -> RolloutChanged:
         """Record a further stage or share; there is no way back."""
--- a/chervilshift/platform/api.py
+++ b/chervilshift/platform/api.py
@@ -1,16 +1,18 @@
 """The HTTP interfaces of a control process, as ASGI apps."""
 
 from collections.abc import Awaitable, Callable
+from typing import Annotated
 from urllib.parse import parse_qs
 
 import anyio
 import msgspec
 from absl import logging
+from msgspec import Meta
+from msgspec.structs import astuple
 from returns.result import Failure as Bad
 
 from chervilshift.bytebudget import ByteBudget, HeldBody
 from chervilshift.control.fleet import FleetService
-from chervilshift.core.fleet.commands import CONFLICT, UNKNOWN_SERVICE
 from chervilshift.core.fleet.model import GONE, EndpointRecord
 from chervilshift.errors import (
     BadRequest,
@@ -18,6 +20,7 @@
     BodyTooLarge,
     ConfigRefused,
     Failure,
+    NotFound,
     RolloutRunning,
     Unserved,
 )
@@ -26,15 +29,13 @@
     decode_departure,
 )
 from chervilshift.platform.reply import send_json
-from chervilshift.platform.rollouts import decode_rollout
-from chervilshift.untrusted import is_token
+from chervilshift.untrusted import Label, decode_json, is_token
 
 __all__ = ["control_app", "directory_app"]
 
 CONFIG_PATH = "/api/config"
 INSTANCES_PATH = "/api/instances/"
-ROLLOUTS_PATH = "/api/rollouts"
-ROLLOUT_PATH = "/api/rollouts/"
+ROLLOUTS_PATH = "/api/rollouts/"
 RESOLVE_PATH = "/api/resolve"
 # Clients are told to cache a lookup for this long; some cache it for three
 # times as long.
@@ -48,6 +49,15 @@
 # All bodies that are being read or decoded at once.
 MAX_HELD_BYTES = 4 * MAX_DOCUMENT_BYTES
 
+
+class _Order(msgspec.Struct):
+    service: Label
+    to: Annotated[Label, Meta(min_length=1)]
+    # At most a month; a longer time is a mistake.
+    ramp_s: Annotated[float, Meta(gt=0, le=30 * 86_400)]
+
+
+ORDER_DECODER = msgspec.json.Decoder(_Order)
 App = Callable[[dict, Callable, Callable], Awaitable[None]]
 
 
@@ -88,10 +98,9 @@
     elif path.startswith(INSTANCES_PATH) and method in ("PUT", "DELETE"):
         name = path[len(INSTANCES_PATH) :]
         await _handle_instance(fleet, method, name, body, send)
-    elif path == ROLLOUTS_PATH and method == "POST":
-        await _post_rollout(fleet, body, send)
-    elif path.startswith(ROLLOUT_PATH) and method == "GET":
-        await _get_rollout(fleet, path[len(ROLLOUT_PATH) :], send)
+    elif f"{path}/".startswith(ROLLOUTS_PATH) and fleet.rollouts.policy:
+        name = path[len(ROLLOUTS_PATH) :]
+        await _handle_rollout(fleet, method, name, body, send)
     else:
         await send_json(send, 404)
 
@@ -137,47 +146,23 @@
     await send_json(send, 200, result.unwrap().document)
 
 
-async def _post_rollout(
-    fleet: FleetService, body: bytes, send: Callable
+async def _handle_rollout(
+    fleet: FleetService, method: str, name: str, body: bytes, send: Callable
 ) -> None:
-    if fleet.rollouts.policy is None:
-        await send_json(send, 404)
-        return
-    decoded = decode_rollout(body)
-    if isinstance(decoded, Bad):
-        await send_json(send, 400, _error_body(decoded.failure()))
-        return
-    order = decoded.unwrap()
-    result = await fleet.rollouts.start(order.service, order.to, order.ramp_s)
-    if isinstance(result, Bad):
-        await send_json(send, 503, _error_body(result.failure()))
-        return
-    outcome = result.unwrap()
-    if outcome == UNKNOWN_SERVICE:
-        failure = BadRequest(reason=f"unknown service {order.service[:64]!r}")
-        await send_json(send, 400, _error_body(failure))
-    elif outcome == CONFLICT:
-        failure = RolloutRunning(service=order.service)
-        await send_json(send, failure.status, _error_body(failure))
+    decoded = decode_json(body, ORDER_DECODER)
+    if method == "GET":
+        result = await fleet.rollouts.read(name)
+    elif method == "POST" and not isinstance(decoded, Bad):
+        result = await fleet.rollouts.start(*astuple(decoded.unwrap()))
     else:
-        await send_json(send, 200, b"{}")
-
-
-async def _get_rollout(
-    fleet: FleetService, service: str, send: Callable
-) -> None:
-    if fleet.rollouts.policy is None:
-        await send_json(send, 404)
-        return
-    result = await fleet.rollouts.read(service)
+        result = Bad(BadRequest(reason=f"{method} of {decoded}"))
     if isinstance(result, Bad):
-        await send_json(send, 503, _error_body(result.failure()))
-        return
-    rollout = result.unwrap()
-    if rollout is None:
-        await send_json(send, 404)
+        failure = result.failure()
+        is_final = isinstance(failure, BadRequest | NotFound | RolloutRunning)
+        status = failure.status if is_final else 503
+        await send_json(send, status, _error_body(failure))
         return
-    response = {"state": rollout.state, "to": rollout.to}
+    response = {"state": result.unwrap().state, "to": result.unwrap().to}
     await send_json(send, 200, msgspec.json.encode(response))
 
 
