--- a/chervilshift/control/rollouts.py
+++ b/chervilshift/control/rollouts.py
@@ -81,21 +81,26 @@
         self._planned: dict[str, VersionShares] = {}
         self._runs: dict[str, RolloutRun] = {}
 
-    # Gauges of the leader, over all rollouts
+    # Gauges of the leader, over all rollouts, 0 elsewhere
 
     def largest_share(self) -> float:
         """Return the largest share that a new version gets."""
         shares = (0.0 if s.closed else s.share for s in self._planned.values())
-        return max(shares, default=0.0)
+        return max(shares, default=0.0) if self._leads else 0.0
 
     def suspicion(self) -> float:
         """Return the largest evidence that a new version is bad."""
         findings = (run.finding.log_ratio for run in self._runs.values())
-        return max(findings, default=0.0)
+        return max(findings, default=0.0) if self._leads else 0.0
 
     def attempts(self) -> int:
         """Return the attempts at new versions since their orders."""
-        return sum(run.evidence.attempts for run in self._runs.values())
+        attempts = sum(r.evidence.attempts for r in self._runs.values())
+        return attempts if self._leads else 0
+
+    @property
+    def _leads(self) -> bool:
+        return self._node.raft.is_leader
 
     # Operators
 
--- a/tests/control/test_rollouts.py
+++ b/tests/control/test_rollouts.py
@@ -25,7 +25,11 @@
 from chervilshift.core.fleet.rollouts import RolloutPlanner, RolloutRun
 from chervilshift.core.fleet.state import FleetState
 from chervilshift.core.fleet.sync import RolloutFound
-from chervilshift.core.fleet.versions import ROLLED_BACK, RolloutPolicy
+from chervilshift.core.fleet.versions import (
+    ROLLED_BACK,
+    RolloutPolicy,
+    VersionShares,
+)
 from chervilshift.errors import NotLeader, NotReady, OutcomeUnknown
 from chervilshift.events import EventLog, HybridClock
 from chervilshift.platform.api import control_app
@@ -53,9 +57,10 @@
         self.answer = Success(RolloutFound())
         self.log = StringIO()
         clock = SystemClock()
+        self.raft = SimpleNamespace(is_leader=leads)
         node = SimpleNamespace(
             machine=SimpleNamespace(fleet=self.fleet),
-            raft=SimpleNamespace(is_leader=leads),
+            raft=self.raft,
             has_lease=lambda: has_lease,
             leader_address=lambda: "",
             submit=self.submit,
@@ -173,6 +178,17 @@
     assert len(control.events("rollout_ended")) == 1
 
 
+def test_process_that_leads_no_more_shows_no_share():
+    """Its gauges stayed at what it had decided last."""
+    control = Control()
+    planner = RolloutPlanner(policy=POLICY)
+    shares = {"app": VersionShares(order=2, share=0.4)}
+    anyio.run(control.rollouts.step, planner, shares)
+    assert control.rollouts.largest_share() == 0.4
+    control.raft.is_leader = False
+    assert control.rollouts.largest_share() == 0.0
+
+
 @pytest.mark.parametrize(
     ("given", "expected"),
     [
