--- a/chervilshift/control/rollouts.py
+++ b/chervilshift/control/rollouts.py
@@ -15,6 +15,7 @@
     EndRollout,
     StartRollout,
 )
+from chervilshift.core.fleet.commands import CONFLICT, UNKNOWN_SERVICE
 from chervilshift.core.fleet.rollouts import RolloutPlanner, RolloutRun
 from chervilshift.core.fleet.sync import ReadRollout, RolloutFound
 from chervilshift.core.fleet.versions import (
@@ -24,11 +25,20 @@
     VersionShares,
 )
 from chervilshift.core.message import Message
-from chervilshift.errors import Failure, NotLeader
+from chervilshift.errors import (
+    BadRequest,
+    Failure,
+    NotFound,
+    NotLeader,
+    RolloutRunning,
+)
 from chervilshift.events import EventLog
 
 __all__ = ["RolloutService"]
 
+# Of names that callers send, in answers.
+MAX_SHOWN_CHARS = 64
+
 Submit = Callable[[Command], Awaitable[Result[CommandReply, Failure]]]
 AskLeader = Callable[[Message], Awaitable[Result[Message, Failure]]]
 
@@ -71,59 +81,77 @@
         self._planned: dict[str, VersionShares] = {}
         self._runs: dict[str, RolloutRun] = {}
 
-    # Gauges of the leader, over all rollouts
+    # Gauges of the leader, over all rollouts, 0 elsewhere
 
     def largest_share(self) -> float:
         """Return the largest share that a new version gets."""
         shares = (0.0 if s.closed else s.share for s in self._planned.values())
-        return max(shares, default=0.0)
+        return max(shares, default=0.0) if self._leads else 0.0
 
     def suspicion(self) -> float:
         """Return the largest evidence that a new version is bad."""
         findings = (run.finding.log_ratio for run in self._runs.values())
-        return max(findings, default=0.0)
+        return max(findings, default=0.0) if self._leads else 0.0
 
     def attempts(self) -> int:
         """Return the attempts at new versions since their orders."""
-        return sum(run.evidence.attempts for run in self._runs.values())
+        attempts = sum(r.evidence.attempts for r in self._runs.values())
+        return attempts if self._leads else 0
+
+    @property
+    def _leads(self) -> bool:
+        return self._node.raft.is_leader
 
     # Operators
 
     async def start(
         self, service: str, to: str, ramp_s: float
-    ) -> Result[str, Failure]:
-        """Commit an order; return what became of it.
+    ) -> Result[Rollout, Failure]:
+        """Commit an order; return the service's rollout.
 
-        That is one of the outcomes of `RolloutStarted`. Fails with the reason
-        for which it was not committed.
+        Fails with BadRequest if the service is not known, with RolloutRunning
+        if another one is running, or with the reason for which it was not
+        committed.
         """
         reply = await self._submit(
             StartRollout(
                 service=service, to=to, ramp_s=ramp_s, now_s=self._wall_s()
             )
         )
-        outcome = reply.map(lambda started: started.outcome)
+        outcome = reply.map(lambda started: started.outcome).value_or("")
         self._events.emit(
             "rollout_ordered",
             service=service,
             to=to,
             ramp_s=ramp_s,
-            outcome=outcome.value_or(""),
+            outcome=outcome,
             reason=str(reply.failure()) if isinstance(reply, Bad) else "",
         )
-        return outcome
-
-    async def read(self, service: str) -> Result[Rollout | None, Failure]:
-        """Return a service's newest rollout, None if there was none.
-
-        It is confirmed under the leader's lease; fails if that can't be had.
+        if outcome == UNKNOWN_SERVICE:
+            reason = f"unknown service {service[:MAX_SHOWN_CHARS]!r}"
+            return Bad(BadRequest(reason=reason))
+        if outcome == CONFLICT:
+            return Bad(RolloutRunning(service=service))
+        return reply.map(lambda started: started.rollout)
+
+    async def read(self, service: str) -> Result[Rollout, Failure]:
+        """Return a service's newest rollout.
+
+        It is confirmed under the leader's lease. Fails with NotFound if there
+        was none, or with the reason for which that can't be confirmed.
         """
         message = ReadRollout(service=service)
         if self._node.raft.is_leader:
-            found = await self._read_under_lease(message)
+            reply = await self._read_under_lease(message)
         else:
-            found = await self._ask_leader(message)
-        return found.map(lambda found: found.rollout)
+            reply = await self._ask_leader(message)
+        if isinstance(reply, Bad):
+            return reply
+        rollout = reply.unwrap().rollout
+        if rollout is None:
+            name = service[:MAX_SHOWN_CHARS]
+            return Bad(NotFound(kind="rollout of service", name=name))
+        return Success(rollout)
 
     async def answer_read(self, message: ReadRollout) -> RolloutFound:
         """Answer for another replica; raises NotLeader."""
