Orders: a cold start or a burst grows the fleet by half at most

Callers' first prompts were all to be read, and 120 engines were ordered within two seconds, 144 by a new leader.

Until a need has lasted, the fleet grows by half. No on-demand endpoint is released in the first five seconds of a new cluster.

--- a/chervilshift/control/duties.py
+++ b/chervilshift/control/duties.py
@@ -70,6 +70,8 @@
 # Time in which the endpoints of an existing fleet announce themselves to a new
 # cluster; orders for those known before would shrink the fleet.
 FLEET_SETTLE_S = 2.5
+# By then those of a large fleet have, and surplus ones may go.
+FLEET_KNOWN_S = 5.0
 
 
 class Cloud(Protocol):
@@ -218,6 +220,13 @@
             wait_s = min(wait_s, FLEET_SETTLE_S)
         return now - self._leading_since > wait_s
 
+    def _knows_fleet(self, now: float) -> bool:
+        """Whether all endpoints had the time to announce themselves."""
+        return (
+            self._node.raft.term != FIRST_TERM
+            or now - self._leading_since > FLEET_KNOWN_S
+        )
+
     async def _report_usage(self) -> None:
         first_unsettled = window_of(
             self._wall_s() - USAGE_SETTLE_S, self._window_s
@@ -341,6 +350,8 @@
             or not self._may_act()
         ):
             return
+        if order.count < held and not self._knows_fleet(now):
+            return
         if order_state.count is None and held == order.count:
             # If more are booting, the order is repeated once they are late.
             order_state.accept(order.count, now)
--- a/chervilshift/core/fleet/scaling.py
+++ b/chervilshift/core/fleet/scaling.py
@@ -55,6 +55,8 @@
 # which is longer than operators take to let callers in after their checks.
 NEGLIGIBLE_LOAD_SHARE = 0.1
 NEGLIGIBLE_LOAD_MAX_S = 60.0
+# A fleet may always grow by this many endpoints at once.
+MIN_GROWTH = 8
 # Running requests per slot above which the fleet grows.
 MAX_SLOT_UTILIZATION = 0.45
 # Multiple of both utilizations that is accepted in a burst: at 0.8 the queue
@@ -180,11 +182,20 @@
 class FleetSize:
     """The size that a fleet should have, from the sizes needed so far."""
 
-    __slots__ = ("_found", "_loaded", "_negligible_since", "_peak", "_recent")
+    __slots__ = (
+        "_base",
+        "_found",
+        "_loaded",
+        "_negligible_since",
+        "_peak",
+        "_recent",
+    )
 
     def __init__(self):
         self._peak = PeakSize()
         self._recent: deque[tuple[float, int]] = deque()
+        # The size that the last whole window needed, first that as found.
+        self._base: int | None = None
         # The largest fleet seen before there was load.
         self._found = 0
         self._loaded = False
@@ -203,7 +214,9 @@
 
         `needed` is the size for a lasting load and `burst` the one for a
         burst. A need that has not lasted for `LASTING_SHARE` of the window
-        counts as a burst; without a whole window it counts as lasting.
+        counts as a burst; without a whole window it counts as lasting. Until
+        it has lasted, the fleet grows by half at most: engines that boot have
+        cold caches, and take prompts away from those that have read them.
         `found` is the size of the fleet as it is, which is kept until load
         begins: probes of a fleet that is about to be used are none.
         """
@@ -212,13 +225,21 @@
             self._loaded = has_load and not self._is_negligible(needed, now)
             if not self._loaded:
                 needed = burst = max(needed, self._found)
+                self._base = needed
+        if self._base is None:
+            self._base = found
+        largest = max(needed, burst)
+        if self._base:
+            largest = self._base + max(MIN_GROWTH, ceil(self._base / 2))
         self._recent.append((now, needed))
-        lasting = needed
+        lasting = min(needed, largest)
         while now - self._recent[0][0] >= PEAK_WINDOW_S:
             sizes = sorted(n for _, n in self._recent)
             lasting = sizes[int((1.0 - LASTING_SHARE) * len(sizes))]
             self._recent.popleft()
-        return self._peak.observe(max(min(needed, lasting), burst), now)
+            self._base = lasting
+        size = max(min(needed, lasting), min(burst, largest))
+        return self._peak.observe(size, now)
 
     def _is_negligible(self, needed: int, now: float) -> bool:
         """Whether a first load needs next to nothing of the fleet as found."""
--- a/tests/core/fleet/test_scaling.py
+++ b/tests/core/fleet/test_scaling.py
@@ -363,6 +363,22 @@
     assert size.observe(32, 18, 46.0, found=45) == 32
 
 
+def test_cold_start_does_not_triple_the_fleet():
+    """Prompts are read for the first time when callers come.
+
+    A fleet of 48 was ordered up to 144, whose cold caches had the prompts read
+    again for ten seconds.
+    """
+    size = FleetSize()
+    size.observe(48, 48, 0.0, found=48, has_load=False)
+    sizes = [
+        size.observe(150, 120, 0.25 * n, found=48 + n) for n in range(1, 50)
+    ]
+    assert max(sizes) == 72
+    sizes = [size.observe(100, 56, 12.5 + 0.25 * n) for n in range(1, 20)]
+    assert max(sizes) == 100
+
+
 def test_negligible_load_that_lasts_shrinks_the_fleet():
     size = FleetSize()
     sizes = [size.observe(1, 1, float(n), found=45) for n in range(100)]
