Limits: the backlog decides once whether a request waits

Requests behind a long backlog were still held for 0.35 of their objective in a running gateway: the backlog was looked at only at the very moment at which a request joined, and the gateway reads its clock again after that. The tests of the queue use one time for both.

--- a/chervilshift/core/fleet/limitqueue.py
+++ b/chervilshift/core/fleet/limitqueue.py
@@ -49,10 +49,12 @@
 class Waiting:
     """One request that waits; `charged` once its limit is charged.
 
-    `until` is when it stops waiting.
+    `until` is when it stops waiting, and `accepted` tells that the backlog
+    let it wait.
     """
 
     __slots__ = (
+        "accepted",
         "amount",
         "charged",
         "customer",
@@ -78,6 +80,7 @@
         self.order = order
         self.joined_at = joined_at
         self.until = until
+        self.accepted = False
         self.charged = False
 
     @property
@@ -220,14 +223,18 @@
         return share * self._account.backlog_s(name)
 
     def waits_in_vain(self, waiting: Waiting, now: float) -> bool:
-        """Return whether a request can't be granted while it may wait."""
-        if now > waiting.joined_at:
+        """Return whether a request can't be granted while it may wait.
+
+        The backlog is looked at once: what joins later goes behind it.
+        """
+        if waiting.accepted:
             return now >= waiting.until
         share = JOIN_SHARE
         if waiting.rank > URGENT_RANK:
             share = LESS_URGENT_JOIN_SHARE
         wait_s = self.available_in_s(waiting, now)
-        return wait_s >= share * (waiting.until - now)
+        waiting.accepted = wait_s < share * (waiting.until - now)
+        return not waiting.accepted
 
     def defer(self, waiting: Waiting, remaining_s: float, now: float) -> float:
         """Return the seconds after which a refused client may retry.
