Metrics: rendering takes a twentieth of the time at most

The percentiles of histograms take milliseconds each time.

A response is repeated until rendering has taken a twentieth of the time, and listeners of probes take 16 connections instead of 64.

--- a/chervilshift/connguard.py
+++ b/chervilshift/connguard.py
@@ -54,7 +54,7 @@
     """
 
     max_connections: Annotated[int, Meta(ge=1)] = 1024
-    max_probe_connections: Annotated[int, Meta(ge=1)] = 64
+    max_probe_connections: Annotated[int, Meta(ge=1)] = 16
     read_ahead_bytes: Annotated[int, Meta(ge=MIN_READ_AHEAD_BYTES)] = 64 << 10
     held_bytes: Annotated[int, Meta(ge=1 << 20)] = 24 << 20
     stall_s: Annotated[float, Meta(gt=0)] = 1.0
--- a/chervilshift/metrics.py
+++ b/chervilshift/metrics.py
@@ -1,5 +1,6 @@
 """Counters, gauges and latency histograms of one process."""
 
+import time
 from collections import Counter
 from collections.abc import Callable, Mapping
 
@@ -12,6 +13,9 @@
 # Decimal digits of precision of recorded durations.
 SIGNIFICANT_DIGITS = 3
 PERCENTILES = (50.0, 95.0, 99.0)
+# Part of the time that may go into rendering, however often it is asked for:
+# the percentiles of histograms take milliseconds.
+MAX_RENDER_SHARE = 0.05
 
 
 class Metrics:
@@ -23,6 +27,8 @@
         "_gauges",
         "_histograms",
         "_read_counters",
+        "_rendered",
+        "_render_at",
     )
 
     def __init__(self):
@@ -31,6 +37,9 @@
         self._gauges: dict[str, Callable[[], float]] = {}
         self._families: dict[str, Callable[[], Mapping[str, float]]] = {}
         self._histograms: dict[str, HdrHistogram] = {}
+        # The last response, and when the next one is rendered.
+        self._rendered = b""
+        self._render_at = float("-inf")
 
     def count(self, name: str, amount: int = 1) -> None:
         """Add `amount` to the counter `name`."""
@@ -110,7 +119,7 @@
         self, scope: dict, receive: Callable, send: Callable
     ) -> None:
         """Serve the metrics as an ASGI application."""
-        body = self.render().encode()
+        body = self._response()
         await send(
             {
                 "type": "http.response.start",
@@ -120,6 +129,16 @@
         )
         await send({"type": "http.response.body", "body": body})
 
+    def _response(self) -> bytes:
+        """Return metrics that are as old as `MAX_RENDER_SHARE` requires."""
+        began_at = time.perf_counter()
+        if began_at >= self._render_at:
+            self._rendered = self.render().encode()
+            ended_at = time.perf_counter()
+            took_s = ended_at - began_at
+            self._render_at = ended_at + took_s / MAX_RENDER_SHARE
+        return self._rendered
+
 
 def _escaped(label: str) -> str:
     return label.replace("\\", r"\\").replace('"', r"\"").replace("\n", r"\n")
