Orders: small fleets grow with any need; a rollout's endpoints stay

In fleets of up to 16 endpoints the size follows any need again, and on-demand endpoints may go once no more announce themselves.

--- a/chervilshift/control/duties.py
+++ b/chervilshift/control/duties.py
@@ -5,8 +5,8 @@
 the predecessor had started have timed out.
 """
 
-from collections import defaultdict
-from collections.abc import Awaitable, Callable
+from collections import Counter, defaultdict
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Protocol
 
 import anyio
@@ -17,7 +17,11 @@
 from chervilshift.clock import Clock
 from chervilshift.control.node import Node
 from chervilshift.core.commands import CommitUsage
-from chervilshift.core.fleet.model import ServingConfig
+from chervilshift.core.fleet.model import (
+    READY,
+    EndpointRecord,
+    ServingConfig,
+)
 from chervilshift.core.fleet.placement import PREFILL_TOKENS_PER_S
 from chervilshift.core.fleet.presence import Presence
 from chervilshift.core.fleet.scaling import (
@@ -30,6 +34,7 @@
 from chervilshift.core.fleet.speeds import ServiceSpeed
 from chervilshift.core.fleet.tables import forget_unnamed
 from chervilshift.core.fleet.usage import window_of
+from chervilshift.core.fleet.versions import Rollout
 from chervilshift.errors import Failure
 from chervilshift.events import EventLog
 
@@ -70,8 +75,9 @@
 # Time in which the endpoints of an existing fleet announce themselves to a new
 # cluster; orders for those known before would shrink the fleet.
 FLEET_SETTLE_S = 2.5
-# By then those of a large fleet have, and surplus ones may go.
-FLEET_KNOWN_S = 5.0
+# Surplus ones may go once no more have announced themselves for some time, at
+# the latest after the second time.
+FLEET_COMPLETE_S, FLEET_KNOWN_S = 1.0, 5.0
 
 
 class Cloud(Protocol):
@@ -175,6 +181,9 @@
         self._next_window: int | None = None
         self._order_states: dict[tuple[str, str, bool], _OrderState] = {}
         self._spot_refused_at: dict[str, float] = {}
+        # The most endpoints known at once, and since when.
+        self._known_count = 0
+        self._fleet_grew_at = float("-inf")
         self._sizes: defaultdict[str, FleetSize] = defaultdict(FleetSize)
 
     async def run(self) -> None:
@@ -192,6 +201,7 @@
     async def _loop(self, duty: Callable[[], Awaitable[None]]) -> None:
         while True:
             await anyio.sleep(DUTY_INTERVAL_S)
+            self._watch_fleet()
             if self._may_act():
                 await duty()
 
@@ -225,8 +235,16 @@
         return (
             self._node.raft.term != FIRST_TERM
             or now - self._leading_since > FLEET_KNOWN_S
+            or now - self._fleet_grew_at > FLEET_COMPLETE_S
         )
 
+    def _watch_fleet(self) -> None:
+        """Record when endpoints became known."""
+        known = len(self._node.machine.fleet.endpoints())
+        if known > self._known_count:
+            self._known_count = known
+            self._fleet_grew_at = self._clock.monotonic()
+
     async def _report_usage(self) -> None:
         first_unsettled = window_of(
             self._wall_s() - USAGE_SETTLE_S, self._window_s
@@ -303,9 +321,10 @@
             if spec.scaling is None:
                 continue
             speed = speeds.get(spec.name)
-            endpoints = [
-                e for e in fleet_state.endpoints() if e.service == spec.name
-            ]
+            endpoints, extra = _split_by_rollout(
+                (e for e in fleet_state.endpoints() if e.service == spec.name),
+                fleet_state.rollouts.rollouts.get(spec.name),
+            )
             active = sum(
                 loads[e.id].active for e in endpoints if e.id in loads
             )
@@ -329,7 +348,14 @@
             )
             for order in plan_orders(spec, fleet, size):
                 held = fleet.ready_count(order.failure_domain, spot=order.spot)
-                await self._place_order(order, held, spec.scaling.boot_s)
+                added = extra[order.failure_domain, order.spot]
+                if added and order.count <= held:
+                    # No order is needed that the new version has to be in.
+                    continue
+                order.count += added
+                await self._place_order(
+                    order, held + added, spec.scaling.boot_s
+                )
 
     async def _place_order(
         self, order: Order, held: int, boot_s: float
@@ -379,3 +405,22 @@
             taken=taken,
             reason="" if taken else str(sent.failure()),
         )
+
+
+def _split_by_rollout(
+    endpoints: Iterable[EndpointRecord], rollout: Rollout | None
+) -> tuple[list[EndpointRecord], Counter[tuple[str, bool]]]:
+    """Return endpoints, and counts of a new version's by domain and kind.
+
+    While a rollout runs, those are beside what the load needs: orders that
+    don't include them would have them taken away.
+    """
+    if rollout is None or not rollout.is_running:
+        return list(endpoints), Counter()
+    kept, extra = [], Counter()
+    for endpoint in endpoints:
+        if endpoint.version != rollout.to:
+            kept.append(endpoint)
+        elif endpoint.state == READY:
+            extra[endpoint.failure_domain, endpoint.spot] += 1
+    return kept, extra
--- a/chervilshift/core/fleet/scaling.py
+++ b/chervilshift/core/fleet/scaling.py
@@ -55,6 +55,9 @@
 # which is longer than operators take to let callers in after their checks.
 NEGLIGIBLE_LOAD_SHARE = 0.1
 NEGLIGIBLE_LOAD_MAX_S = 60.0
+# The reserve of a fleet of up to this size is too few endpoints for a burst,
+# so it grows with any need.
+SMALL_FLEET = 16
 # A fleet may always grow by this many endpoints at once.
 MIN_GROWTH = 8
 # Running requests per slot above which the fleet grows.
@@ -216,7 +219,8 @@
         burst. A need that has not lasted for `LASTING_SHARE` of the window
         counts as a burst; without a whole window it counts as lasting. Until
         it has lasted, the fleet grows by half at most: engines that boot have
-        cold caches, and take prompts away from those that have read them.
+        cold caches, and take prompts away from those that have read them. A
+        small fleet grows with any need.
         `found` is the size of the fleet as it is, which is kept until load
         begins: probes of a fleet that is about to be used are none.
         """
@@ -231,6 +235,9 @@
         largest = max(needed, burst)
         if self._base:
             largest = self._base + max(MIN_GROWTH, ceil(self._base / 2))
+        if 0 < self._base <= SMALL_FLEET:
+            self._base = min(needed, SMALL_FLEET + 1)
+            return self._peak.observe(needed, now)
         self._recent.append((now, needed))
         lasting = min(needed, largest)
         while now - self._recent[0][0] >= PEAK_WINDOW_S:
--- a/tests/control/test_duties.py
+++ b/tests/control/test_duties.py
@@ -13,9 +13,11 @@
 from chervilshift.control import duties
 from chervilshift.control.duties import CLOUD_CALL_TIMEOUT_S, DutyTask
 from chervilshift.core.commands import (
+    AcceptServing,
     AnnounceEndpoint,
     CommitUsage,
     NoteGateways,
+    StartRollout,
 )
 from chervilshift.core.fleet.model import (
     EndpointRecord,
@@ -463,3 +465,38 @@
     assert len(world.cloud.usage) == reported
     world.run(1.0)
     assert len(world.cloud.usage) > reported
+
+
+def test_endpoints_of_a_rollout_are_not_ordered_away():
+    """On-demand endpoints of the new version were taken for surplus ones.
+
+    They were gone six seconds after the order, and the rollout was given up.
+    """
+    world = World(cfg=scaled_config())
+    announce(world, "ready", 2)
+    world.run(LEASE_S + CLOUD_CALL_TIMEOUT_S + 1.0)
+    fleet = world.node.machine.fleet
+    world.node.index += 1
+    accepted = AcceptServing(version=1, document=b"", services=("llm",))
+    fleet.apply(accepted, world.node.index)
+    world.node.index += 1
+    order = StartRollout(service="llm", to="v2", ramp_s=20.0, now_s=1.0)
+    fleet.apply(order, world.node.index)
+    assert fleet.rollouts.rollouts["llm"].is_running
+    for number in range(3):
+        world.node.index += 1
+        record = EndpointRecord(
+            id=f"new{number}",
+            born_ms=1,
+            seq=1,
+            state="ready",
+            service="llm",
+            address=f"new{number}:80",
+            failure_domain="a",
+            slots=8,
+            version="v2",
+        )
+        fleet.apply(AnnounceEndpoint(endpoint=record), world.node.index)
+    world.cloud.orders.clear()
+    world.run(10.0)
+    assert not [count for count in on_demand_counts(world) if count < 3]
