--- a/chervilshift/core/fleet/scaling.py
+++ b/chervilshift/core/fleet/scaling.py
@@ -56,7 +56,7 @@
 NEGLIGIBLE_LOAD_SHARE = 0.1
 NEGLIGIBLE_LOAD_MAX_S = 60.0
 # The reserve of a fleet of up to this size is too few endpoints for a burst,
-# so it grows with any need.
+# so it grows with any need, and is not reduced to what its speed allows.
 SMALL_FLEET = 16
 # A fleet may always grow by this many endpoints at once.
 MIN_GROWTH = 8
@@ -140,6 +140,11 @@
         )
         return max(ready.values(), default=0)
 
+    @property
+    def is_small(self) -> bool:
+        """Whether one endpoint fewer is a large part of the ready ones."""
+        return 0 < sum(self.ready_by_domain().values()) <= SMALL_FLEET
+
     @property
     def has_load(self) -> bool:
         """Whether any request was reported."""
@@ -270,9 +275,10 @@
         return fleet.found_size()
     slots = spec.engine.slots if spec.engine else 1
     by_slots = fleet.active / (MAX_SLOT_UTILIZATION * slots)
-    by_prefill = fleet.prefill_tokens_per_s / (
-        MAX_PREFILL_UTILIZATION * fleet.prefill_speed
-    )
+    speed = fleet.prefill_speed
+    if fleet.is_small:
+        speed = min(speed, PREFILL_TOKENS_PER_S)
+    by_prefill = fleet.prefill_tokens_per_s / (MAX_PREFILL_UTILIZATION * speed)
     size = max(by_slots, by_prefill)
     return ceil(size / BURST_FACTOR if in_burst else size)
 
@@ -310,6 +316,8 @@
     by_price = sorted(domains, key=lambda d: scaling.prices.get(d, inf))
     if scaling.spot_price < 1 and fleet.has_load and len(domains) > 1:
         shares = _cheapest_reserve(scaling, by_price, size)
+        if fleet.is_small:
+            shares = dict.fromkeys(domains, ceil(size / (len(domains) - 1)))
     else:
         shares = dict.fromkeys(domains, ceil(size / len(domains)))
     return {
