--- a/chervilshift/core/fleet/rollouts.py
+++ b/chervilshift/core/fleet/rollouts.py
@@ -36,7 +36,7 @@
 RAMP_END_PART = 0.8
 # Time before the deadline in which the last requests end and all gateways
 # report that they don't use the old version, and the earliest end of a ramp.
-FINISH_S, MIN_RAMP_END_PART = 4.5, 0.6
+FINISH_S, MIN_RAMP_END_PART = 5.5, 0.6
 # A ramp that is not done by then is given up.
 GIVE_UP_PART = 1.5
 # Outcomes without which no version is accepted, unless there are few requests:
