Speeds: the default prefill speed stands once

zones.py had a copy of 80,000 tokens/s, and the planner and the orders each had their own fall-back to it. speeds.py has the constant and tokens_per_s() now. No behaviour changes.

--- a/chervilshift/control/duties.py
+++ b/chervilshift/control/duties.py
@@ -22,7 +22,6 @@
     EndpointRecord,
     ServingConfig,
 )
-from chervilshift.core.fleet.placement import PREFILL_TOKENS_PER_S
 from chervilshift.core.fleet.presence import Presence
 from chervilshift.core.fleet.scaling import (
     Fleet,
@@ -31,7 +30,7 @@
     needed_size,
     plan_orders,
 )
-from chervilshift.core.fleet.speeds import ServiceSpeed
+from chervilshift.core.fleet.speeds import ServiceSpeed, tokens_per_s
 from chervilshift.core.fleet.tables import forget_unnamed
 from chervilshift.core.fleet.usage import window_of
 from chervilshift.core.fleet.versions import Rollout
@@ -320,7 +319,6 @@
         for spec in cfg.services.values():
             if spec.scaling is None:
                 continue
-            speed = speeds.get(spec.name)
             endpoints, extra = _split_by_rollout(
                 (e for e in fleet_state.endpoints() if e.service == spec.name),
                 fleet_state.rollouts.rollouts.get(spec.name),
@@ -334,9 +332,7 @@
                 prefill_tokens_per_s=self._presence.prefill_tokens_per_s(
                     spec.name, now
                 ),
-                prefill_speed=(
-                    speed.tokens_per_s if speed else PREFILL_TOKENS_PER_S
-                ),
+                prefill_speed=tokens_per_s(speeds, spec.name),
                 spot_unavailable=frozenset(self._spot_refused_at),
             )
             size = self._sizes[spec.name].observe(
--- a/chervilshift/core/fleet/placement.py
+++ b/chervilshift/core/fleet/placement.py
@@ -44,15 +44,13 @@
     EndpointRecord,
     ServiceSpec,
 )
+from chervilshift.core.fleet.speeds import PREFILL_TOKENS_PER_S
 from chervilshift.core.fleet.sync import EndpointLoad
 from chervilshift.core.fleet.tables import forget_unnamed
 from chervilshift.core.fleet.zones import Zone
 
 __all__ = ["Choice", "Endpoint", "Placed", "Placement", "Work"]
 
-# Prefill rate of an engine whose service has no measured one yet; the latency
-# ratio of the service corrects it.
-PREFILL_TOKENS_PER_S = 80_000.0
 # Time that each running request adds to another's time to first token.
 CROWDING_PER_REQUEST_S = 0.0005
 # Reply time of a plain service before its latency ratio is learned.
--- a/chervilshift/core/fleet/planner.py
+++ b/chervilshift/core/fleet/planner.py
@@ -9,10 +9,13 @@
     ServingConfig,
 )
 from chervilshift.core.fleet.news import FleetNews
-from chervilshift.core.fleet.placement import PREFILL_TOKENS_PER_S
 from chervilshift.core.fleet.rollouts import RolloutInput, RolloutPlanner
 from chervilshift.core.fleet.room import RoomPlanner
-from chervilshift.core.fleet.speeds import ServiceSpeed, SpeedPlanner
+from chervilshift.core.fleet.speeds import (
+    ServiceSpeed,
+    SpeedPlanner,
+    tokens_per_s,
+)
 from chervilshift.core.fleet.sync import GatewaySync
 from chervilshift.core.fleet.versions import Rollout, RolloutPolicy
 from chervilshift.core.fleet.zones import SpillPlanner, SpillShares
@@ -109,9 +112,8 @@
 ) -> dict[str, float]:
     """Return the prompt tokens per second of all ready engines by service."""
     ready = Counter(e.service for e in given.endpoints if e.state == READY)
-    measured = {name: speed.tokens_per_s for name, speed in speeds.items()}
     return {
-        name: ready[name] * measured.get(name, PREFILL_TOKENS_PER_S)
+        name: ready[name] * tokens_per_s(speeds, name)
         for name, spec in given.cfg.services.items()
         if spec.engine is not None
     }
--- a/chervilshift/core/fleet/scaling.py
+++ b/chervilshift/core/fleet/scaling.py
@@ -22,7 +22,7 @@
     Scaling,
     ServiceSpec,
 )
-from chervilshift.core.fleet.placement import PREFILL_TOKENS_PER_S
+from chervilshift.core.fleet.speeds import PREFILL_TOKENS_PER_S
 
 __all__ = [
     "Fleet",
--- a/chervilshift/core/fleet/speeds.py
+++ b/chervilshift/core/fleet/speeds.py
@@ -14,19 +14,23 @@
 
 import math
 from collections import deque
-from collections.abc import Container, Iterable
+from collections.abc import Container, Iterable, Mapping
 
 from chervilshift.core.fleet.tables import forget_unnamed
 from chervilshift.core.message import Message
 
 __all__ = [
+    "PREFILL_TOKENS_PER_S",
     "ServiceSpeed",
     "SpeedBook",
     "SpeedPlanner",
     "SpeedReport",
     "measures_speed",
+    "tokens_per_s",
 ]
 
+# Prefill rate of an engine whose service has no measured one yet.
+PREFILL_TOKENS_PER_S = 80_000.0
 # Bounds of an estimate; engines in use are well inside.
 MIN_TOKENS_PER_S, MAX_TOKENS_PER_S = 10_000.0, 1_000_000.0
 # An engine with at most this many queued tokens per token of the prompt, and
@@ -125,6 +129,12 @@
     samples: int = 0
 
 
+def tokens_per_s(speeds: Mapping[str, ServiceSpeed], service: str) -> float:
+    """Return the prefill tokens per second of a service's engines."""
+    speed = speeds.get(service)
+    return PREFILL_TOKENS_PER_S if speed is None else speed.tokens_per_s
+
+
 def measures_speed(
     *,
     tokens: int,
--- a/chervilshift/core/fleet/versiongate.py
+++ b/chervilshift/core/fleet/versiongate.py
@@ -17,12 +17,8 @@
 
 from chervilshift.core.fleet.model import READY
 from chervilshift.core.fleet.news import NEWS_EXPIRY_S
-from chervilshift.core.fleet.placement import (
-    PREFILL_TOKENS_PER_S,
-    Choice,
-    Endpoint,
-    Work,
-)
+from chervilshift.core.fleet.placement import Choice, Endpoint, Work
+from chervilshift.core.fleet.speeds import PREFILL_TOKENS_PER_S
 from chervilshift.core.fleet.versions import (
     FINISH,
     RAMP,
--- a/chervilshift/core/fleet/zones.py
+++ b/chervilshift/core/fleet/zones.py
@@ -27,6 +27,7 @@
     ServiceSpec,
     ServingConfig,
 )
+from chervilshift.core.fleet.speeds import PREFILL_TOKENS_PER_S
 from chervilshift.core.message import Message
 from chervilshift.core.rates import DecayingRate
 
@@ -55,8 +56,6 @@
 # domain had copies of its own. Parts are used every few seconds and kept for
 # about 8 s; with a third of the uses, one in ten more finds its part evicted.
 EXTRA_READS = 0.1
-# Prefill rate of engines until their speed is known.
-ENGINE_TOKENS_PER_S = 80_000.0
 # Part of the way from the present shares to the wanted ones in one step. With
 # a step of 0.25 s, shares are within a tenth of the wanted ones after 1 s.
 STEP = 0.5
@@ -143,7 +142,7 @@
     for report in reports:
         shared_tokens += _sane(report.shared_tokens)
         requests += sum(_sane(f.requests) for f in report.flows.values())
-    read_again_s = EXTRA_READS * shared_tokens / ENGINE_TOKENS_PER_S
+    read_again_s = EXTRA_READS * shared_tokens / PREFILL_TOKENS_PER_S
     return read_again_s > DOMAIN_DELAY_S * requests
 
 
@@ -242,7 +241,7 @@
                 cfg.services[service],
                 found,
                 by_service[service],
-                speeds.get(service, ENGINE_TOKENS_PER_S),
+                speeds.get(service, PREFILL_TOKENS_PER_S),
             )
             if demand is not None:
                 demands[service] = demand
--- a/tests/core/fleet/test_scaling.py
+++ b/tests/core/fleet/test_scaling.py
@@ -10,7 +10,6 @@
     Scaling,
     ServiceSpec,
 )
-from chervilshift.core.fleet.placement import PREFILL_TOKENS_PER_S
 from chervilshift.core.fleet.scaling import (
     PEAK_WINDOW_S,
     Fleet,
@@ -19,6 +18,7 @@
     needed_size,
     plan_orders,
 )
+from chervilshift.core.fleet.speeds import PREFILL_TOKENS_PER_S
 from chervilshift.core.rates import DecayingRate
 
 DOMAINS = {"a": 0.85, "b": 1.0, "far": 1.2}
