Leader: one input of decisions, and orders without discarded work

The input of the planner was copied field by field into that of rollouts; it is one now, with the configuration added. Small fleets worked out the cheapest reserve and dropped it. Followers counted endpoints four times a second for a rule of a first leader only. No decision changes.

--- a/chervilshift/control/duties.py
+++ b/chervilshift/control/duties.py
@@ -238,7 +238,10 @@
         )
 
     def _watch_fleet(self) -> None:
-        """Record when endpoints became known."""
+        """Record when endpoints became known, as `_knows_fleet` needs it."""
+        raft = self._node.raft
+        if not raft.is_leader or raft.term != FIRST_TERM:
+            return
         known = len(self._node.machine.fleet.endpoints())
         if known > self._known_count:
             self._known_count = known
--- a/chervilshift/core/fleet/planner.py
+++ b/chervilshift/core/fleet/planner.py
@@ -1,13 +1,8 @@
 """The leader's decisions for all gateways, made from their reports."""
 
 from collections import Counter
-from collections.abc import Iterable
 
-from chervilshift.core.fleet.model import (
-    READY,
-    EndpointRecord,
-    ServingConfig,
-)
+from chervilshift.core.fleet.model import READY, ServingConfig
 from chervilshift.core.fleet.news import FleetNews
 from chervilshift.core.fleet.rollouts import RolloutInput, RolloutPlanner
 from chervilshift.core.fleet.room import RoomPlanner
@@ -16,49 +11,20 @@
     SpeedPlanner,
     tokens_per_s,
 )
-from chervilshift.core.fleet.sync import GatewaySync
-from chervilshift.core.fleet.versions import Rollout, RolloutPolicy
+from chervilshift.core.fleet.versions import RolloutPolicy
 from chervilshift.core.fleet.zones import SpillPlanner, SpillShares
 
 __all__ = ["FleetPlanner", "PlanInput"]
 
 
-class PlanInput:
-    """What decisions are made from.
-
-    `reports` are those of gateways that are heard, and `now` is monotonic.
-    `rollouts` are those of the log, `gateways` the ids of all gateways that
-    may be running, and `wall_s` is Unix time.
-    """
+class PlanInput(RolloutInput):
+    """What decisions are made from; `cfg` is the configuration in force."""
 
-    __slots__ = (
-        "cfg",
-        "endpoints",
-        "gateways",
-        "now",
-        "reports",
-        "rollouts",
-        "wall_s",
-    )
+    __slots__ = ("cfg",)
 
-    def __init__(
-        self,
-        *,
-        reports: Iterable[GatewaySync],
-        endpoints: Iterable[EndpointRecord],
-        cfg: ServingConfig,
-        now: float,
-        rollouts: Iterable[Rollout] = (),
-        gateways: Iterable[str] = (),
-        wall_s: float = 0.0,
-    ):
-        self.reports = tuple(reports)
-        self.endpoints = tuple(endpoints)
+    def __init__(self, *, cfg: ServingConfig, **fields: object):
+        super().__init__(**fields)
         self.cfg = cfg
-        self.now = now
-        self.rollouts = tuple(rollouts)
-        self.gateways = tuple(gateways)
-        self.wall_s = wall_s
 
 
 class FleetPlanner:
@@ -93,7 +59,7 @@
                 given.now,
                 _total_speeds(given, speeds),
             ),
-            versions=self.rollouts.plan(_rollout_input(given)),
+            versions=self.rollouts.plan(given),
             spill=self._plan_spill(given),
         )
 
@@ -117,14 +83,3 @@
         for name, spec in given.cfg.services.items()
         if spec.engine is not None
     }
-
-
-def _rollout_input(given: PlanInput) -> RolloutInput:
-    return RolloutInput(
-        rollouts=given.rollouts,
-        reports=given.reports,
-        endpoints=given.endpoints,
-        gateways=given.gateways,
-        now=given.now,
-        wall_s=given.wall_s,
-    )
--- a/chervilshift/core/fleet/scaling.py
+++ b/chervilshift/core/fleet/scaling.py
@@ -237,12 +237,12 @@
                 self._base = needed
         if self._base is None:
             self._base = found
-        largest = max(needed, burst)
-        if self._base:
-            largest = self._base + max(MIN_GROWTH, ceil(self._base / 2))
         if 0 < self._base <= SMALL_FLEET:
             self._base = min(needed, SMALL_FLEET + 1)
             return self._peak.observe(needed, now)
+        largest = max(needed, burst)
+        if self._base:
+            largest = self._base + max(MIN_GROWTH, ceil(self._base / 2))
         self._recent.append((now, needed))
         lasting = min(needed, largest)
         while now - self._recent[0][0] >= PEAK_WINDOW_S:
@@ -314,12 +314,13 @@
     """
     # Domains that the configuration gives no price are the dearest.
     by_price = sorted(domains, key=lambda d: scaling.prices.get(d, inf))
-    if scaling.spot_price < 1 and fleet.has_load and len(domains) > 1:
-        shares = _cheapest_reserve(scaling, by_price, size)
-        if fleet.is_small:
-            shares = dict.fromkeys(domains, ceil(size / (len(domains) - 1)))
-    else:
+    has_reserve = scaling.spot_price < 1 and fleet.has_load
+    if not has_reserve or len(domains) == 1:
         shares = dict.fromkeys(domains, ceil(size / len(domains)))
+    elif fleet.is_small:
+        shares = dict.fromkeys(domains, ceil(size / (len(domains) - 1)))
+    else:
+        shares = _cheapest_reserve(scaling, by_price, size)
     return {
         domain: min(
             scaling.maximum, max(MIN_ENDPOINTS_PER_DOMAIN, shares[domain])
--- a/tests/core/fleet/test_zones.py
+++ b/tests/core/fleet/test_zones.py
@@ -486,6 +486,9 @@
         endpoints=endpoints({"b": 4}),
         cfg=config(PLAIN),
         now=1.0,
+        rollouts=(),
+        gateways=(),
+        wall_s=0.0,
     )
     assert not FleetPlanner().plan(given).spill
     news = FleetPlanner(spill=make_planner()).plan(given)
