--- a/chervilshift/core/fleet/room.py
+++ b/chervilshift/core/fleet/room.py
@@ -33,6 +33,11 @@
 
 # Time constant of the rates in reports: shorter than a burst.
 RATE_WINDOW_S = 1.0
+# Rates are updated at most this often; a report between has the last ones.
+MIN_UPDATE_S = 0.1
+NEGLIGIBLE_RATE_PER_S = 0.01
+# Weight of the newest request in a class's mean work.
+WORK_WEIGHT = 0.05
 # A gateway reports a service for this long after it saw something late there,
 # so that the leader sees a level work.
 REPORT_AFTER_LATE_S = 5.0
@@ -83,13 +88,12 @@
 class ClassRoom(Message, tag=False, array_like=True):
     """What one gateway saw of one priority of a service.
 
-    `arrived`, `refused` (for room), `in_time` and `late` are requests per
-    second, `done` is work per second, `work` that of a request in the mean
-    and `waiting` what is sent and has not begun to be answered.
+    `arrived`, `in_time` and `late` are requests per second, `done` is work per
+    second, `work` that of a request in the mean and `waiting` what is sent and
+    has not begun to be answered.
     """
 
     arrived: float = 0.0
-    refused: float = 0.0
     in_time: float = 0.0
     late: float = 0.0
     done: float = 0.0
@@ -358,7 +362,6 @@
             continue
         sums[priority] = ClassRoom(
             arrived=arrived,
-            refused=sum(p.refused for p in parts),
             in_time=sum(p.in_time for p in parts),
             late=sum(p.late for p in parts),
             done=sum(p.done for p in parts),
@@ -397,7 +400,6 @@
 
     def refused(self) -> None:
         """Record that the request is refused for want of room."""
-        self._counts.refused += 1
         self.is_settled = True
 
     def answered(self, now: float) -> None:
@@ -429,10 +431,6 @@
             self._counts.in_time += 1
 
 
-# Weight of the newest request in a class's mean work.
-WORK_WEIGHT = 0.05
-
-
 class _Counts:
     """Counts of one class since the last report, and their rates."""
 
@@ -446,7 +444,6 @@
         "late",
         "objective_s",
         "pending",
-        "refused",
         "waiting",
         "work",
     )
@@ -458,9 +455,9 @@
         self.work = 0.0
         self.waiting = 0.0
         self.pending: deque[RoomTicket] = deque()
-        self.arrived = self.refused = self.in_time = self.late = 0
+        self.arrived = self.in_time = self.late = 0
         self.done = 0.0
-        self._rates = [0.0] * 5
+        self._rates = [0.0] * 4
         self._counted_s = 0.0
 
     def draw(self, share: float) -> bool:
@@ -484,7 +481,6 @@
         )
         newest = (
             self.arrived / elapsed_s,
-            self.refused / elapsed_s,
             self.in_time / elapsed_s,
             self.late / elapsed_s,
             self.done / elapsed_s,
@@ -493,12 +489,12 @@
             rate + weight * (value - rate)
             for rate, value in zip(self._rates, newest, strict=True)
         ]
-        self.arrived = self.refused = self.in_time = self.late = 0
+        self.arrived = self.in_time = self.late = 0
         self.done = 0.0
 
     def is_short(self) -> bool:
         """Return whether something was late lately, or is likely to be."""
-        _, _, _, late, done = self._rates
+        _, _, late, done = self._rates
         in_time_work = GROWING_WAIT_SHARE * self.objective_s * done
         return late > NEGLIGIBLE_RATE_PER_S or self.waiting > in_time_work > 0
 
@@ -508,12 +504,11 @@
 
     def room(self) -> ClassRoom:
         """Return the class's part of a report."""
-        arrived, refused, in_time, late, done = (
+        arrived, in_time, late, done = (
             float(f"{rate:.3g}") for rate in self._rates
         )
         return ClassRoom(
             arrived=arrived,
-            refused=refused,
             in_time=in_time,
             late=late,
             done=done,
@@ -523,11 +518,6 @@
         )
 
 
-NEGLIGIBLE_RATE_PER_S = 0.01
-# Rates are updated at most this often; a report between has the last ones.
-MIN_UPDATE_S = 0.1
-
-
 class RoomGate:
     """A gateway's part: counts requests and applies the level."""
 
