Placement: the queue of an endpoint and shared tokens are worked out once

The gateway's state, its admission and the placement each added up what is queued at an endpoint, and two places the tokens of shared parts. A gate of work that leaves its zone gets its random numbers passed in.

--- a/chervilshift/core/fleet/placement.py
+++ b/chervilshift/core/fleet/placement.py
@@ -153,10 +153,15 @@
         shared = self.parts[:-1] or self.parts
         return shared[-1][0] if shared else ""
 
+    @property
+    def shared_tokens(self) -> int:
+        """The tokens of the prompt's shared parts."""
+        return sum(tokens for _, tokens in self.parts[:-1])
+
     @property
     def own_tokens(self) -> int:
         """The tokens of the whole prompt beyond its shared parts."""
-        return self.tokens - sum(tokens for _, tokens in self.parts[:-1])
+        return self.tokens - self.shared_tokens
 
 
 class Endpoint:
@@ -208,6 +213,11 @@
             active=self.active, prefill_tokens=self.prefill_tokens
         )
 
+    @property
+    def queued_tokens(self) -> int:
+        """Prompt tokens of all gateways that are not known to be read."""
+        return self.prefill_tokens + self.other_load.prefill_tokens
+
     def total_active(self) -> int:
         """Return the number of requests from all gateways, as last known."""
         return self.active + self.other_load.active
@@ -220,9 +230,8 @@
         self.mean_other_tokens += QUEUE_SAMPLE_WEIGHT * (
             load.prefill_tokens - self.mean_other_tokens
         )
-        queued_tokens = self.prefill_tokens + load.prefill_tokens
         utilization = min(
-            1.0, queued_tokens / prefill_speed / FULL_PREFILL_BACKLOG_S
+            1.0, self.queued_tokens / prefill_speed / FULL_PREFILL_BACKLOG_S
         )
         self.prefill_fraction += PREFILL_SAMPLE_WEIGHT * (
             utilization - self.prefill_fraction
--- a/chervilshift/core/fleet/zones.py
+++ b/chervilshift/core/fleet/zones.py
@@ -566,13 +566,13 @@
         enabled: bool = False,
         domain: str = "",
         regions: Mapping[str, str] | None = None,
-        rng: Random | None = None,
+        rng: Random,
     ):
         self._enabled = enabled
         self._domain = domain
         self._regions = regions or {}
         self._region = self._regions.get(domain, "")
-        self._rng = rng or Random()
+        self._rng = rng
         self._shares: dict[str, SpillShares] = {}
         self._flows: defaultdict[str, _ServiceFlow] = defaultdict(_ServiceFlow)
         self._zones: dict[tuple[str, str], Zone] = {}
--- a/chervilshift/gateway/dispatch.py
+++ b/chervilshift/gateway/dispatch.py
@@ -341,7 +341,7 @@
             choice.zone,
             now,
             tokens=choice.uncached_tokens,
-            shared_tokens=exchange.work.tokens - exchange.work.own_tokens,
+            shared_tokens=exchange.work.shared_tokens,
             size_bytes=len(exchange.body),
         )
         with Placed(choice=choice, now=now) as placed:
--- a/chervilshift/gateway/state.py
+++ b/chervilshift/gateway/state.py
@@ -112,7 +112,7 @@
         self.room = RoomGate(rng=rng)
         self.speeds = SpeedBook()
         self.versions = VersionGate(rng=rng, policy=rollout_policy)
-        self.spill = spill or SpillGate()
+        self.spill = spill or SpillGate(rng=rng)
         self._mixed_now: frozenset[str] = frozenset()
         self._lately_mixed: tuple[str, ...] = ()
         self.report_interval_s = DIRECT_INTERVAL_S
@@ -177,10 +177,9 @@
         endpoint = choice.endpoint
         return measures_speed(
             tokens=work.tokens,
-            shared_tokens=sum(tokens for _, tokens in work.parts[:-1]),
+            shared_tokens=work.shared_tokens,
             uncached_tokens=choice.uncached_tokens,
-            queued_tokens=endpoint.prefill_tokens
-            + endpoint.other_load.prefill_tokens,
+            queued_tokens=endpoint.queued_tokens,
             active=endpoint.total_active(),
             slots=endpoint.record.slots,
         )
--- a/chervilshift/gateway/waiting.py
+++ b/chervilshift/gateway/waiting.py
@@ -145,7 +145,7 @@
         ]
         slots = sum(e.record.slots for e in endpoints)
         active = sum(e.total_active() for e in endpoints)
-        queued = sum(map(_queued_tokens, endpoints))
+        queued = sum(e.queued_tokens for e in endpoints)
         tokens_per_s = self._state.placement.prefill_speed(service)
         queue_s = ROOMY_QUEUE_SHARE * min(urgent_s or objective_s, objective_s)
         return (
@@ -154,13 +154,9 @@
         )
 
 
-def _queued_tokens(endpoint: Endpoint) -> int:
-    return endpoint.prefill_tokens + endpoint.other_load.prefill_tokens
-
-
 def _is_queued(endpoint: Endpoint) -> bool:
     """Return whether an endpoint has more to do than it does at once."""
     return (
-        _queued_tokens(endpoint) > 0
+        endpoint.queued_tokens > 0
         or endpoint.total_active() >= endpoint.record.slots
     )
--- a/tests/core/fleet/test_zones.py
+++ b/tests/core/fleet/test_zones.py
@@ -381,7 +381,7 @@
 
 
 def test_keys_move_as_little_as_shares_do():
-    gate = SpillGate(enabled=True, domain="a", regions=REGIONS)
+    gate = SpillGate(enabled=True, domain="a", regions=REGIONS, rng=Random(1))
     fleet = Fleet(PLAIN, counts=EVEN, clients=RATES)
     fleet.run(2.0)
     sent = fleet.planner._sent["pool"]
@@ -404,7 +404,7 @@
 
 
 def test_gateway_without_news_uses_its_domain_and_leaves_it_when_crowded():
-    gate = SpillGate(enabled=True, domain="a", regions=REGIONS)
+    gate = SpillGate(enabled=True, domain="a", regions=REGIONS, rng=Random(1))
     assert gate.zone("pool", "", 0.0, follows_leader=False) is None
     gate.record_sent("pool", "a", None, 0.0)
     zone = gate.zone("pool", "", 0.1, follows_leader=False)
@@ -439,7 +439,7 @@
 
 
 def test_requests_for_another_region_go_there_unless_it_keeps_them_waiting():
-    gate = SpillGate(enabled=True, domain="a", regions=REGIONS)
+    gate = SpillGate(enabled=True, domain="a", regions=REGIONS, rng=Random(1))
     news = SpillShares(by=BY_REGION, shares={"west": {"east": 1.0}})
     gate.apply({"pool": news}, 0.0)
     work = Work(tokens=9_190, parts=(("s", 6_300), ("own", 2_890)))
@@ -463,7 +463,7 @@
 
 
 def test_leader_with_the_setting_decides_and_one_without_does_not():
-    gate = SpillGate(enabled=True, domain="a", regions=REGIONS)
+    gate = SpillGate(enabled=True, domain="a", regions=REGIONS, rng=Random(1))
     for n in range(40):
         gate.record_sent("pool", "b", None, n / 40)
         gate.observe("pool", "b", 0.09, 0.09, n / 40)
@@ -502,7 +502,7 @@
 
 
 def test_nothing_is_reported_or_preferred_without_the_setting():
-    gate = SpillGate(domain="a", regions=REGIONS)
+    gate = SpillGate(domain="a", regions=REGIONS, rng=Random(1))
     gate.record_sent("pool", "a", None, 0.0)
     gate.observe("pool", "a", 0.1, 0.1, 0.0)
     assert not gate.report(0.1)
