Metrics and hashes: one piece of code each

Labels of the spill gauges were put together beside those of gauge_by, without its escapes: a quote in a service's name would have ended them. label_text() serves both; the new test failed before.

The orders of gateways, control processes and homes are unchanged, as numbers compare like the bytes they are made of.

--- a/chervilshift/core/fleet/candidates.py
+++ b/chervilshift/core/fleet/candidates.py
@@ -11,7 +11,6 @@
 keys return to an endpoint that was excluded for a short time.
 """
 
-import hashlib
 from collections import OrderedDict
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from heapq import nlargest
@@ -19,6 +18,7 @@
 from random import Random
 from typing import Generic, Protocol, TypeVar
 
+from chervilshift.core.fleet.hashing import hash64
 from chervilshift.core.fleet.model import READY, SILENT, EndpointRecord
 
 __all__ = ["HOMES", "MAX_ALL", "EndpointPool", "draw", "first_of"]
@@ -92,7 +92,7 @@
         self._local_by_id = {m.record.id: m for m in self.local}
         known = former._hashes if former else {}
         self._hashes = {
-            member_id: known.get(member_id) or _hash(member_id)
+            member_id: known.get(member_id) or hash64(member_id)
             for member_id in self._local_by_id
         }
         self._orders: OrderedDict[str, _Order] = OrderedDict()
@@ -108,7 +108,7 @@
         """Return the first endpoints for a key, the home first."""
         order = self._orders.get(key)
         if order is None:
-            key_hash = _hash(key)
+            key_hash = hash64(key)
             ranked = _rank(self._hashes, key_hash, ORDER_LENGTH)
             order = _Order(key_hash=key_hash, ranked=ranked)
             self._orders[key] = order
@@ -150,8 +150,8 @@
 def first_of(members: Iterable[E], key: str, count: int) -> list[E]:
     """Return the first endpoints for a key among some members of a pool."""
     by_id = {m.record.id: m for m in members}
-    hashes = {member_id: _hash(member_id) for member_id in by_id}
-    return [by_id[found] for _, found in _rank(hashes, _hash(key), count)]
+    hashes = {member_id: hash64(member_id) for member_id in by_id}
+    return [by_id[found] for _, found in _rank(hashes, hash64(key), count)]
 
 
 def draw(members: Sequence[E], count: int, rng: Random) -> list[E]:
@@ -177,8 +177,3 @@
     mixed = key_hash ^ member_hash
     mixed = ((mixed ^ (mixed >> 30)) * MIX_1) & MASK
     return ((mixed ^ (mixed >> 27)) * MIX_2) & MASK
-
-
-def _hash(text: str) -> int:
-    digest = hashlib.blake2b(text.encode(), digest_size=8).digest()
-    return int.from_bytes(digest)
--- a/chervilshift/core/fleet/controls.py
+++ b/chervilshift/core/fleet/controls.py
@@ -1,9 +1,9 @@
 """Chooses the control process that a gateway reports to."""
 
-import hashlib
 import zlib
 from collections.abc import Iterable
 
+from chervilshift.core.fleet.hashing import hash64
 from chervilshift.core.fleet.intervals import is_relayed
 from chervilshift.core.fleet.sync import ControlInfo
 
@@ -105,6 +105,5 @@
         )
         if not is_relayed(self._gateway_count):
             is_near = (address == self._leader, *is_near)
-        text = f"{self._gateway_id}|{address}".encode()
-        order = hashlib.blake2b(text, digest_size=8).digest()
+        order = hash64(f"{self._gateway_id}|{address}")
         return (aside_s, not known, *(not near for near in is_near), order)
--- a/chervilshift/core/fleet/lookup.py
+++ b/chervilshift/core/fleet/lookup.py
@@ -1,9 +1,9 @@
 """Selects the gateway addresses that a client lookup returns."""
 
-import hashlib
 from collections.abc import Iterable
 from itertools import islice
 
+from chervilshift.core.fleet.hashing import hash64
 from chervilshift.core.fleet.sync import GatewayInfo
 
 __all__ = ["choose_gateways"]
@@ -32,9 +32,8 @@
     near = [g for g in known if g.region == region]
     chosen = near if len(near) >= MIN_ADDRESSES else known
 
-    def rank(gateway: GatewayInfo) -> tuple[bool, bytes]:
-        text = f"{failure_domain}|{gateway.id}".encode()
-        order = hashlib.blake2b(text, digest_size=8).digest()
+    def rank(gateway: GatewayInfo) -> tuple[bool, int]:
+        order = hash64(f"{failure_domain}|{gateway.id}")
         return gateway.failure_domain != failure_domain, order
 
     if len(chosen) > max_addresses:
--- a/chervilshift/core/fleet/zones.py
+++ b/chervilshift/core/fleet/zones.py
@@ -18,9 +18,9 @@
 import math
 from collections import defaultdict
 from collections.abc import Iterable, Iterator, Mapping
-from hashlib import blake2b
 from random import Random
 
+from chervilshift.core.fleet.hashing import hash64
 from chervilshift.core.fleet.model import (
     READY,
     EndpointRecord,
@@ -30,6 +30,7 @@
 from chervilshift.core.fleet.speeds import PREFILL_TOKENS_PER_S
 from chervilshift.core.message import Message
 from chervilshift.core.rates import DecayingRate
+from chervilshift.labels import label_text
 
 __all__ = [
     "BY_DOMAIN",
@@ -702,9 +703,8 @@
 
 
 def _labels(service: str, source: str, target: str, reason: str) -> str:
-    return (
-        f'service="{service}",source="{source}",'
-        f'destination="{target}",reason="{reason}"'
+    return label_text(
+        service=service, source=source, destination=target, reason=reason
     )
 
 
@@ -763,5 +763,4 @@
 
 def _fraction(key: str) -> float:
     """Map a key to a number from 0 to 1."""
-    digest = blake2b(key.encode(), digest_size=8).digest()
-    return int.from_bytes(digest) / 2**64
+    return hash64(key) / 2**64
--- a/chervilshift/metrics.py
+++ b/chervilshift/metrics.py
@@ -6,6 +6,8 @@
 
 from hdrh.histogram import HdrHistogram
 
+from chervilshift.labels import label_text
+
 __all__ = ["Metrics"]
 
 # One hour; longer durations are recorded as this.
@@ -60,7 +62,7 @@
         self.gauge_family(
             name,
             lambda: {
-                f'{label}="{_escaped(key)}"': value
+                label_text(**{label: key}): value
                 for key, value in read().items()
             },
         )
@@ -138,7 +140,3 @@
             took_s = ended_at - began_at
             self._render_at = ended_at + took_s / MAX_RENDER_SHARE
         return self._rendered
-
-
-def _escaped(label: str) -> str:
-    return label.replace("\\", r"\\").replace('"', r"\"").replace("\n", r"\n")
--- a/tests/core/fleet/test_zones.py
+++ b/tests/core/fleet/test_zones.py
@@ -507,3 +507,13 @@
     gate.observe("pool", "a", 0.1, 0.1, 0.0)
     assert not gate.report(0.1)
     assert gate.zone("pool", "", 0.1, follows_leader=True) is None
+
+
+def test_odd_names_do_not_end_a_label():
+    """A quote in a service's name made all metrics unreadable."""
+    sent = {
+        'a"b': SpillShares(shares={"x": {"y": 0.5}}, reasons={"x": "slow"})
+    }
+    assert list(share_gauges(sent)) == [
+        'service="a\\"b",source="x",destination="y",reason="slow"'
+    ]
