Control: the types of calls to the leader stand once; a name is not used twice

Records of streams and rollouts each declared the same two types. Two constants SMALL_REQUEST_MAX_S had different values and meanings; the one by which small requests go first is SMALL_RANK_MAX_S.

--- a/chervilshift/control/origins.py
+++ b/chervilshift/control/origins.py
@@ -1,6 +1,6 @@
 """Records which version began each stream, and tells gateways."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 
 import anyio
 from absl import logging
@@ -9,7 +9,7 @@
 
 from chervilshift.control.lease import wait_lease
 from chervilshift.control.node import Node
-from chervilshift.core.commands import Command, CommandReply, NoteStreams
+from chervilshift.core.commands import NoteStreams
 from chervilshift.core.fleet.model import ServingConfig
 from chervilshift.core.fleet.origins import Origin, OriginBatch, keep_s
 from chervilshift.core.fleet.sync import (
@@ -19,8 +19,8 @@
     RecordStreams,
     StreamsRecorded,
 )
-from chervilshift.core.message import Message
-from chervilshift.errors import Failure, NotLeader, NotReady
+from chervilshift.errors import NotLeader, NotReady
+from chervilshift.wire.leader import AskLeader, SubmitCommand
 
 __all__ = ["OriginService"]
 
@@ -28,9 +28,6 @@
 # together.
 COLLECT_S = 0.05
 
-Submit = Callable[[Command], Awaitable[Result[CommandReply, Failure]]]
-AskLeader = Callable[[Message], Awaitable[Result[Message, Failure]]]
-
 
 class _Collected:
     """Records to be committed together; `result` is set before `done`."""
@@ -64,7 +61,7 @@
         self,
         *,
         node: Node,
-        submit: Submit,
+        submit: SubmitCommand,
         ask_leader: AskLeader,
         serving_config: Callable[[], ServingConfig | None],
         wall_s: Callable[[], float],
--- a/chervilshift/control/rollouts.py
+++ b/chervilshift/control/rollouts.py
@@ -1,6 +1,6 @@
 """Takes orders of rollouts, answers for them, and commits their progress."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from functools import singledispatchmethod
 
 from returns.result import Failure as Bad
@@ -11,7 +11,6 @@
 from chervilshift.core.commands import (
     AdvanceRollout,
     Command,
-    CommandReply,
     EndRollout,
     StartRollout,
 )
@@ -24,7 +23,6 @@
     RolloutPolicy,
     VersionShares,
 )
-from chervilshift.core.message import Message
 from chervilshift.errors import (
     BadRequest,
     Failure,
@@ -33,15 +31,13 @@
     RolloutRunning,
 )
 from chervilshift.events import EventLog
+from chervilshift.wire.leader import AskLeader, SubmitCommand
 
 __all__ = ["RolloutService"]
 
 # Of names that callers send, in answers.
 MAX_SHOWN_CHARS = 64
 
-Submit = Callable[[Command], Awaitable[Result[CommandReply, Failure]]]
-AskLeader = Callable[[Message], Awaitable[Result[Message, Failure]]]
-
 
 class RolloutService:
     """The control process's part in rollouts.
@@ -66,7 +62,7 @@
         *,
         policy: RolloutPolicy | None,
         node: Node,
-        submit: Submit,
+        submit: SubmitCommand,
         ask_leader: AskLeader,
         wall_s: Callable[[], float],
         events: EventLog,
--- a/chervilshift/core/fleet/limitqueue.py
+++ b/chervilshift/core/fleet/limitqueue.py
@@ -23,7 +23,7 @@
 
 # A request that costs at most this many seconds of its customer's rate goes
 # first: it delays the others by no more than that.
-SMALL_REQUEST_MAX_S = 0.01
+SMALL_RANK_MAX_S = 0.01
 # Part of the less urgent requests that go with the most urgent ones, so that
 # these don't starve them.
 FLOOR_SHARE = 0.25
@@ -257,7 +257,7 @@
         return retry_after_s
 
     def _rank(self, customer: Customer, amount: float, priority: int) -> int:
-        if amount <= SMALL_REQUEST_MAX_S * customer.rate_per_s:
+        if amount <= SMALL_RANK_MAX_S * customer.rate_per_s:
             return SMALL_RANK
         if self._rng.random() < FLOOR_SHARE:
             return URGENT_RANK
--- a/chervilshift/wire/leader.py
+++ b/chervilshift/wire/leader.py
@@ -1,17 +1,23 @@
 """Client that finds the leader of the control replicas and calls it."""
 
 from collections import deque
+from collections.abc import Awaitable, Callable
 
 import anyio
 from returns.result import Failure as Bad
 from returns.result import Result
 
 from chervilshift.clock import Clock
+from chervilshift.core.commands import Command, CommandReply
 from chervilshift.core.message import Message
 from chervilshift.errors import Failure, NotLeader, PeerUnreachable
 from chervilshift.wire.rpc import Clients
 
-__all__ = ["LeaderClient"]
+__all__ = ["AskLeader", "LeaderClient", "SubmitCommand"]
+
+# Commits a command through the leader, and asks it a question.
+SubmitCommand = Callable[[Command], Awaitable[Result[CommandReply, Failure]]]
+AskLeader = Callable[[Message], Awaitable[Result[Message, Failure]]]
 
 RETRY_INTERVAL_S = 0.1
 REPLICA_CALL_TIMEOUT_S = 1.5
