Rollouts: an attempt counts when it is sent, not when an endpoint is looked for

A request that is held for room looks for an endpoint every 0.04 s. Each time counted as an attempt at its version, so that held requests used up the exposure share of a new version without being sent; so did requests that were refused after an endpoint was found. It is counted where the attempt begins, in the same step as before for all others. The new test failed before.

Tests of a gateway's admission and state make the state in one place.

--- a/chervilshift/gateway/chooser.py
+++ b/chervilshift/gateway/chooser.py
@@ -98,8 +98,6 @@
         for excluded_ids in self._version_preferences(exchange):
             choice = self._place_among(exchange, excluded_ids)
             if choice is not None:
-                record = choice.endpoint.record
-                versions.record_placed(exchange.service, record.version)
                 return choice
         return None
 
--- a/chervilshift/gateway/dispatch.py
+++ b/chervilshift/gateway/dispatch.py
@@ -328,6 +328,9 @@
         self, exchange: Exchange, choice: Choice, downstream: Downstream
     ) -> None:
         self._state.record_prefill(exchange.service, choice.uncached_tokens)
+        self._state.versions.record_placed(
+            exchange.service, choice.endpoint.record.version
+        )
         exchange.measures_speed = (
             exchange.relay is None
             and not exchange.attempts_sent
--- a/tests/gateway/test_state.py
+++ b/tests/gateway/test_state.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from chervilshift.clock import SystemClock
+from chervilshift.clock import Clock, SystemClock
 from chervilshift.core.fleet.limits import LimitPolicy
 from chervilshift.core.fleet.placement import Placement
 from chervilshift.core.fleet.retries import RetryPolicy
@@ -14,8 +14,8 @@
 from tests.core.fleet.records import ready_endpoint
 
 
-def new_state() -> GatewayState:
-    clock = SystemClock()
+def new_state(clock: Clock | None = None) -> GatewayState:
+    clock = clock or SystemClock()
     return GatewayState(
         rng=Random(1),
         gateway_id="g",
--- a/tests/gateway/test_waiting.py
+++ b/tests/gateway/test_waiting.py
@@ -1,6 +1,5 @@
 """What a gateway sends, holds and refuses when a service is short of room."""
 
-from random import Random
 from types import SimpleNamespace
 
 import anyio
@@ -8,18 +7,16 @@
 import pytest
 
 from chervilshift.clock import ManualClock
-from chervilshift.core.fleet.limits import LimitPolicy
 from chervilshift.core.fleet.model import EngineSpec, ServiceSpec
 from chervilshift.core.fleet.news import NEWS_EXPIRY_S, FleetNews
-from chervilshift.core.fleet.placement import Placement, Work
-from chervilshift.core.fleet.retries import RetryPolicy
+from chervilshift.core.fleet.placement import Work
 from chervilshift.core.fleet.room import RoomLevel
 from chervilshift.core.fleet.sync import EndpointLoad
-from chervilshift.events import EventLog, HybridClock
-from chervilshift.gateway.state import GatewayState
+from chervilshift.core.fleet.versions import Rollout
+from chervilshift.gateway.chooser import EndpointChooser
 from chervilshift.gateway.waiting import NoRoom, RoomAdmission
 from chervilshift.metrics import Metrics
-from tests.gateway.test_state import reply
+from tests.gateway.test_state import new_state, reply
 
 SPEC = ServiceSpec(
     name="pool",
@@ -34,19 +31,7 @@
 
     def __init__(self):
         self.clock = ManualClock()
-        self.state = GatewayState(
-            rng=Random(1),
-            gateway_id="g",
-            info=lambda: None,
-            placement=Placement(region="", regions={}, rng=Random(1)),
-            limit_policy=LimitPolicy(window_s=8.0, tolerance=0.1, slack=0.0),
-            retry_policy=RetryPolicy(ratio=0.1, fixed_retries=1, window_s=1.0),
-            usage_window_s=5.0,
-            decode=None,
-            controls_digest=lambda: 0,
-            clock=self.clock,
-            events=EventLog(process="g", hlc=HybridClock(clock=self.clock)),
-        )
+        self.state = new_state(self.clock)
         self.state.apply_reply(reply(1, "e1", "e2"))
         self.state.table = SimpleNamespace(
             cfg=SimpleNamespace(services={"pool": SPEC})
@@ -164,3 +149,40 @@
         assert exchange.room.work > 0
 
     anyio.run(play)
+
+
+def test_request_that_is_held_counts_as_one_attempt_of_a_rollout():
+    """Each look for an endpoint used up a part of the exposure share."""
+    gateway = Gateway()
+    rollout = Rollout(
+        order=1,
+        changed_at=1,
+        service="pool",
+        to="v2",
+        ramp_s=20.0,
+        ordered_s=0.0,
+        deadline_s=20.0,
+    )
+    gateway.state.versions.set_rollouts((rollout,), 1)
+    chooser = EndpointChooser(
+        state=gateway.state,
+        limiter=None,
+        clock=gateway.clock,
+        metrics=gateway.metrics,
+    )
+    exchange = SimpleNamespace(
+        service="pool",
+        route=SimpleNamespace(name="r", repeatable=False),
+        work=Work(tokens=10),
+        version=None,
+        wants_new=None,
+        failed_ids=set(),
+        barred_ids=set(),
+    )
+
+    async def look() -> None:
+        for _ in range(3):
+            assert await chooser.choose(exchange) is not None
+
+    anyio.run(look)
+    assert not gateway.state.versions.report(0.0)
