--- a/tests/core/fleet/test_room.py
+++ b/tests/core/fleet/test_room.py
@@ -255,18 +255,21 @@
         assert planner.plan([report] * 3, step * INTERVAL_S) == {}
 
 
+# Most requests of a class are late, behind what waits.
+SHORT = ClassRoom(
+    arrived=50.0,
+    late=40.0,
+    done=40_000.0,
+    work=1_000.0,
+    waiting=80_000.0,
+    objective_s=0.5,
+)
+
+
 def test_service_with_one_priority_has_no_level():
     planner = RoomPlanner()
-    short = ClassRoom(
-        arrived=50.0,
-        late=40.0,
-        done=40_000.0,
-        work=1_000.0,
-        waiting=80_000.0,
-        objective_s=0.5,
-    )
-    one = {SERVICE: RoomReport(classes={3: short})}
-    two = {SERVICE: RoomReport(classes={3: short, 4: short})}
+    one = {SERVICE: RoomReport(classes={3: SHORT})}
+    two = {SERVICE: RoomReport(classes={3: SHORT, 4: SHORT})}
     for step in range(8):
         now = step * INTERVAL_S
         assert planner.plan([one], now) == {}
@@ -276,15 +279,7 @@
 def test_lateness_at_few_gateways_starts_no_level():
     """The others had nothing late; one gateway's links were slow."""
     planner = RoomPlanner()
-    short = ClassRoom(
-        arrived=50.0,
-        late=40.0,
-        done=40_000.0,
-        work=1_000.0,
-        waiting=80_000.0,
-        objective_s=0.5,
-    )
-    report = {SERVICE: RoomReport(classes={0: short, 1: short})}
+    report = {SERVICE: RoomReport(classes={0: SHORT, 1: SHORT})}
     calm, unused = {SERVICE: RoomReport()}, {}
     for step in range(8):
         now = step * INTERVAL_S
--- a/tests/platform/test_rollouts.py
+++ b/tests/platform/test_rollouts.py
@@ -7,6 +7,7 @@
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
+from functools import partial
 
 import anyio
 import httpcore
@@ -191,39 +192,28 @@
     run(tmp_path, play)
 
 
-def test_slow_version_is_rolled_back_within_its_share(tmp_path):
-    async def play(scenario: Scenario) -> None:
-        sent_before = scenario.sent
-        assert await scenario.order() == 200
-        await scenario.add_new("slow")
-        assert await scenario.ends(ORDER["ramp_s"]) == "rolled_back"
-        await anyio.sleep(0.5)
-        got = scenario.new_runs()
-        await anyio.sleep(1.0)
-        assert scenario.new_runs() == got
-        sent = scenario.sent - sent_before
-        assert 0 < got <= SETTINGS["rollout_share"] * sent + 25
-        assert set(scenario.statuses) == {200}
+async def play_bad_version(scenario: Scenario, kind: str) -> None:
+    """Roll out a bad version; all requests are served all the same."""
+    sent_before = scenario.sent
+    assert await scenario.order() == 200
+    await scenario.add_new(kind)
+    assert await scenario.ends(ORDER["ramp_s"]) == "rolled_back"
+    await anyio.sleep(0.5)
+    got = scenario.new_runs()
+    await anyio.sleep(1.0)
+    assert scenario.new_runs() == got
+    sent = scenario.sent - sent_before
+    assert 0 < got <= SETTINGS["rollout_share"] * sent + 25
+    # What failed there was repeated at the old version.
+    assert set(scenario.statuses) == {200}
 
-    run(tmp_path, play)
 
+def test_slow_version_is_rolled_back_within_its_share(tmp_path):
+    run(tmp_path, partial(play_bad_version, kind="slow"))
 
-def test_failing_version_is_rolled_back_within_its_share(tmp_path):
-    async def play(scenario: Scenario) -> None:
-        sent_before = scenario.sent
-        assert await scenario.order() == 200
-        await scenario.add_new("error")
-        assert await scenario.ends(ORDER["ramp_s"]) == "rolled_back"
-        await anyio.sleep(0.5)
-        got = scenario.new_runs()
-        await anyio.sleep(1.0)
-        assert scenario.new_runs() == got
-        sent = scenario.sent - sent_before
-        assert 0 < got <= SETTINGS["rollout_share"] * sent + 25
-        # What failed there was repeated at the old version.
-        assert set(scenario.statuses) == {200}
 
-    run(tmp_path, play)
+def test_failing_version_is_rolled_back_within_its_share(tmp_path):
+    run(tmp_path, partial(play_bad_version, kind="error"))
 
 
 def test_acknowledged_order_survives_the_loss_of_all_processes(tmp_path):
