Review: a stream goes on at another version of a plain service

A worker of a service without an engine that starts again under its id as another version gets the streams that it broke off, before the gateway learns of the new version. The client gets one whole answer of two versions (ORDER).

--- a/review/support_2.py
+++ b/review/support_2.py
@@ -333,6 +333,18 @@
         for writer in tuple(self._open):
             writer.transport.abort()
 
+    async def replace(self, version: str, controls: list[str]) -> bool:
+        """Start again in place; return whether the check-in was acked.
+
+        The new boot takes over the listening socket, as under a supervisor.
+        """
+        for writer in tuple(self._open):
+            writer.transport.abort()
+        self.version = version
+        self.born = int(time.time() * 1000)
+        self.seq = 0
+        return await self.check_in(controls)
+
     def run(self, asked: Asked, body: bytes) -> list[tuple[str, str]]:
         """Record a run; return the headers of its answer."""
         self.ran.append((time.monotonic(), asked))
